--- a/core/ident/ident.go
+++ b/core/ident/ident.go
@@ -76,12 +76,42 @@
 	return JobID{Cell: CellID(cell), Epoch: Epoch(epoch), Seq: seq}, nil
 }
 
-// TaskID identifies one task of a job. Index counts from 0.
+// ChosenJobID returns the id of a job whose number its caller chose. No owner has epoch 0, so that such an id never
+// equals one that a cell assigned.
+func ChosenJobID(cell CellID, number uint64) JobID {
+	return JobID{Cell: cell, Seq: number}
+}
+
+// Chosen reports whether the caller chose the number of the job.
+func (j JobID) Chosen() bool {
+	return j.Epoch == 0
+}
+
+// memberBits is how many low bits of a task index number the task within its group.
+const memberBits = 20
+
+// TaskID identifies one task of a job. Index holds the number of its task group and, in the low memberBits, its number
+// within the group; both count from 0.
 type TaskID struct {
 	Job   JobID
 	Index uint32
 }
 
+// TaskIndex returns the index of a task of a group.
+func TaskIndex(group, member int) uint32 {
+	return uint32(group)<<memberBits | uint32(member)
+}
+
+// Group returns the number of the task group.
+func (t TaskID) Group() int {
+	return int(t.Index >> memberBits)
+}
+
+// Member returns the number of the task within its group.
+func (t TaskID) Member() int {
+	return int(t.Index & (1<<memberBits - 1))
+}
+
 // String returns the external form <job>.<index>.
 func (t TaskID) String() string {
 	return fmt.Sprintf("%s.%d", t.Job, t.Index)
