--- a/adapter/cellpb/codec_test.go
+++ b/adapter/cellpb/codec_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
+	"github.com/bulrushrelay/bulrushrelay/core/placement"
 	"github.com/bulrushrelay/bulrushrelay/core/resource"
 )
 
@@ -17,9 +18,13 @@
 	run  = lifecycle.Run{Task: ident.TaskID{Job: job, Index: 2}, Attempt: 66}
 	spec = lifecycle.JobSpec{
 		Name: "n", Class: "c", Tenant: "t", Kind: "batch", Token: "k",
+		Number: 1<<63 + 5, Pool: "p", FailFast: true,
 		Groups: []lifecycle.TaskGroup{{
 			Count: 3, Need: resource.Vector{MilliCPU: 1, MemoryMB: 2, Accelerators: 3},
 			RunTime: time.Second, Command: "run",
+		}, {
+			Count: 2, Need: resource.Vector{MilliCPU: 1}, After: []int{0}, Lasting: true, Volatile: true,
+			Constraints: placement.Constraints{Label: "l", Rack: "r", MaxPerWorker: 2, Serving: true, Filler: true},
 		}},
 	}
 	checkpoint = lifecycle.Checkpoint{ID: "c1", At: at}
--- a/adapter/cellpb/records.go
+++ b/adapter/cellpb/records.go
@@ -9,6 +9,7 @@
 	cellv1 "github.com/bulrushrelay/bulrushrelay/api/cell/v1"
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
+	"github.com/bulrushrelay/bulrushrelay/core/placement"
 	"github.com/bulrushrelay/bulrushrelay/core/resource"
 	"github.com/bulrushrelay/bulrushrelay/core/table"
 )
@@ -165,6 +166,7 @@
 func specOut(s lifecycle.JobSpec) *cellv1.JobSpec {
 	out := &cellv1.JobSpec{
 		Name: s.Name, Class: string(s.Class), Tenant: string(s.Tenant), Kind: string(s.Kind), Token: s.Token,
+		Number: s.Number, Pool: s.Pool, FailFast: s.FailFast,
 	}
 	for _, g := range s.Groups {
 		out.Groups = append(out.Groups, &cellv1.TaskGroup{
@@ -172,8 +174,12 @@
 			Need: &cellv1.Vector{
 				MilliCpu: g.Need.MilliCPU, MemoryMb: g.Need.MemoryMB, Accelerators: g.Need.Accelerators,
 			},
-			RunTimeMs: g.RunTime.Milliseconds(),
-			Command:   g.Command,
+			RunTimeMs:   g.RunTime.Milliseconds(),
+			Command:     g.Command,
+			After:       groupsOut(g.After),
+			Lasting:     g.Lasting,
+			Volatile:    g.Volatile,
+			Constraints: constraintsOut(g.Constraints),
 		})
 	}
 	return out
@@ -183,6 +189,7 @@
 	out := lifecycle.JobSpec{
 		Name: s.GetName(), Class: ident.ClassName(s.GetClass()), Tenant: ident.TenantName(s.GetTenant()),
 		Kind: table.Kind(s.GetKind()), Token: s.GetToken(),
+		Number: s.GetNumber(), Pool: s.GetPool(), FailFast: s.GetFailFast(),
 	}
 	for _, g := range s.GetGroups() {
 		out.Groups = append(out.Groups, lifecycle.TaskGroup{
@@ -191,9 +198,45 @@
 				MilliCPU: g.GetNeed().GetMilliCpu(), MemoryMB: g.GetNeed().GetMemoryMb(),
 				Accelerators: g.GetNeed().GetAccelerators(),
 			},
-			RunTime: durationIn(g.GetRunTimeMs()),
-			Command: g.GetCommand(),
+			RunTime:     durationIn(g.GetRunTimeMs()),
+			Command:     g.GetCommand(),
+			After:       groupsIn(g.GetAfter()),
+			Lasting:     g.GetLasting(),
+			Volatile:    g.GetVolatile(),
+			Constraints: constraintsIn(g.GetConstraints()),
 		})
 	}
 	return out
 }
+
+func groupsOut(groups []int) []uint32 {
+	var out []uint32
+	for _, g := range groups {
+		out = append(out, uint32(g))
+	}
+	return out
+}
+
+func groupsIn(groups []uint32) []int {
+	var in []int
+	for _, g := range groups {
+		in = append(in, int(g))
+	}
+	return in
+}
+
+func constraintsOut(c placement.Constraints) *cellv1.Constraints {
+	if c == (placement.Constraints{}) {
+		return nil
+	}
+	return &cellv1.Constraints{
+		Label: c.Label, Rack: string(c.Rack), MaxPerWorker: uint32(max(c.MaxPerWorker, 0)), Serving: c.Serving, Filler: c.Filler,
+	}
+}
+
+func constraintsIn(c *cellv1.Constraints) placement.Constraints {
+	return placement.Constraints{
+		Label: c.GetLabel(), Rack: ident.Rack(c.GetRack()), MaxPerWorker: int(c.GetMaxPerWorker()),
+		Serving: c.GetServing(), Filler: c.GetFiller(),
+	}
+}
--- a/adapter/jobhttp/messages.go
+++ b/adapter/jobhttp/messages.go
@@ -2,19 +2,27 @@
 
 import (
 	"math"
+	"strconv"
 	"time"
 
 	"github.com/bulrushrelay/bulrushrelay/adapter/internal/httpverdict"
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
+	"github.com/bulrushrelay/bulrushrelay/core/placement"
 	"github.com/bulrushrelay/bulrushrelay/core/resource"
 )
 
 // Submission is the body of POST /v1/jobs.
 type Submission struct {
-	Name   string  `json:"name,omitempty"`
-	Class  string  `json:"class"`
-	Groups []Group `json:"groups"`
+	Name  string `json:"name,omitempty"`
+	Class string `json:"class"`
+	// Number is the caller's own number for the job, 1 to 16 hexadecimal digits. It leads to the same job at every host.
+	Number string `json:"number,omitempty"`
+	// Pool names the pool of workers that may run the job.
+	Pool string `json:"pool,omitempty"`
+	// FailFast ends the job with the first task that fails for good.
+	FailFast bool    `json:"fail_fast,omitempty"`
+	Groups   []Group `json:"groups"`
 }
 
 // Group describes equal tasks.
@@ -26,6 +34,18 @@
 	Accelerators int64   `json:"accelerators,omitempty"`
 	RunTimeMS    int64   `json:"run_time_ms,omitempty"`
 	Command      string  `json:"command,omitempty"`
+	// After lists earlier groups, counted from 0, whose tasks must all be done first.
+	After []int `json:"after,omitempty"`
+	// Lasting tasks run until the job is cancelled; Volatile ones save no progress.
+	Lasting  bool `json:"lasting,omitempty"`
+	Volatile bool `json:"volatile,omitempty"`
+	// Label is a label that the worker must have, Rack the preferred rack, MaxPerWorker the most tasks on one worker.
+	Label        string `json:"label,omitempty"`
+	Rack         string `json:"rack,omitempty"`
+	MaxPerWorker int    `json:"max_per_worker,omitempty"`
+	// Serving tasks are kept apart from Filler tasks, which use the processors that others leave.
+	Serving bool `json:"serving,omitempty"`
+	Filler  bool `json:"filler,omitempty"`
 }
 
 // Submitted is the answer to an accepted submission.
@@ -82,7 +102,16 @@
 )
 
 func (s Submission) spec(token string) (lifecycle.JobSpec, error) {
-	spec := lifecycle.JobSpec{Name: s.Name, Class: ident.ClassName(s.Class), Token: token}
+	spec := lifecycle.JobSpec{
+		Name: s.Name, Class: ident.ClassName(s.Class), Token: token, Pool: s.Pool, FailFast: s.FailFast,
+	}
+	if s.Number != "" {
+		n, err := strconv.ParseUint(s.Number, 16, 64)
+		if err != nil || n == 0 {
+			return spec, invalid("number %q: want 1 to 16 hexadecimal digits, not all 0", s.Number)
+		}
+		spec.Number = n
+	}
 	for i, g := range s.Groups {
 		if math.IsNaN(g.Processors) || g.Processors < 0 || g.Processors > maxProcessors {
 			return spec, invalid("group %d: processors: want 0 to %d", i, maxProcessors)
@@ -98,8 +127,14 @@
 			Need: resource.Vector{
 				MilliCPU: int64(math.Ceil(g.Processors * milli)), MemoryMB: g.MemoryMB, Accelerators: g.Accelerators,
 			},
-			RunTime: time.Duration(g.RunTimeMS) * time.Millisecond,
-			Command: g.Command,
+			RunTime:  time.Duration(g.RunTimeMS) * time.Millisecond,
+			Command:  g.Command,
+			After:    g.After,
+			Lasting:  g.Lasting,
+			Volatile: g.Volatile,
+			Constraints: placement.Constraints{
+				Label: g.Label, Rack: ident.Rack(g.Rack), MaxPerWorker: g.MaxPerWorker, Serving: g.Serving, Filler: g.Filler,
+			},
 		})
 	}
 	return spec, spec.Validate()
@@ -122,6 +157,9 @@
 		j.Groups = append(j.Groups, Group{
 			Count: g.Count, Processors: float64(g.Need.MilliCPU) / milli, MemoryMB: g.Need.MemoryMB,
 			Accelerators: g.Need.Accelerators, RunTimeMS: g.RunTime.Milliseconds(), Command: g.Command,
+			After: g.After, Lasting: g.Lasting, Volatile: g.Volatile,
+			Label: g.Constraints.Label, Rack: string(g.Constraints.Rack), MaxPerWorker: g.Constraints.MaxPerWorker,
+			Serving: g.Constraints.Serving, Filler: g.Constraints.Filler,
 		})
 	}
 	for _, t := range v.Tasks {
--- a/adapter/peergrpc/jobmessages.go
+++ b/adapter/peergrpc/jobmessages.go
@@ -7,6 +7,7 @@
 	peerv1 "github.com/bulrushrelay/bulrushrelay/api/peer/v1"
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
+	"github.com/bulrushrelay/bulrushrelay/core/placement"
 	"github.com/bulrushrelay/bulrushrelay/core/resource"
 	"github.com/bulrushrelay/bulrushrelay/core/table"
 	"github.com/bulrushrelay/bulrushrelay/core/verdict"
@@ -32,6 +33,7 @@
 func jobSpecOut(s lifecycle.JobSpec) *peerv1.JobSpec {
 	out := &peerv1.JobSpec{
 		Name: s.Name, Class: string(s.Class), Token: s.Token, Tenant: string(s.Tenant), Kind: string(s.Kind),
+		Number: s.Number, Pool: s.Pool, FailFast: s.FailFast,
 	}
 	for _, g := range s.Groups {
 		out.Groups = append(out.Groups, &peerv1.JobTaskGroup{
@@ -39,8 +41,12 @@
 			Need: &peerv1.ResourceVector{
 				MilliCpu: g.Need.MilliCPU, MemoryMb: g.Need.MemoryMB, Accelerators: g.Need.Accelerators,
 			},
-			RunTimeMs: g.RunTime.Milliseconds(),
-			Command:   g.Command,
+			RunTimeMs:   g.RunTime.Milliseconds(),
+			Command:     g.Command,
+			After:       groupsOut(g.After),
+			Lasting:     g.Lasting,
+			Volatile:    g.Volatile,
+			Constraints: constraintsOut(g.Constraints),
 		})
 	}
 	return out
@@ -50,6 +56,7 @@
 	out := lifecycle.JobSpec{
 		Name: s.GetName(), Class: ident.ClassName(s.GetClass()), Token: s.GetToken(),
 		Tenant: ident.TenantName(s.GetTenant()), Kind: table.Kind(s.GetKind()),
+		Number: s.GetNumber(), Pool: s.GetPool(), FailFast: s.GetFailFast(),
 	}
 	for _, g := range s.GetGroups() {
 		out.Groups = append(out.Groups, lifecycle.TaskGroup{
@@ -58,8 +65,12 @@
 				MilliCPU: g.GetNeed().GetMilliCpu(), MemoryMB: g.GetNeed().GetMemoryMb(),
 				Accelerators: g.GetNeed().GetAccelerators(),
 			},
-			RunTime: fromAgeMs(g.GetRunTimeMs()),
-			Command: g.GetCommand(),
+			RunTime:     fromAgeMs(g.GetRunTimeMs()),
+			Command:     g.GetCommand(),
+			After:       groupsIn(g.GetAfter()),
+			Lasting:     g.GetLasting(),
+			Volatile:    g.GetVolatile(),
+			Constraints: constraintsIn(g.GetConstraints()),
 		})
 	}
 	return out
@@ -153,3 +164,35 @@
 		Evictions: int(t.GetEvictions()), Failures: int(t.GetFailures()), Why: t.GetWhy(),
 	}, nil
 }
+
+func groupsOut(groups []int) []uint32 {
+	var out []uint32
+	for _, g := range groups {
+		out = append(out, uint32(g))
+	}
+	return out
+}
+
+func groupsIn(groups []uint32) []int {
+	var in []int
+	for _, g := range groups {
+		in = append(in, int(g))
+	}
+	return in
+}
+
+func constraintsOut(c placement.Constraints) *peerv1.JobConstraints {
+	if c == (placement.Constraints{}) {
+		return nil
+	}
+	return &peerv1.JobConstraints{
+		Label: c.Label, Rack: string(c.Rack), MaxPerWorker: uint32(max(c.MaxPerWorker, 0)), Serving: c.Serving, Filler: c.Filler,
+	}
+}
+
+func constraintsIn(c *peerv1.JobConstraints) placement.Constraints {
+	return placement.Constraints{
+		Label: c.GetLabel(), Rack: ident.Rack(c.GetRack()), MaxPerWorker: int(c.GetMaxPerWorker()),
+		Serving: c.GetServing(), Filler: c.GetFiller(),
+	}
+}
--- a/adapter/peergrpc/jobs.go
+++ b/adapter/peergrpc/jobs.go
@@ -19,6 +19,7 @@
 	WaitFor(ctx context.Context, id ident.JobID, from, tasks int, version uint64, limit time.Duration) (lifecycle.JobView, error)
 	List(ctx context.Context, cell ident.CellID, after ident.JobID, limit int) ([]lifecycle.JobView, error)
 	Cancel(ctx context.Context, id ident.JobID) error
+	Waiting(ctx context.Context, cell ident.CellID) (map[ident.ClassName]int, error)
 }
 
 // maxJobWait bounds how long a peer may have a call held.
@@ -95,6 +96,19 @@
 	return &peerv1.CancelJobReply{}, nil
 }
 
+// Waiting implements the protocol between relay hosts.
+func (s *JobsServer) Waiting(ctx context.Context, r *peerv1.WaitingJobsRequest) (*peerv1.WaitingJobsReply, error) {
+	waiting, err := s.service.Waiting(ctx, ident.CellID(r.GetCell()))
+	if err != nil {
+		return &peerv1.WaitingJobsReply{Failure: jobFailureOut(err)}, nil
+	}
+	reply := &peerv1.WaitingJobsReply{Counts: make(map[string]uint32, len(waiting))}
+	for class, n := range waiting {
+		reply.Counts[string(class)] = uint32(max(n, 0))
+	}
+	return reply, nil
+}
+
 func parseJob(s string) (ident.JobID, error) {
 	id, err := ident.ParseJobID(s)
 	if err != nil {
@@ -198,3 +212,18 @@
 	})
 	return err
 }
+
+// Waiting implements jobs.Peer.
+func (c *JobsClient) Waiting(ctx context.Context, address string, cell ident.CellID) (map[ident.ClassName]int, error) {
+	reply, err := callJobs(ctx, c, address, func(ctx context.Context, j peerv1.JobsClient) (*peerv1.WaitingJobsReply, error) {
+		return j.Waiting(ctx, &peerv1.WaitingJobsRequest{Cell: uint32(cell)})
+	})
+	if err != nil {
+		return nil, err
+	}
+	waiting := make(map[ident.ClassName]int, len(reply.GetCounts()))
+	for class, n := range reply.GetCounts() {
+		waiting[ident.ClassName(class)] = int(n)
+	}
+	return waiting, nil
+}
--- a/adapter/peergrpc/jobs_test.go
+++ b/adapter/peergrpc/jobs_test.go
@@ -13,6 +13,7 @@
 	peerv1 "github.com/bulrushrelay/bulrushrelay/api/peer/v1"
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
+	"github.com/bulrushrelay/bulrushrelay/core/placement"
 	"github.com/bulrushrelay/bulrushrelay/core/resource"
 	"github.com/bulrushrelay/bulrushrelay/core/verdict"
 )
@@ -23,8 +24,12 @@
 		Job: ident.JobID{Cell: 1, Epoch: 2, Seq: 3},
 		Spec: lifecycle.JobSpec{
 			Name: "n", Class: "c", Tenant: "t", Kind: "batch", Token: "k",
+			Number: 1<<63 + 5, Pool: "p", FailFast: true,
 			Groups: []lifecycle.TaskGroup{{
 				Count: 2, Need: resource.Vector{MilliCPU: 1, MemoryMB: 2, Accelerators: 3}, RunTime: time.Second, Command: "x",
+			}, {
+				Count: 2, Need: resource.Vector{MilliCPU: 1}, After: []int{0}, Lasting: true, Volatile: true,
+				Constraints: placement.Constraints{Label: "l", Rack: "r", MaxPerWorker: 2, Serving: true, Filler: true},
 			}},
 		},
 		State: lifecycle.Cancelled, Counts: map[lifecycle.State]int{lifecycle.Done: 1, lifecycle.Cancelled: 1},
@@ -63,6 +68,10 @@
 
 func (f *fakeJobs) Cancel(context.Context, ident.JobID) error { return f.err }
 
+func (f *fakeJobs) Waiting(context.Context, ident.CellID) (map[ident.ClassName]int, error) {
+	return map[ident.ClassName]int{"c": 3}, f.err
+}
+
 func servePeer(t *testing.T, s JobService) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -92,6 +101,9 @@
 	require.NoError(t, err)
 	require.Equal(t, []lifecycle.JobView{jobView}, list)
 	require.NoError(t, c.Cancel(jobCtx, address, id))
+	waiting, err := c.Waiting(jobCtx, address, 1)
+	require.NoError(t, err)
+	require.Equal(t, map[ident.ClassName]int{"c": 3}, waiting)
 }
 
 // Guards against a verdict that is lost between relay hosts, and against a false NotRun for a call that was sent.
--- a/core/lifecycle/attempt.go
+++ b/core/lifecycle/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
@@ -92,6 +93,7 @@
 	r.incarnation = w.incarnation
 	t.wait = WaitNone
 	t.maySent = true
+	t.job.begun = true
 	w.sentTokenAt = w.tokenAt
 	eff.do(StartTask{
 		Run: r.Run, Worker: w.member.ID, Token: w.token, Class: t.job.spec.Class, Booked: r.booked,
@@ -193,6 +195,7 @@
 	for _, r := range runs {
 		if t := c.current(id, r); t != nil {
 			t.run.stopping = false
+			t.run.stoppedAt = now
 		}
 	}
 	w, ok := c.workers[id]
@@ -286,6 +289,10 @@
 }
 
 func (c *Cell) afterEnd(now time.Time, w *worker, t *task, e Ended, preempted bool, eff *Effects) {
+	if t.group.Lasting && (e.End == EndDone || e.End == EndFailed) {
+		c.restart(now, w, t, e, eff)
+		return
+	}
 	switch e.End {
 	case EndDone:
 		c.completed(now, w, t, e, eff)
@@ -312,12 +319,37 @@
 	c.clearBlame(w, eff)
 	c.provenGood(now, t.job, eff)
 	eff.log(TaskDone{Run: e.Run, At: now})
+	t.close()
+	c.enqueueDependents(now, t, eff)
+}
+
+// enqueueDependents queues the groups that waited for the group of t, if t was the last of its tasks. They need not
+// wait for the record: the worker keeps the end until it is acknowledged.
+func (c *Cell) enqueueDependents(now time.Time, t *task, eff *Effects) {
+	j := t.job
+	done := t.id.Group()
+	if j.groups[done].open > 0 {
+		return
+	}
+	var next []*task
+	for g := done + 1; g < len(j.groups); g++ {
+		if !slices.Contains(j.spec.Groups[g].After, done) {
+			continue
+		}
+		first := j.groups[g].first
+		for i := first; i < first+j.spec.Groups[g].Count; i++ {
+			if j.tasks[i].wait == WaitGroups {
+				next = append(next, &j.tasks[i])
+			}
+		}
+	}
+	c.enqueue(now, next, eff)
 }
 
 // lateEnd handles the end of an attempt that no longer is the present one. A late completion still completes the
 // task; the attempt that replaced it is stopped.
 func (c *Cell) lateEnd(now time.Time, w *worker, t *task, e Ended, eff *Effects) {
-	open := t != nil && !t.settled && !t.state.Final() && !t.job.cancelling
+	open := t != nil && !t.settled && !t.state.Final() && !t.job.cancelling && !t.group.Lasting
 	if open && e.End != EndDone && e.Checkpoint.ID != "" && e.Attempt >= t.lastRan && t.run == nil {
 		// The worker was given up before it could report the checkpoint, and no attempt has resumed yet.
 		t.checkpoint = Checkpoint{ID: e.Checkpoint.ID, At: now}
--- a/core/lifecycle/cell.go
+++ b/core/lifecycle/cell.go
@@ -1,6 +1,7 @@
 package lifecycle
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -30,6 +31,8 @@
 	id    ident.CellID
 	epoch ident.Epoch
 	table *table.Table
+	// policy is fixed before the first event.
+	policy Policy
 
 	jobSeq  uint64
 	jobs    map[ident.JobID]*job
@@ -80,7 +83,23 @@
 	// failedOn and succeeded tell a job that fails everywhere from a worker that fails everything.
 	failedOn  map[ident.WorkerID]struct{}
 	succeeded bool
-	version   uint64
+	// failing is set once a task of a job that fails fast has failed for good.
+	failing bool
+	// fresh jobs were accepted by this owner: no predecessor can have started their tasks.
+	fresh bool
+	// begun is set once a start may have been sent.
+	begun bool
+	// groups holds what the job's groups have left to do, by number.
+	groups  []groupState
+	version uint64
+}
+
+// groupState is the progress of one task group.
+type groupState struct {
+	// first is the position of the group's first task.
+	first int
+	// open counts the tasks that are not done.
+	open int
 }
 
 type task struct {
@@ -136,8 +155,9 @@
 	confirmedSeq uint64
 	// saveAt is when a checkpoint was last asked for.
 	saveAt time.Time
-	// stopping is set while a stop is being sent.
+	// stopping is set while a stop is being sent; stoppedAt is when the last one was answered.
 	stopping  bool
+	stoppedAt time.Time
 	preempted bool
 	// fraction is the throttle decided last, 0 if none; throttleLost is set if its answer was lost.
 	fraction     float64
@@ -150,6 +170,7 @@
 		id:       id,
 		epoch:    epoch,
 		table:    t,
+		policy:   DefaultPolicy(),
 		jobs:     make(map[ident.JobID]*job),
 		tokens:   make(map[string]accepted),
 		workers:  make(map[ident.WorkerID]*worker),
@@ -190,6 +211,10 @@
 	}
 	spec.Tenant = row.Tenant
 	spec.Kind = row.Kind
+	id := ident.ChosenJobID(c.id, spec.Number)
+	if spec.Number != 0 && spec.Token == "" {
+		spec.Token = id.String()
+	}
 	if earlier, used := c.tokens[spec.Token]; used && spec.Token != "" {
 		if !sameWork(earlier.spec, spec) {
 			return ident.JobID{}, Effects{}, verdict.New(verdict.NotRun, verdict.CodeConflict,
@@ -202,8 +227,10 @@
 			return ident.JobID{}, Effects{}, err
 		}
 	}
-	c.jobSeq++
-	id := ident.JobID{Cell: c.id, Epoch: c.epoch, Seq: c.jobSeq}
+	if spec.Number == 0 {
+		c.jobSeq++
+		id = ident.JobID{Cell: c.id, Epoch: c.epoch, Seq: c.jobSeq}
+	}
 	if spec.Token != "" {
 		c.tokens[spec.Token] = accepted{job: id, spec: spec}
 	}
@@ -212,15 +239,8 @@
 
 // sameWork ignores what the table adds, which may change between two submissions.
 func sameWork(a, b JobSpec) bool {
-	if a.Name != b.Name || a.Class != b.Class || len(a.Groups) != len(b.Groups) {
-		return false
-	}
-	for i := range a.Groups {
-		if a.Groups[i] != b.Groups[i] {
-			return false
-		}
-	}
-	return true
+	return a.Name == b.Name && a.Class == b.Class && a.Pool == b.Pool && a.FailFast == b.FailFast &&
+		slices.EqualFunc(a.Groups, b.Groups, TaskGroup.equal)
 }
 
 // Withdraw forgets a submission whose record certainly was not written.
@@ -248,24 +268,30 @@
 		return eff, true, nil
 	}
 	j.cancelling = true
-	var queued []ident.TaskID
 	var sent []uint32
 	for i := range j.tasks {
-		t := &j.tasks[i]
-		if t.maySent {
+		if j.tasks[i].maySent {
 			sent = append(sent, uint32(i))
 		}
-		if t.run == nil && !t.settled {
-			queued = append(queued, t.id)
-		}
 	}
-	if len(queued) > 0 {
+	if queued := j.queued(); len(queued) > 0 {
 		eff.do(Dequeue{Tasks: queued})
 	}
 	eff.log(JobCancelled{Job: id, At: now, MaySent: sent})
 	return eff, true, nil
 }
 
+// queued lists the tasks that may wait with the planner.
+func (j *job) queued() []ident.TaskID {
+	var queued []ident.TaskID
+	for i := range j.tasks {
+		if t := &j.tasks[i]; t.run == nil && !t.settled {
+			queued = append(queued, t.id)
+		}
+	}
+	return queued
+}
+
 func notFound(id ident.JobID) error {
 	return verdict.New(verdict.NotRun, verdict.CodeNotFound, "job %s is not known in its cell", id)
 }
@@ -299,10 +325,25 @@
 
 func (c *Cell) task(id ident.TaskID) *task {
 	j, ok := c.jobs[id.Job]
-	if !ok || int(id.Index) >= len(j.tasks) {
+	if !ok || id.Group() >= len(j.groups) || id.Member() >= j.spec.Groups[id.Group()].Count {
 		return nil
 	}
-	return &j.tasks[id.Index]
+	return &j.tasks[j.groups[id.Group()].first+id.Member()]
+}
+
+// ready reports whether the groups that the task waits for are done.
+func (t *task) ready() bool {
+	for _, earlier := range t.group.After {
+		if t.job.groups[earlier].open > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// close counts a task of a group as done, once.
+func (t *task) close() {
+	t.job.groups[t.id.Group()].open--
 }
 
 func (c *Cell) insertJob(id ident.JobID, spec JobSpec, at time.Time) *job {
@@ -312,12 +353,14 @@
 		acceptedAt: at,
 		tasks:      make([]task, spec.Tasks()),
 		failedOn:   make(map[ident.WorkerID]struct{}),
+		groups:     make([]groupState, len(spec.Groups)),
 	}
 	i := 0
 	for g := range j.spec.Groups {
-		for range j.spec.Groups[g].Count {
+		j.groups[g] = groupState{first: i, open: j.spec.Groups[g].Count}
+		for member := range j.spec.Groups[g].Count {
 			j.tasks[i] = task{
-				id:    ident.TaskID{Job: id, Index: uint32(i)},
+				id:    ident.TaskID{Job: id, Index: ident.TaskIndex(g, member)},
 				job:   j,
 				group: &j.spec.Groups[g],
 				next:  1,
--- a/core/lifecycle/commit.go
+++ b/core/lifecycle/commit.go
@@ -30,6 +30,7 @@
 		c.acknowledge(r.Run)
 		if r.Final {
 			c.finish(now, r.Run, Failed)
+			c.failJob(now, r.Task.Job, eff)
 		}
 		c.noteLogged(now, r.Run, eff)
 	case TaskEvicted:
@@ -58,6 +59,7 @@
 
 func (c *Cell) commitJob(now time.Time, r JobAccepted, eff *Effects) {
 	j := c.insertJob(r.Job, r.Spec, r.At)
+	j.fresh = true
 	tasks := make([]*task, len(j.tasks))
 	for i := range j.tasks {
 		tasks[i] = &j.tasks[i]
@@ -67,10 +69,19 @@
 
 // commitCancel cancels what is not final. Attempts that may run are stopped with one call for each worker.
 func (c *Cell) commitCancel(now time.Time, r JobCancelled, eff *Effects) {
-	j, ok := c.jobs[r.Job]
-	if !ok || j.cancelled {
-		return
+	if j, ok := c.jobs[r.Job]; ok && !j.cancelled {
+		c.cancelOpen(now, j, eff)
+	}
+}
+
+// failJob ends a job that fails fast, once the failure that ends it is durable.
+func (c *Cell) failJob(now time.Time, id ident.JobID, eff *Effects) {
+	if j, ok := c.jobs[id]; ok && j.failing && !j.cancelled {
+		c.cancelOpen(now, j, eff)
 	}
+}
+
+func (c *Cell) cancelOpen(now time.Time, j *job, eff *Effects) {
 	j.cancelling = true
 	j.cancelled = true
 	stops := make(map[ident.WorkerID][]Run)
--- a/core/lifecycle/failure.go
+++ b/core/lifecycle/failure.go
@@ -64,6 +64,9 @@
 	charged := c.chargedFailures(t)
 	final := charged > c.retries(t)
 	c.unlogged[e.Run] = w.member.ID
+	if final && t.job.spec.FailFast && !t.job.cancelling {
+		c.beginFailing(t.job, eff)
+	}
 	eff.log(TaskFailed{Run: e.Run, Worker: w.member.ID, Message: e.Message, Final: final, At: now})
 	if final {
 		t.settled = true
@@ -74,11 +77,35 @@
 		c.setState(now, t, Cancelled)
 		return
 	}
-	c.requeue(now, t, backoff(charged), WaitBackoff, eff)
+	c.requeue(now, t, c.backoff(charged), WaitBackoff, eff)
+}
+
+// beginFailing keeps further tasks of a job from starting; what runs is stopped once the failure is durable.
+func (c *Cell) beginFailing(j *job, eff *Effects) {
+	j.failing = true
+	j.cancelling = true
+	if queued := j.queued(); len(queued) > 0 {
+		eff.do(Dequeue{Tasks: queued})
+	}
+}
+
+func (c *Cell) backoff(failures int) time.Duration {
+	return min(c.policy.FirstBackoff<<min(max(failures-1, 0), 10), c.policy.MaxBackoff)
 }
 
-func backoff(failures int) time.Duration {
-	return min(firstBackoff<<min(max(failures-1, 0), 10), maxBackoff)
+// restart starts a lasting task again, whether it ended by itself or failed. The end needs no record: the next attempt
+// is not a repeat of finished work.
+func (c *Cell) restart(now time.Time, w *worker, t *task, e Ended, eff *Effects) {
+	w.acks[e.Run] = struct{}{}
+	if t.job.cancelled {
+		c.setState(now, t, Cancelled)
+		return
+	}
+	if e.End == EndFailed {
+		c.blame(now, w, t.job, eff)
+	}
+	t.checkpoint = Checkpoint{}
+	c.requeue(now, t, 0, WaitNone, eff)
 }
 
 func (c *Cell) retries(t *task) int {
@@ -92,7 +119,7 @@
 func (c *Cell) chargedFailures(t *task) int {
 	n := 0
 	for _, f := range t.failures {
-		if w, ok := c.workers[f.Worker]; !ok || !w.health.quarantined {
+		if w, ok := c.workers[f.Worker]; c.policy.ChargeAllFailures || !ok || !w.health.quarantined {
 			n++
 		}
 	}
--- a/core/lifecycle/queue.go
+++ b/core/lifecycle/queue.go
@@ -17,6 +17,9 @@
 		Kind:        t.job.spec.Kind,
 		Need:        t.group.Need,
 		RunTime:     t.group.RunTime,
+		Pool:        t.job.spec.Pool,
+		Constraints: t.group.Constraints,
+		Lasting:     t.group.Lasting,
 		SubmittedAt: t.job.acceptedAt,
 		Evictions:   t.evictions,
 	}
@@ -79,11 +82,15 @@
 		if !t.startable() {
 			continue
 		}
-		if c.recovering && t.id.Job.Epoch != c.epoch {
+		if c.recovering && !t.job.fresh {
 			t.wait = WaitRecovery
 			c.held[t.id] = t
 			continue
 		}
+		if !t.ready() {
+			t.wait = WaitGroups
+			continue
+		}
 		if now.Before(t.notBefore) {
 			c.delayed.add(t)
 			continue
--- a/core/lifecycle/restore.go
+++ b/core/lifecycle/restore.go
@@ -36,6 +36,14 @@
 		j.counts[t.state]++
 		t.settled = true
 	}
+	switch s.State {
+	case Done:
+		t.close()
+	case Failed:
+		j.failing = j.failing || j.spec.FailFast
+	default:
+	}
+	j.begun = j.begun || s.MaySent
 	t.next = s.Next
 	t.logged = s.Next - 1
 	t.ended = s.Ended
@@ -75,6 +83,9 @@
 	case TaskDone:
 		c.replayAttempt(r.Run, func(t *task) {
 			t.job.succeeded = true
+			if t.state != Done {
+				t.close()
+			}
 			c.replayFinal(r.At, t, Done)
 		})
 	case TaskFailed:
@@ -115,6 +126,7 @@
 		return
 	}
 	t.maySent = true
+	t.job.begun = true
 	t.next = max(t.next, r.Attempt+1)
 	t.logged = max(t.logged, r.Attempt)
 	t.lastRan = max(t.lastRan, r.Attempt)
@@ -136,6 +148,10 @@
 	t.ended = max(t.ended, r.Attempt)
 	if r.Final && t.state != Done {
 		c.replayFinal(r.At, t, Failed)
+		if t.job.spec.FailFast && !t.job.cancelled {
+			t.job.failing = true
+			c.replayCancel(t.job)
+		}
 	}
 }
 
@@ -244,7 +260,7 @@
 	if !c.recovering || c.doubt {
 		return
 	}
-	lapsed := !c.recoverFrom.IsZero() && !now.Before(c.recoverFrom.Add(LeaseDuration+LeaseMargin))
+	lapsed := !c.recoverFrom.IsZero() && !now.Before(c.recoverFrom.Add(c.policy.LeaseDuration+c.policy.LeaseMargin))
 	for _, w := range c.workers {
 		if !w.claimed && !lapsed {
 			return
--- a/core/lifecycle/tick.go
+++ b/core/lifecycle/tick.go
@@ -72,12 +72,12 @@
 		w.health.probing = true
 		c.putWorker(w, eff)
 	}
-	if !w.silent && !now.Before(w.contactAt.Add(silentAfter)) {
+	if !w.silent && !now.Before(w.contactAt.Add(c.policy.SilentAfter)) {
 		w.silent = true
 		c.putWorker(w, eff)
 		c.refreshAvoid(now, eff)
 	}
-	if c.doubt || now.Before(w.lapseAt()) || now.Before(w.contactAt.Add(LeaseDuration)) {
+	if c.doubt || now.Before(c.lapseAt(w)) || now.Before(w.contactAt.Add(c.policy.LeaseDuration)) {
 		return
 	}
 	c.lapse(now, w, eff)
@@ -120,9 +120,9 @@
 			continue
 		}
 		if !w.silent {
-			earliest(w.contactAt.Add(silentAfter))
+			earliest(w.contactAt.Add(c.policy.SilentAfter))
 		} else if !c.doubt {
-			earliest(latest(w.lapseAt(), w.contactAt.Add(LeaseDuration)))
+			earliest(latest(c.lapseAt(w), w.contactAt.Add(c.policy.LeaseDuration)))
 		}
 		if w.health.quarantined && !w.health.probing {
 			earliest(w.health.probeAt)
@@ -132,7 +132,7 @@
 		earliest(t.run.startedAt.Add(logWait))
 	}
 	if c.recovering && !c.recoverFrom.IsZero() && !c.doubt {
-		earliest(c.recoverFrom.Add(LeaseDuration + LeaseMargin))
+		earliest(c.recoverFrom.Add(c.policy.LeaseDuration + c.policy.LeaseMargin))
 	}
 	return next
 }
--- a/core/lifecycle/types.go
+++ b/core/lifecycle/types.go
@@ -7,16 +7,19 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
+	"github.com/bulrushrelay/bulrushrelay/core/placement"
 	"github.com/bulrushrelay/bulrushrelay/core/resource"
 	"github.com/bulrushrelay/bulrushrelay/core/table"
 	"github.com/bulrushrelay/bulrushrelay/core/verdict"
 )
 
 const (
-	// LeaseDuration is how long a task may run on its worker after the token of its last renewal was issued.
+	// LeaseDuration is how long a task may run on its worker after the token of its last renewal was issued, unless the
+	// Policy of the cell says otherwise.
 	LeaseDuration = 10 * time.Second
 	// LeaseMargin covers the difference between the rates of the clocks of owner and worker.
 	LeaseMargin = time.Second
@@ -82,6 +85,20 @@
 	RunTime time.Duration
 	// Command says what to run; only the worker interprets it.
 	Command string
+	// After lists earlier groups of the job, by number. No task of this group starts before all of their tasks are done.
+	After []int
+	// Lasting tasks run until the job is cancelled. They are started again however they end, and never use up retries.
+	Lasting bool
+	// Volatile tasks save no progress: a stop loses it all.
+	Volatile bool
+	// Constraints says where the tasks may run, and beside what.
+	Constraints placement.Constraints
+}
+
+// equal reports whether two groups ask for the same work.
+func (g TaskGroup) equal(o TaskGroup) bool {
+	return g.Count == o.Count && g.Need == o.Need && g.RunTime == o.RunTime && g.Command == o.Command &&
+		slices.Equal(g.After, o.After) && g.Lasting == o.Lasting && g.Volatile == o.Volatile && g.Constraints == o.Constraints
 }
 
 // JobSpec is what a caller submits.
@@ -92,8 +109,15 @@
 	Tenant ident.TenantName
 	Kind   table.Kind
 	// Token makes a repeated submission safe; empty if the caller sent none.
-	Token  string
-	Groups []TaskGroup
+	Token string
+	// Number is the caller's own number for the job, the same at every host; 0 lets the cell assign the id. A repeated
+	// submission under a number is safe.
+	Number uint64
+	// Pool names the pool of workers that may run the job; empty allows all.
+	Pool string
+	// FailFast ends the job with the first task that fails for good: what still runs is stopped.
+	FailFast bool
+	Groups   []TaskGroup
 }
 
 // Tasks returns the number of tasks of the job.
@@ -131,6 +155,16 @@
 			return invalid("group %d: run time: want at least 0", i)
 		case len(g.Command) > MaxCommandBytes:
 			return invalid("group %d: command: want at most %d bytes", i, MaxCommandBytes)
+		case g.Constraints.MaxPerWorker < 0:
+			return invalid("group %d: max per worker: want at least 0", i)
+		}
+		for _, earlier := range g.After {
+			if earlier < 0 || earlier >= i {
+				return invalid("group %d: after %d: want the numbers of earlier groups", i, earlier)
+			}
+			if s.Groups[earlier].Lasting {
+				return invalid("group %d: after %d: the tasks of that group last until the job is cancelled", i, earlier)
+			}
 		}
 		total += g.Count
 	}
@@ -154,6 +188,11 @@
 	Address string
 	Rack    ident.Rack
 	Leaving bool
+	// Pool and Labels are what jobs may ask for; Labels are separated by spaces, so that members can be compared.
+	Pool   string
+	Labels string
+	// Capacity is what the list says the worker holds; zero if only the worker's own reports tell.
+	Capacity resource.Vector
 }
 
 // Run names one attempt of a task.
@@ -196,9 +235,15 @@
 	ReasonLeaving
 	// ReasonUnclaimed means that the worker does not know the epoch, for example after a restart.
 	ReasonUnclaimed
+	// ReasonUnhealthy means that the worker takes no work at present.
+	ReasonUnhealthy
+	// ReasonUnsupported means that the worker has no such call.
+	ReasonUnsupported
 )
 
-var reasonNames = [...]string{"none", "fenced", "capacity", "unknown task", "expired", "ended", "unsent", "leaving", "unclaimed"}
+var reasonNames = [...]string{
+	"none", "fenced", "capacity", "unknown task", "expired", "ended", "unsent", "leaving", "unclaimed", "unhealthy", "unsupported",
+}
 
 // String returns the reason for messages.
 func (r Reason) String() string {
--- a/core/lifecycle/view.go
+++ b/core/lifecycle/view.go
@@ -24,6 +24,8 @@
 const (
 	// WaitNone means that the task waits for the planner to find room, or does not wait.
 	WaitNone Wait = ""
+	// WaitGroups means that other groups of the job must be done first.
+	WaitGroups Wait = "waits for earlier groups of its job"
 	// WaitLog means that a record must become durable first.
 	WaitLog Wait = "waits for the cell log in the store"
 	// WaitRecovery means that the task may still run on a worker that has not answered since the owner changed.
@@ -81,6 +83,19 @@
 	return v, nil
 }
 
+// Waiting counts the open jobs by class of which no task was ever sent to a worker.
+func (c *Cell) Waiting() map[ident.ClassName]int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	waiting := make(map[ident.ClassName]int)
+	for _, j := range c.jobs {
+		if !j.begun && !j.cancelling {
+			waiting[j.spec.Class]++
+		}
+	}
+	return waiting
+}
+
 // List returns at most limit jobs that follow after, in the order of their ids.
 func (c *Cell) List(after ident.JobID, limit int) []JobView {
 	c.mu.Lock()
@@ -113,6 +128,8 @@
 
 func (j *job) state() State {
 	switch {
+	case j.final() && j.failing && j.counts[Failed] > 0:
+		return Failed
 	case j.final() && j.cancelled && j.counts[Cancelled] > 0:
 		return Cancelled
 	case j.final() && j.counts[Failed] > 0:
--- a/core/lifecycle/worker.go
+++ b/core/lifecycle/worker.go
@@ -43,8 +43,8 @@
 	Seq uint64
 }
 
-func (w *worker) lapseAt() time.Time {
-	return w.sentTokenAt.Add(LeaseDuration + LeaseMargin)
+func (c *Cell) lapseAt(w *worker) time.Time {
+	return w.sentTokenAt.Add(c.policy.LeaseDuration + c.policy.LeaseMargin)
 }
 
 // leaving reports whether the worker gets no new tasks. The host list may drop a worker that still answers.
@@ -126,12 +126,18 @@
 		return
 	}
 	for _, t := range w.sortedRuns() {
-		if t.run.phase == phaseActive {
+		if t.run.phase == phaseActive && t.movable() {
 			c.evict(now, t, false, eff)
 		}
 	}
 }
 
+// movable reports whether it is worth stopping the task on a worker that leaves. A task that saves nothing may still
+// end before the worker does.
+func (t *task) movable() bool {
+	return !t.group.Volatile || t.group.Lasting
+}
+
 func (c *Cell) forgetIfGone(w *worker, eff *Effects) {
 	if w.listed || w.claimed || !w.lapsed || len(w.runs) > 0 {
 		return
@@ -155,6 +161,8 @@
 	eff.do(PutWorker{Worker: placement.Worker{
 		ID:          w.member.ID,
 		Rack:        w.member.Rack,
+		Pool:        w.member.Pool,
+		Labels:      strings.Fields(w.member.Labels),
 		Capacity:    w.capacity,
 		Leaving:     w.leaving(),
 		Quarantined: w.health.quarantined || w.silent,
@@ -191,6 +199,22 @@
 	return req, true
 }
 
+// AwaitsLog reports whether the worker listed ends of which no record is durable yet and none can be acknowledged.
+func (c *Cell) AwaitsLog(id ident.WorkerID) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w, ok := c.workers[id]
+	if !ok || len(w.acks) > 0 {
+		return false
+	}
+	for _, worker := range c.unlogged {
+		if worker == id {
+			return true
+		}
+	}
+	return false
+}
+
 // Claimed takes over the inventory of a worker that accepted the epoch of this owner.
 func (c *Cell) Claimed(now time.Time, id ident.WorkerID, incarnation string, report Report) Effects {
 	c.mu.Lock()
@@ -255,6 +279,7 @@
 	delete(c.held, a.Task)
 	c.seq++
 	t.maySent = true
+	t.job.begun = true
 	t.next = max(t.next, a.Attempt+1)
 	t.lastRan = a.Attempt
 	t.wait = WaitNone
@@ -317,7 +342,7 @@
 		case t == nil || t.run.Attempt != a.Attempt:
 			stops = append(stops, a.Run)
 			continue
-		case t.run.phase == phaseStopping && !t.run.stopping:
+		case t.run.phase == phaseStopping && !t.run.stopping && now.Sub(t.run.stoppedAt) >= c.policy.StopRepeat:
 			t.run.stopping = true
 			stops = append(stops, a.Run)
 		}
@@ -332,7 +357,7 @@
 		switch {
 		case r.phase == phaseActive || r.phase == phaseEvicting:
 			c.lose(now, t, eff)
-		case r.phase == phaseStopping && !r.stopping:
+		case r.phase == phaseStopping && !r.stopping && now.Sub(r.stoppedAt) >= c.policy.StopRepeat:
 			r.stopping = true
 			stops = append(stops, r.Run)
 		}
@@ -354,7 +379,8 @@
 	}
 	r := t.run
 	saved := latest(latest(r.startedAt, r.saveAt), t.checkpoint.At)
-	if t.job.spec.Kind == table.Batch && r.phase == phaseActive && now.Sub(saved) >= checkpointInterval {
+	asks := c.policy.CheckpointInterval > 0 && t.job.spec.Kind == table.Batch
+	if asks && r.phase == phaseActive && now.Sub(saved) >= c.policy.CheckpointInterval {
 		r.saveAt = now
 		eff.do(CheckpointTask{Run: r.Run, Worker: r.worker})
 	}
--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -58,6 +58,28 @@
 	}
 }
 
+// ConfigFor returns the times for a lease with the given time to live, where workers and the store fence each order of
+// an owner by its epoch. They keep the order of those of DefaultConfig: a report counts for less than the lease, a claim
+// settles for longer than a report counts, and a host that returns waits for longer than both.
+func ConfigFor(ttl time.Duration) Config {
+	fresh := max(ttl/4, minReportFresh)
+	return Config{
+		TTL:           ttl,
+		Margin:        ttl / 9,
+		ReportFresh:   fresh,
+		ContactWait:   ttl + fresh,
+		ContactBreak:  ttl / 2,
+		AckWait:       ttl + fresh,
+		SettleWait:    fresh + fresh/4,
+		StartWait:     ttl / 10,
+		RankStep:      ttl / 4,
+		HandOverAfter: 2 * ttl,
+	}
+}
+
+// minReportFresh leaves a member asked every half second time to answer.
+const minReportFresh = 700 * time.Millisecond
+
 // Machine decides for one host. It is not safe for concurrent use. It does no I/O: Step returns the actions to
 // perform, and their results are passed back in.
 type Machine struct {
--- a/core/placement/cell.go
+++ b/core/placement/cell.go
@@ -78,8 +78,10 @@
 		shares:      newShares(opts),
 		spread:      newSpread(),
 		shapes:      newShapes(),
-		required:    []Filter{leavingFilter{}, quarantineFilter{}, avoidFilter{}},
-		preferred:   []Filter{spreadFilter{}},
+		required: []Filter{
+			leavingFilter{}, quarantineFilter{}, avoidFilter{}, poolFilter{}, labelFilter{}, perWorkerFilter{}, apartFilter{},
+		},
+		preferred: []Filter{spreadFilter{}},
 		scores: []weightedScore{
 			{interferenceScore{opts.Interference}, 2},
 			{packingScore{}, 1},
--- a/core/placement/evict.go
+++ b/core/placement/evict.go
@@ -151,7 +151,7 @@
 // displaceable reports whether a task may be throttled or evicted: batch, running, and not started by this same Plan,
 // whose evictions and throttles are performed before its starts.
 func (c *Cell) displaceable(t *task) bool {
-	return !t.class.urgent && t.state == running && t.round != c.round
+	return !t.class.urgent && !t.lasting && t.state == running && t.round != c.round
 }
 
 // cost is the work that an eviction loses: the time since the last checkpoint or start, times the size, times the
--- a/core/placement/framework.go
+++ b/core/placement/framework.go
@@ -25,6 +25,11 @@
 	Rack() int
 	// Loads lists the booked processors by class.
 	Loads() []ClassLoad
+	// GroupTasks counts the tasks of the group of a task that are booked or wait for the worker.
+	GroupTasks(id ident.TaskID) int
+	// Serving and Fillers count the tasks of these kinds that are booked or wait for the worker.
+	Serving() int
+	Fillers() int
 }
 
 // Snapshot is what filters and scores see of the cell. It is valid during one decision.
@@ -42,8 +47,10 @@
 	Class  int
 	Urgent bool
 	// Booking is what the task will have booked.
-	Booking resource.Vector
-	Avoid   []ident.WorkerID
+	Booking     resource.Vector
+	Avoid       []ident.WorkerID
+	Pool        string
+	Constraints Constraints
 }
 
 // Filter rules workers out.
--- a/core/placement/node.go
+++ b/core/placement/node.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/resource"
 )
 
@@ -27,6 +28,8 @@
 	held, claimed resource.Vector
 	// loads is the booked processors by class.
 	loads []ClassLoad
+	// serving and fillers count the tasks of these kinds that are booked or claimed.
+	serving, fillers int
 	// pressed marks a worker in Cell.pressed.
 	pressed bool
 	// stalled is set when evicted tasks were not released in time, and cleared by the next release. No task is evicted
@@ -81,6 +84,7 @@
 // add books a task, as far as it fits.
 func (n *node) add(t *task) {
 	t.node = n
+	n.countKinds(t, 1)
 	t.slot = len(n.tasks)
 	n.tasks = append(n.tasks, t)
 	n.load(t.class).Tasks++
@@ -91,6 +95,7 @@
 
 // remove frees what a task has booked.
 func (n *node) remove(t *task) {
+	n.countKinds(t, -1)
 	want := t.want
 	n.set(t, resource.Vector{}, resource.Vector{})
 	t.want = want
@@ -107,6 +112,37 @@
 	t.node = nil
 }
 
+func (n *node) countKinds(t *task, by int) {
+	if t.constraints.Serving {
+		n.serving += by
+	}
+	if t.constraints.Filler {
+		n.fillers += by
+	}
+}
+
+// Serving and Fillers implement NodeInfo.
+func (n *node) Serving() int { return n.serving }
+
+// Fillers implements NodeInfo.
+func (n *node) Fillers() int { return n.fillers }
+
+// GroupTasks implements NodeInfo.
+func (n *node) GroupTasks(id ident.TaskID) int {
+	count := 0
+	for _, t := range n.tasks {
+		if t.id.Job == id.Job && t.id.Group() == id.Group() {
+			count++
+		}
+	}
+	for _, cl := range n.claims {
+		if cl.task.id.Job == id.Job && cl.task.id.Group() == id.Group() {
+			count++
+		}
+	}
+	return count
+}
+
 // set changes the booking of a task on this worker.
 func (n *node) set(t *task, want, booked resource.Vector) {
 	delta := booked.Sub(t.booked)
@@ -178,6 +214,7 @@
 		i--
 	}
 	n.claims = slices.Insert(n.claims, i, cl)
+	n.countKinds(cl.task, 1)
 	n.claimed = n.claimed.Add(cl.task.want)
 }
 
@@ -185,6 +222,7 @@
 func (n *node) dropClaim(cl *claim) {
 	i := slices.Index(n.claims, cl)
 	n.claims = slices.Delete(n.claims, i, i+1)
+	n.countKinds(cl.task, -1)
 	n.claimed = n.claimed.Sub(cl.task.want)
 	n.held = n.held.Sub(cl.hold)
 	cl.hold = resource.Vector{}
--- a/core/placement/options.go
+++ b/core/placement/options.go
@@ -24,6 +24,9 @@
 	// defaultMinThrottle is the smallest fraction of its processors that a throttled task keeps.
 	defaultMinThrottle = 0.5
 
+	// rackWeight is more than the other scores together, because a task far from its data runs half as long again.
+	rackWeight = 4
+
 	// maxVain bounds the index nodes visited in vain by one Plan, and maxWork the sum of what it does, so that a Plan of
 	// a full cell ends within 1 ms. A queued task that is looked at counts as 1, a start and a try to displace others by
 	// what they cost in addition, from profiles. The bounds are checked between queues, so that each Plan makes progress
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -236,7 +236,10 @@
 }
 
 func (r *round) request(t *task) Request {
-	return Request{Task: t.id, Class: t.class.index, Urgent: t.class.urgent, Booking: t.want, Avoid: t.avoid}
+	return Request{
+		Task: t.id, Class: t.class.index, Urgent: t.class.urgent, Booking: t.want, Avoid: t.avoid,
+		Pool: t.pool, Constraints: t.constraints,
+	}
 }
 
 // sample fills slots with workers of an index that can hold need, from a random one on. It returns the work done.
@@ -285,7 +288,13 @@
 
 // score returns the weighted sum of the scores.
 func (c *Cell) score(req *Request, n *node) float64 {
+	if req.Constraints.Filler {
+		return fillerScore{}.Score(c.spread, req, n)
+	}
 	sum := 0.0
+	if req.Constraints.Rack != "" {
+		sum = rackWeight * rackScore{}.Score(c.spread, req, n)
+	}
 	for _, s := range c.scores {
 		sum += s.weight * s.Score.Score(c.spread, req, n)
 	}
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -13,6 +13,8 @@
 type Worker struct {
 	ID       ident.WorkerID
 	Rack     ident.Rack
+	Pool     string
+	Labels   []string
 	Capacity resource.Vector
 	// Leaving workers get no new tasks.
 	Leaving bool
@@ -31,7 +33,12 @@
 	// Need is the declared size; the planner books more if usage of the class shows more.
 	Need resource.Vector
 	// RunTime is the declared run time; 0 if not known.
-	RunTime     time.Duration
+	RunTime time.Duration
+	// Pool names the pool of workers that may run the task; empty allows all.
+	Pool        string
+	Constraints Constraints
+	// Lasting tasks run until they are cancelled and never give way.
+	Lasting     bool
 	SubmittedAt time.Time
 	// Evictions counts how often the task has been evicted.
 	Evictions int
--- a/core/placement/task.go
+++ b/core/placement/task.go
@@ -72,6 +72,9 @@
 	fullCPU int64
 
 	runTime      time.Duration
+	pool         string
+	constraints  Constraints
+	lasting      bool
 	submitted    stamp
 	started      stamp
 	checkpointed stamp
@@ -90,6 +93,9 @@
 }
 
 func newTask(p Pending, cl *class) *task {
+	if p.Constraints.Filler {
+		p.Need.MilliCPU = 0
+	}
 	return &task{
 		id:           p.Task,
 		attempt:      p.Attempt,
@@ -99,6 +105,9 @@
 		declared:     bounded(p.Need),
 		want:         bounded(p.Need),
 		runTime:      max(0, p.RunTime),
+		pool:         p.Pool,
+		constraints:  p.Constraints,
+		lasting:      p.Lasting,
 		submitted:    stampOf(p.SubmittedAt),
 		started:      noTime,
 		checkpointed: noTime,
@@ -118,6 +127,9 @@
 		Kind:        t.class.kind(),
 		Need:        t.declared,
 		RunTime:     t.runTime,
+		Pool:        t.pool,
+		Constraints: t.constraints,
+		Lasting:     t.lasting,
 		SubmittedAt: t.submitted.time(),
 		Evictions:   int(t.evictions),
 		Avoid:       t.avoid,
--- a/relay/cluster/service.go
+++ b/relay/cluster/service.go
@@ -18,11 +18,10 @@
 )
 
 const (
-	// renewEvery spaces the renewals of the lease; retryEvery those that follow a failure.
-	renewEvery = 3 * time.Second
-	retryEvery = time.Second
-	// callTimeout bounds a call of the store. It leaves two attempts within the time to live of the lease.
-	callTimeout = 2500 * time.Millisecond
+	// The time to live of the lease divided by these gives the time between renewals, and between those that follow a
+	// failure.
+	renewals = 3
+	retries  = 9
 	// stepEvery is the resolution of the waits in the ownership rules.
 	stepEvery = 200 * time.Millisecond
 	// rosterEvery spaces the reads of the roster while the host needs it.
@@ -62,7 +61,10 @@
 	Drain func(ctx context.Context, cell ident.CellID)
 	// Busy returns how long requests under way in a cell may still hold slots; nil means the longest deadline.
 	Busy func(cell ident.CellID) time.Duration
-	Log  logrus.FieldLogger
+	// GoneAfter is how long a registered host may be without a leased record, while this host hears from the store,
+	// before it counts as stopped; 0 if only a proof counts. Its owners must have ended their work by then.
+	GoneAfter time.Duration
+	Log       logrus.FieldLogger
 }
 
 // Change is a change of this host's right in a cell.
@@ -158,6 +160,13 @@
 	return s
 }
 
+// callTimeout bounds a call of the store. It leaves two attempts within the time to live of the lease.
+func (s *Service) callTimeout() time.Duration { return s.cfg.Ownership.TTL * 5 / 18 }
+
+func (s *Service) renewEvery() time.Duration { return s.cfg.Ownership.TTL / renewals }
+
+func (s *Service) retryEvery() time.Duration { return s.cfg.Ownership.TTL / retries }
+
 // Start runs the service until Close or Leave.
 func (s *Service) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -194,7 +203,7 @@
 	s.decide(func(m *ownership.Machine, _ time.Time) { m.Abandon() })
 	s.changeView(func(v *membership.State, now time.Time) { v.Depart(membership.Left, now) })
 	// The announcement and the revocation must go out even if ctx has ended.
-	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
+	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.callTimeout())
 	defer cancel()
 	s.exchangeRound(last, true)
 	s.unregister(last)
--- a/relay/cluster/store.go
+++ b/relay/cluster/store.go
@@ -18,7 +18,7 @@
 
 // call bounds a call of the store and notes its answer.
 func (s *Service) call(ctx context.Context, f func(ctx context.Context) error) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, s.callTimeout())
 	defer cancel()
 	s.counters.storeCalls.Add(1)
 	err := f(ctx)
@@ -34,16 +34,16 @@
 func (s *Service) keepLease(ctx context.Context) {
 	registered := store.LeaseID(0)
 	for ctx.Err() == nil {
-		wait := retryEvery
+		wait := s.retryEvery()
 		lease, err := s.renew(ctx)
 		if err == nil && lease != 0 {
-			wait = renewEvery
+			wait = s.renewEvery()
 			if lease != registered {
 				if err := s.register(ctx, lease); err == nil {
 					registered = lease
 					signal(s.wake)
 				} else {
-					wait = retryEvery
+					wait = s.retryEvery()
 				}
 			}
 		}
@@ -210,7 +210,7 @@
 			s.drainWatch(ctx, prefix, r.Revision, apply)
 		}
 		s.counters.watchRestarts.Add(1)
-		if sleep.For(ctx, retryEvery) != nil {
+		if sleep.For(ctx, s.retryEvery()) != nil {
 			return
 		}
 	}
--- a/relay/jobs/api.go
+++ b/relay/jobs/api.go
@@ -44,7 +44,7 @@
 	}
 	if o.log.full() {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeLimited, "too many records of cell %d wait for the store", cell).
-			After(durableWait)
+			After(s.cfg.DurableWait)
 	}
 	return o, nil
 }
@@ -75,8 +75,8 @@
 		return id, nil
 	}
 	if o.withdraw(id, spec, it) {
-		return ident.JobID{}, verdict.New(verdict.NotRun, verdict.CodeUnavailable,
-			"the job could not be made durable: the store does not answer").After(durableWait)
+		return ident.JobID{}, verdict.New(verdict.NotRun, verdict.CodeDeadline,
+			"the job could not be made durable: the store does not answer").After(o.cfg.DurableWait)
 	}
 	if isDurable(it) {
 		return id, nil
@@ -87,7 +87,7 @@
 
 // awaitDurable waits until the record is durable; false after durableWait, or when the caller or the owner ends.
 func (o *owner) awaitDurable(ctx context.Context, it *item) bool {
-	limit := time.NewTimer(durableWait)
+	limit := time.NewTimer(o.cfg.DurableWait)
 	defer limit.Stop()
 	select {
 	case <-it.done:
@@ -172,6 +172,15 @@
 	return o.cell.Get(id, from, limit)
 }
 
+// Waiting counts the jobs of a cell of which no task was ever sent to a worker, by class.
+func (s *Service) Waiting(_ context.Context, cell ident.CellID) (map[ident.ClassName]int, error) {
+	o, ok := s.owners.Get(cell)
+	if !ok {
+		return nil, errStopped(cell)
+	}
+	return o.cell.Waiting(), nil
+}
+
 // List returns at most limit jobs of a cell that follow after.
 func (s *Service) List(_ context.Context, cell ident.CellID, after ident.JobID, limit int) ([]lifecycle.JobView, error) {
 	o, ok := s.owners.Get(cell)
--- a/relay/jobs/calls.go
+++ b/relay/jobs/calls.go
@@ -16,17 +16,22 @@
 	callTimeout    = 2 * time.Second
 	// checkpointTimeout is longer because the worker writes the state of the task.
 	checkpointTimeout = 5 * time.Second
-	// syncWait is how long a worker may hold a sync that has nothing to report. Leases are renewed with each sync,
-	// so that several may be lost before a lease of 10 s lapses.
-	syncWait   = 2 * time.Second
+	// DefaultSyncWait is how long a worker may hold a sync that has nothing to report. Several may be lost before a lease
+	// of 10 s lapses.
+	DefaultSyncWait = 2 * time.Second
+
 	firstRetry = 100 * time.Millisecond
+	// ackWait is how long a commit usually takes in the store, with a margin.
+	ackWait = 50 * time.Millisecond
 	maxRetry   = time.Second
 )
 
 // conn holds the commands on their way to one worker. It belongs to the loop.
 type conn struct {
-	member   lifecycle.Member
-	cancel   context.CancelFunc
+	member lifecycle.Member
+	cancel context.CancelFunc
+	// acked wakes the sync that waits for the records of ends.
+	acked    chan struct{}
 	outbox   []lifecycle.Command
 	inFlight int
 	// throttling counts the throttles in flight. Starts wait for them, because they may need the freed processors.
@@ -39,14 +44,14 @@
 	if ok {
 		c.cancel()
 	} else {
-		c = &conn{}
+		c = &conn{acked: make(chan struct{}, 1)}
 		o.conns[m.ID] = c
 	}
 	c.member = m
 	ctx, cancel := context.WithCancel(o.ctx)
 	c.cancel = cancel
 	o.wg.Add(1)
-	go o.follow(ctx, m)
+	go o.follow(ctx, m, c.acked)
 }
 
 func (o *owner) disconnect(id ident.WorkerID) {
@@ -63,19 +68,23 @@
 }
 
 // follow claims a worker and syncs with it until the worker lapses or the owner stops.
-func (o *owner) follow(ctx context.Context, m lifecycle.Member) {
+func (o *owner) follow(ctx context.Context, m lifecycle.Member, acked <-chan struct{}) {
 	defer o.wg.Done()
 	if !o.claim(ctx, m) {
 		return
 	}
 	pause := firstRetry
 	for ctx.Err() == nil {
-		if o.authority() == ownership.None {
+		if !o.mayRenew() {
 			if sleep.For(ctx, maxRetry) != nil {
 				return
 			}
 			continue
 		}
+		if o.cell.AwaitsLog(m.ID) {
+			// The worker lists an end until it is acknowledged, so that a sync before that would return at once.
+			o.awaitAck(ctx, acked)
+		}
 		req, ok := o.cell.SyncRequest(m.ID)
 		if !ok {
 			// The worker lapsed: the cell has asked for a new claim, which cancels this goroutine.
@@ -92,6 +101,35 @@
 	}
 }
 
+// mayRenew reports whether leases may be renewed: always under full authority, and for a bounded time in doubt, so that
+// a successor knows when the tasks of a worker that it cannot reach have ended.
+func (o *owner) mayRenew() bool {
+	switch o.authority() {
+	case ownership.Full:
+		o.doubtSince.Store(0)
+		return true
+	case ownership.InDoubt:
+		now := o.now().UnixNano()
+		if o.doubtSince.CompareAndSwap(0, now) || o.cfg.DoubtLimit == 0 {
+			return true
+		}
+		return now-o.doubtSince.Load() < int64(o.cfg.DoubtLimit)
+	default:
+		return false
+	}
+}
+
+// awaitAck waits until a record is durable, for as long as the store usually takes.
+func (o *owner) awaitAck(ctx context.Context, acked <-chan struct{}) {
+	limit := time.NewTimer(o.cfg.CommitInterval + ackWait)
+	defer limit.Stop()
+	select {
+	case <-acked:
+	case <-limit.C:
+	case <-ctx.Done():
+	}
+}
+
 func (o *owner) claim(ctx context.Context, m lifecycle.Member) bool {
 	pause := firstRetry
 	for ctx.Err() == nil {
@@ -117,9 +155,9 @@
 
 // sync performs one sync and waits until its report is taken over.
 func (o *owner) sync(ctx context.Context, m lifecycle.Member, req lifecycle.SyncRequest) bool {
-	call, cancel := context.WithTimeout(ctx, syncWait+callTimeout)
+	call, cancel := context.WithTimeout(ctx, o.cfg.SyncWait+callTimeout)
 	defer cancel()
-	c := o.cfg.Workers.Sync(call, m, o.epoch, req, syncWait)
+	c := o.cfg.Workers.Sync(call, m, o.epoch, req, o.cfg.SyncWait)
 	if c.Reason == lifecycle.ReasonFenced {
 		o.replaced("worker " + string(m.ID) + " was claimed with a higher epoch")
 		return false
--- a/relay/jobs/owner.go
+++ b/relay/jobs/owner.go
@@ -43,7 +43,9 @@
 	mailbox chan func()
 	wg      sync.WaitGroup
 	// gone is set once the store or a worker proved that another owner has the cell.
-	gone     atomic.Bool
+	gone atomic.Bool
+	// doubtSince is when the authority became doubtful, in nanoseconds since 1970; 0 while it is full.
+	doubtSince atomic.Int64
 	draining atomic.Bool
 	// ended is closed when the loop has performed its last event.
 	ended chan struct{}
@@ -310,6 +312,12 @@
 				delete(o.cancelling, typed.Job)
 			}
 		}
+		for _, c := range o.conns {
+			select {
+			case c.acked <- struct{}{}:
+			default:
+			}
+		}
 	})
 }
 
--- a/relay/jobs/router.go
+++ b/relay/jobs/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -37,6 +38,8 @@
 	Get(ctx context.Context, address string, id ident.JobID, from, limit int, version uint64, wait time.Duration) (lifecycle.JobView, error)
 	List(ctx context.Context, address string, cell ident.CellID, after ident.JobID, limit int) ([]lifecycle.JobView, error)
 	Cancel(ctx context.Context, address string, id ident.JobID) error
+	// Waiting counts the jobs of a cell of which no task was ever sent to a worker, by class.
+	Waiting(ctx context.Context, address string, cell ident.CellID) (map[ident.ClassName]int, error)
 }
 
 // Router passes calls about jobs to the owner of their cell.
@@ -44,11 +47,17 @@
 	local     *Service
 	directory Directory
 	peer      Peer
+	// submitWait is how long a submission waits for an owner that takes it.
+	submitWait time.Duration
 }
 
 // NewRouter returns a router for calls that arrive at this host.
 func NewRouter(local *Service, d Directory, p Peer) *Router {
-	return &Router{local: local, directory: d, peer: p}
+	r := &Router{local: local, directory: d, peer: p, submitWait: DefaultDurableWait}
+	if local != nil {
+		r.submitWait = local.cfg.DurableWait
+	}
+	return r
 }
 
 // owner returns where a cell is owned.
@@ -66,16 +75,26 @@
 // because its owner waits for the store or the cell has none, the job waits as long as one does for the store in all:
 // after an outage the owners claim their cells anew, and a refusal at once would tell nothing but that.
 func (r *Router) Submit(ctx context.Context, spec lifecycle.JobSpec) (ident.JobID, error) {
-	limit, cancel := context.WithTimeout(ctx, durableWait)
+	limit, cancel := context.WithTimeout(ctx, r.submitWait)
 	defer cancel()
 	for {
 		id, err := r.offer(ctx, limit, spec)
 		if err == nil || !unavailable(err) || sleep.For(limit, ownerPause) != nil {
-			return id, err
+			return id, openOutcome(spec, err)
 		}
 	}
 }
 
+// openOutcome withdraws the proof of a refusal that did not come from an owner with the log of its cell: an earlier
+// submission under the same number may have been accepted there.
+func openOutcome(spec lifecycle.JobSpec, err error) error {
+	if spec.Number == 0 || err == nil || !unavailable(err) {
+		return err
+	}
+	return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeUnavailable,
+		"job number %x: whether it was accepted before is not known", spec.Number)
+}
+
 // unavailable reports whether a job was certainly not accepted, by a cell that may take it soon.
 func unavailable(err error) bool {
 	e := verdict.From(err)
@@ -88,7 +107,10 @@
 	if len(cells) == 0 {
 		return ident.JobID{}, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "no cell is known yet").After(time.Second)
 	}
-	if spec.Token != "" {
+	switch {
+	case spec.Number != 0:
+		return r.submitTo(ctx, CellOfNumber(cells, spec.Number), spec)
+	case spec.Token != "":
 		return r.submitTo(ctx, cellOfToken(cells, spec.Token), spec)
 	}
 	var (
@@ -104,6 +126,42 @@
 	return id, err
 }
 
+// CellOfNumber returns the cell of a job whose number its caller chose, which is the same at every host.
+func CellOfNumber(cells []ident.CellID, number uint64) ident.CellID {
+	return cellOfToken(cells, strconv.FormatUint(number, 16))
+}
+
+// JobOfNumber returns the id of a job whose number its caller chose.
+func (r *Router) JobOfNumber(number uint64) ident.JobID {
+	return ident.ChosenJobID(CellOfNumber(r.directory.Cells(), number), number)
+}
+
+// Waiting counts the jobs of a class of which no task was ever sent to a worker, in all cells. ok is false if a cell
+// could not be asked.
+func (r *Router) Waiting(ctx context.Context, class ident.ClassName) (n int, ok bool) {
+	ok = true
+	for _, cell := range r.directory.Cells() {
+		waiting, err := r.waitingIn(ctx, cell)
+		if err != nil {
+			ok = false
+			continue
+		}
+		n += waiting[class]
+	}
+	return n, ok
+}
+
+func (r *Router) waitingIn(ctx context.Context, cell ident.CellID) (map[ident.ClassName]int, error) {
+	address, local, err := r.owner(cell)
+	if err != nil {
+		return nil, err
+	}
+	if local {
+		return r.local.Waiting(ctx, cell)
+	}
+	return r.peer.Waiting(ctx, address, cell)
+}
+
 // cellOfToken uses rendezvous hashing, so that the order in which the cells are given does not matter.
 func cellOfToken(cells []ident.CellID, token string) ident.CellID {
 	best, bestScore := cells[0], uint64(0)
--- a/relay/jobs/router_test.go
+++ b/relay/jobs/router_test.go
@@ -46,6 +46,10 @@
 	return d.svc.Cancel(ctx, id)
 }
 
+func (d direct) Waiting(ctx context.Context, _ string, c ident.CellID) (map[ident.ClassName]int, error) {
+	return d.svc.Waiting(ctx, c)
+}
+
 // Guards against a repeated submission that ends in another cell and runs twice, against a job that is refused
 // although another cell takes it, and against a watch that ends while the job runs on another host.
 func TestRouter(t *testing.T) {
--- a/relay/jobs/service.go
+++ b/relay/jobs/service.go
@@ -16,11 +16,11 @@
 )
 
 const (
-	// A submission waits for the store for at most 5 s. The last part of it is for the end of a write in progress,
-	// which often proves that nothing was written.
-	durableWait  = 4500 * time.Millisecond
-	withdrawWait = 500 * time.Millisecond
-	ownerShards  = 16
+	// DefaultDurableWait is how long a submission waits for the store. With withdrawWait, which is for the end of a write
+	// in progress that often proves that nothing was written, that is at most 5 s.
+	DefaultDurableWait = 4500 * time.Millisecond
+	withdrawWait       = 500 * time.Millisecond
+	ownerShards        = 16
 )
 
 // Config holds the ports of the service.
@@ -33,6 +33,16 @@
 	NewPlanner NewPlanner
 	// CommitInterval is the shortest time between two commits of a cell; DefaultCommitInterval if 0.
 	CommitInterval time.Duration
+	// Policy holds the times and rules that depend on the workers; DefaultPolicy if zero.
+	Policy lifecycle.Policy
+	// SyncWait is how long a worker may hold a sync that has nothing to report; DefaultSyncWait if 0. Leases are renewed
+	// with each sync, so that several must fit into a lease.
+	SyncWait time.Duration
+	// DurableWait is how long a submission waits for the store; DefaultDurableWait if 0.
+	DurableWait time.Duration
+	// DoubtLimit is how long an owner in doubt renews the leases of tasks; 0 means without end. A successor that cannot
+	// confirm that its predecessor stopped must wait for longer.
+	DoubtLimit time.Duration
 	// Cells is the number of cells over which the limits of the table are divided.
 	Cells  int
 	Logger *logrus.Logger
@@ -67,6 +77,15 @@
 	if cfg.CommitInterval == 0 {
 		cfg.CommitInterval = DefaultCommitInterval
 	}
+	if cfg.Policy == (lifecycle.Policy{}) {
+		cfg.Policy = lifecycle.DefaultPolicy()
+	}
+	if cfg.SyncWait == 0 {
+		cfg.SyncWait = DefaultSyncWait
+	}
+	if cfg.DurableWait == 0 {
+		cfg.DurableWait = DefaultDurableWait
+	}
 	s := &Service{
 		cfg:    cfg,
 		owners: shard.NewMap[ident.CellID, *owner](ownerShards, func(c ident.CellID) uint64 { return uint64(c) }),
@@ -146,6 +165,7 @@
 		cancelling: make(map[ident.JobID]*item),
 		watch:      watchers{byJob: make(map[ident.JobID]map[chan struct{}]struct{})},
 	}
+	o.cell.SetPolicy(s.cfg.Policy)
 	o.planner.SetTable(t)
 	o.log = &cellLog{
 		store: s.cfg.Store, codec: s.cfg.Codec, cell: g.Cell, epoch: g.Epoch,
