--- a/cmd/relayd/main.go
+++ b/cmd/relayd/main.go
@@ -38,7 +38,7 @@
 		Version:   daemon.Version,
 		Flags:     daemon.Flags(&settings),
 		UsageText: "relayd --host-id a1 --data-centre north --data-centres north,south --store-endpoints 127.0.0.1:2379 --host-list-url http://127.0.0.1:8500/hosts --plain",
-		Commands: []*cli.Command{{
+		Commands: []*cli.Command{platformCommand(&code), {
 			Name:   "settings-reference",
 			Usage:  "print the reference of all settings as Markdown",
 			Hidden: true,
--- /dev/null
+++ b/cmd/relayd/platform.go
@@ -0,0 +1,145 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"reflect"
+	"syscall"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/sirupsen/logrus"
+	"github.com/urfave/cli/v3"
+
+	"github.com/bulrushrelay/bulrushrelay/core/ident"
+	"github.com/bulrushrelay/bulrushrelay/core/table"
+	"github.com/bulrushrelay/bulrushrelay/daemon"
+	"github.com/bulrushrelay/bulrushrelay/platform"
+	"github.com/bulrushrelay/bulrushrelay/relay/jobs"
+)
+
+// settingsCheck is how often the settings file is looked at for a change without a signal.
+const settingsCheck = 2 * time.Second
+
+// platformCommand runs a host on the users' platform, whose settings file names everything that differs between hosts.
+func platformCommand(code *int) *cli.Command {
+	var (
+		path  string
+		cells int
+	)
+	return &cli.Command{
+		Name:  "platform",
+		Usage: "run one relay host on a platform that lists workers and queues in its store",
+		Flags: []cli.Flag{
+			&cli.StringFlag{
+				Name: "settings", Usage: "settings file of the platform", Value: platform.DefaultSettings,
+				Destination: &path, Sources: cli.EnvVars(platform.SettingsVariable),
+			},
+			&cli.IntFlag{
+				Name: "cells", Usage: "cells of the deployment, the same on every host; 0 means one for each data centre",
+				Destination: &cells,
+			},
+		},
+		Action: func(ctx context.Context, _ *cli.Command) error {
+			s, err := platform.ReadSettings(path)
+			if err != nil {
+				*code = exitSettings
+				return err
+			}
+			if cells == 0 {
+				cells = len(s.DataCentres)
+			}
+			return runPlatform(ctx, path, s, cells)
+		},
+	}
+}
+
+func runPlatform(ctx context.Context, path string, s platform.Settings, cells int) error {
+	log := platformLogger(s)
+	client := platform.NewClient()
+	defer client.Close()
+	store := platform.NewStore(client, s.StoreAddress)
+	ids := daemon.CellIDs(cells)
+	jobOf := func(number uint64) ident.JobID {
+		return ident.ChosenJobID(jobs.CellOfNumber(ids, number), number)
+	}
+	manifests := platform.NewManifests(store, log)
+	var front *platform.Front
+	h, err := daemon.NewJobHost(jobSettings(s, cells), daemon.JobPorts{
+		Store:         store,
+		Workers:       platform.NewWorkers(client, s.WorkerLease, jobOf, log),
+		FollowWorkers: platform.NewDirectory(store, log).Run,
+		FollowTable: func(ctx context.Context, changed func(*table.Table)) {
+			manifests.Run(ctx, func(m *platform.Manifest) {
+				changed(m.Table)
+				front.SetManifest(m)
+			})
+		},
+		Callers: func(e *echo.Echo, r *jobs.Router) {
+			front = platform.NewFront(r)
+			front.Register(e)
+		},
+		Status: platform.RegisterReady,
+	}, log)
+	if err != nil {
+		return err
+	}
+	go followSettings(ctx, path, s, log)
+	return h.Run(ctx)
+}
+
+func jobSettings(s platform.Settings, cells int) daemon.JobSettings {
+	return daemon.JobSettings{
+		HostID: s.Host, DataCentre: s.DataCentre, DataCentres: s.DataCentres, Cells: cells,
+		CallerAddress: s.CallerAddress, StatusAddress: s.ReadyAddress, PeerAddress: s.PeerAddress, MetricsAddress: s.MetricsAddress,
+		WorkerLease: s.WorkerLease, StopTime: s.StopTime, SmallestLease: s.SmallestLease, StoreWrites: s.StoreWrites, Grace: s.Grace,
+	}
+}
+
+func platformLogger(s platform.Settings) *logrus.Entry {
+	logger := logrus.New()
+	logger.SetOutput(os.Stdout)
+	logger.SetFormatter(&logrus.JSONFormatter{})
+	return logger.WithFields(logrus.Fields{"host": s.Host, "data_centre": s.DataCentre})
+}
+
+// followSettings reads the settings file again after SIGHUP and when it has changed. What a running host uses of it is
+// its identity, its addresses and the bounds of the platform, so that a change of one of them takes a restart.
+func followSettings(ctx context.Context, path string, inUse platform.Settings, log *logrus.Entry) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	tick := time.NewTicker(settingsCheck)
+	defer tick.Stop()
+	changedAt := modified(path)
+	for {
+		select {
+		case <-hup:
+		case <-tick.C:
+			if at := modified(path); at.Equal(changedAt) {
+				continue
+			}
+		case <-ctx.Done():
+			return
+		}
+		changedAt = modified(path)
+		next, err := platform.ReadSettings(path)
+		switch {
+		case err != nil:
+			log.WithError(err).Error("settings not reloaded: the ones in use stay in force")
+		case reflect.DeepEqual(next, inUse):
+			log.Info("settings reloaded: nothing that this host uses has changed")
+		default:
+			log.Warn("settings reloaded: a changed identity, address or bound takes effect at the next start")
+		}
+	}
+}
+
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
--- a/core/lifecycle/types.go
+++ b/core/lifecycle/types.go
@@ -188,6 +188,8 @@
 	Address string
 	Rack    ident.Rack
 	Leaving bool
+	// DataCentre is where the worker runs; empty if the list does not say.
+	DataCentre ident.DataCentre
 	// Pool and Labels are what jobs may ask for; Labels are separated by spaces, so that members can be compared.
 	Pool   string
 	Labels string
--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -37,6 +37,9 @@
 	RankStep time.Duration
 	// HandOverAfter is how long a more preferred member must have been seen before it is handed a cell.
 	HandOverAfter time.Duration
+	// GoneAfter is how long a member may be without a leased record, while this host hears from the store, before it
+	// counts as stopped; 0 if only proof counts. An owner must have ended all its work by then.
+	GoneAfter time.Duration
 	// MaxDeadline is the longest time for which a request holds a target slot.
 	MaxDeadline time.Duration
 }
@@ -74,6 +77,7 @@
 		StartWait:     ttl / 10,
 		RankStep:      ttl / 4,
 		HandOverAfter: 2 * ttl,
+		GoneAfter:     2 * ttl,
 	}
 }
 
@@ -93,8 +97,10 @@
 	lastContact  time.Time
 	contactSince time.Time
 
-	peers       map[ident.Instance]*peer
-	stopped     map[ident.HostID]ident.Incarnation
+	peers   map[ident.Instance]*peer
+	stopped map[ident.HostID]ident.Incarnation
+	// presumed holds the instances in stopped for which there is no proof but the absence of a lease.
+	presumed    map[ident.Instance]struct{}
 	digest      uint64
 	established bool
 	candidate   bool
@@ -159,6 +165,7 @@
 		started:   now,
 		peers:     make(map[ident.Instance]*peer),
 		stopped:   make(map[ident.HostID]ident.Incarnation),
+		presumed:  make(map[ident.Instance]struct{}),
 		ranks:     make(map[ident.CellID][]Member),
 		firstSeen: make(map[ident.Instance]time.Time),
 		views:     make(map[ident.CellID]*view),
@@ -210,6 +217,7 @@
 		seen[member.Instance] = at
 	}
 	m.firstSeen = seen
+	m.noteLeased(now)
 	if !slices.Equal(m.members, members) {
 		m.members = slices.Clone(members)
 		clear(m.ranks)
--- a/core/ownership/peers.go
+++ b/core/ownership/peers.go
@@ -35,6 +35,8 @@
 	// as its count of answers stays quietCount.
 	quiet      bool
 	quietCount uint64
+	// unleased is since when the member has had no leased record; zero if it has one, or if that is not known.
+	unleased time.Time
 	// firstAck is when an established member first acknowledged this host.
 	firstAck time.Time
 }
@@ -217,6 +219,48 @@
 	m.established = true
 }
 
+// noteLeased takes over which members have a leased record. One that was presumed to have stopped and has one again runs.
+func (m *Machine) noteLeased(now time.Time) {
+	for i, p := range m.peers {
+		_, leased := m.firstSeen[i]
+		switch {
+		case leased:
+			p.unleased = time.Time{}
+		case p.unleased.IsZero():
+			p.unleased = now
+		}
+	}
+	for i := range m.presumed {
+		if _, leased := m.firstSeen[i]; leased && m.stopped[i.Host] == i.Incarnation {
+			delete(m.presumed, i)
+			m.stopped = maps.Clone(m.stopped)
+			delete(m.stopped, i.Host)
+			m.Learn(i)
+		}
+	}
+}
+
+// presumeStopped counts members without a lease as stopped after GoneAfter. Time without contact to the store does not
+// count, because the host does not know then what is leased.
+func (m *Machine) presumeStopped(now time.Time) {
+	if m.cfg.GoneAfter == 0 || !m.InContact(now) {
+		return
+	}
+	for i, p := range m.peers {
+		if p.unleased.IsZero() {
+			continue
+		}
+		since := p.unleased
+		if m.contactSince.After(since) {
+			since = m.contactSince
+		}
+		if now.Sub(since) >= m.cfg.GoneAfter {
+			m.presumed[i] = struct{}{}
+			m.Stopped(i, m.cfg.MaxDeadline, now)
+		}
+	}
+}
+
 func (m *Machine) fresh(p *peer, now time.Time) bool {
 	return now.Before(p.sent.Add(m.cfg.ReportFresh))
 }
--- a/core/ownership/step.go
+++ b/core/ownership/step.go
@@ -39,6 +39,7 @@
 
 // Step returns what is to be done now. Transactions are returned once, until Done takes their result.
 func (m *Machine) Step(now time.Time) []Action {
+	m.presumeStopped(now)
 	var actions []Action
 	for _, c := range m.cfg.Cells {
 		v := m.views[c.ID]
--- /dev/null
+++ b/daemon/jobhost.go
@@ -0,0 +1,394 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/net/netutil"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/bulrushrelay/bulrushrelay/adapter/cellpb"
+	"github.com/bulrushrelay/bulrushrelay/adapter/clusterrecord"
+	"github.com/bulrushrelay/bulrushrelay/adapter/peergrpc"
+	"github.com/bulrushrelay/bulrushrelay/adapter/telemetry"
+	peerv1 "github.com/bulrushrelay/bulrushrelay/api/peer/v1"
+	"github.com/bulrushrelay/bulrushrelay/core/cellmap"
+	"github.com/bulrushrelay/bulrushrelay/core/ident"
+	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
+	"github.com/bulrushrelay/bulrushrelay/core/membership"
+	"github.com/bulrushrelay/bulrushrelay/core/ownership"
+	"github.com/bulrushrelay/bulrushrelay/core/placement"
+	"github.com/bulrushrelay/bulrushrelay/core/store"
+	"github.com/bulrushrelay/bulrushrelay/core/table"
+	"github.com/bulrushrelay/bulrushrelay/relay/cluster"
+	"github.com/bulrushrelay/bulrushrelay/relay/jobs"
+)
+
+const (
+	// jobSyncWait is how long a worker may hold a sync that has nothing to report: a sixth of the usual lease of 6 s.
+	jobSyncWait = time.Second
+	// jobDurableWait is how long a submission waits for the store and for an owner of its cell.
+	jobDurableWait = 1500 * time.Millisecond
+	// jobCommitInterval groups the records of a cell; each step of a job waits for half of it on average.
+	jobCommitInterval = 20 * time.Millisecond
+	// jobLogShare is the part of the store's writes that the cell logs may take together.
+	jobLogShare = 0.5
+	// clockRates divides the lease of a worker; the result covers workers whose clocks run 2 % slow, twice over.
+	clockRates = 20
+	// stopSlack is how long the end of a stopped task takes to be listed after it stopped.
+	stopSlack = 300 * time.Millisecond
+	// unhealthyNotice is how long a host that stops goes on taking calls after it reports that it does: the balancer asks
+	// each second and needs two answers.
+	unhealthyNotice = 2200 * time.Millisecond
+	// stopReserve is kept of the time until the process is killed.
+	stopReserve = 800 * time.Millisecond
+	// callerLimit bounds the connections of callers, and statusLimit those of checks and metrics readers.
+	callerLimit = 1024
+	statusLimit = 64
+	// mostCandidates is how many workers are scored for one task: every one of a cell of a few racks.
+	mostCandidates = 64
+)
+
+// JobSettings configures a JobHost.
+type JobSettings struct {
+	HostID     ident.HostID
+	DataCentre ident.DataCentre
+	// DataCentres and Cells divide the workers into cells, equally on every host.
+	DataCentres []ident.DataCentre
+	Cells       int
+
+	CallerAddress, StatusAddress, PeerAddress, MetricsAddress string
+
+	// WorkerLease is the longest lease of a task, StopTime the longest time that a worker takes to stop one.
+	WorkerLease, StopTime time.Duration
+	// SmallestLease is the shortest lease of the store, StoreWrites its writes a second from all hosts together.
+	SmallestLease time.Duration
+	StoreWrites   float64
+	// Grace is the time from the request to stop until the process is killed.
+	Grace time.Duration
+}
+
+// JobPorts connects a JobHost to the platform.
+type JobPorts struct {
+	Store   store.Store
+	Workers jobs.WorkerPort
+	// FollowWorkers and FollowTable call back with the present state and each change, until ctx ends.
+	FollowWorkers func(ctx context.Context, changed func([]lifecycle.Member))
+	FollowTable   func(ctx context.Context, changed func(*table.Table))
+	// Callers adds the routes of callers, Status those of the platform's checks.
+	Callers func(e *echo.Echo, r *jobs.Router)
+	Status  func(e *echo.Echo, ready func() bool)
+}
+
+// JobHost is a relay host that runs jobs only, on a platform that lists the workers and holds the table.
+type JobHost struct {
+	settings JobSettings
+	ports    JobPorts
+	self     ident.Instance
+	cellMap  cellmap.Map
+	log      *logrus.Entry
+	metrics  *telemetry.Registry
+
+	pool    *peergrpc.Pool
+	cluster *cluster.Service
+	members *members
+	jobs    *jobs.Service
+	fleet   *fleet
+
+	phase    atomic.Int32
+	hasTable atomic.Bool
+
+	callers, status, counters *httpServer
+	peers                     *grpc.Server
+}
+
+// NewJobHost assembles a host and opens its listeners.
+func NewJobHost(s JobSettings, p JobPorts, log *logrus.Entry) (*JobHost, error) {
+	h := &JobHost{
+		settings: s, ports: p, log: log,
+		self:    ident.Instance{Host: s.HostID, Incarnation: ident.Incarnation(time.Now().UnixNano())},
+		cellMap: cellmap.New(s.Cells, s.DataCentres),
+		metrics: telemetry.NewRegistry(),
+		pool:    peergrpc.NewPool(insecure.NewCredentials()),
+	}
+	h.fleet = newFleet(h.cellMap)
+	h.assemble()
+	return h, h.listen()
+}
+
+// leaseTime returns the time to live of the host's lease: half of a worker's, so that a successor renews before the
+// tasks of a lost owner lapse.
+func (s JobSettings) leaseTime() time.Duration {
+	return max(s.SmallestLease, s.WorkerLease/2)
+}
+
+func (s JobSettings) policy() lifecycle.Policy {
+	return lifecycle.Policy{
+		LeaseDuration: s.WorkerLease,
+		LeaseMargin:   s.WorkerLease / clockRates,
+		SilentAfter:   2 * jobSyncWait,
+		StopRepeat:    s.StopTime + stopSlack,
+		// The workers' own limits count every failure.
+		ChargeAllFailures: true,
+	}
+}
+
+func (s JobSettings) commitInterval() time.Duration {
+	shared := time.Duration(float64(s.Cells) / (jobLogShare * s.StoreWrites) * float64(time.Second))
+	return max(jobCommitInterval, shared)
+}
+
+func (h *JobHost) assemble() {
+	codec := clusterrecord.JSON{}
+	owning := ownership.ConfigFor(h.settings.leaseTime())
+	owning.Self, owning.DataCentre = h.self, h.settings.DataCentre
+	for i := range h.settings.Cells {
+		id := ident.CellID(i)
+		owning.Cells = append(owning.Cells, ownership.Cell{ID: id, DataCentre: h.cellMap.DataCentre(id)})
+	}
+	h.members = &members{self: h.self, cells: h.cellMap, store: h.ports.Store, codec: codec}
+	h.cluster = cluster.New(cluster.Config{
+		Ownership:   owning,
+		PeerAddress: h.settings.PeerAddress,
+		Store:       h.ports.Store,
+		Transport:   peergrpc.NewGossipClient(h.self, h.pool),
+		Codec:       codec,
+		Seed:        uint64(h.self.Incarnation),
+		Drain:       h.drainCell,
+		Log:         h.log,
+	})
+	h.members.cluster = h.cluster
+	h.jobs = jobs.New(jobs.Config{
+		Store:          h.ports.Store,
+		Codec:          cellpb.Codec{},
+		Workers:        h.ports.Workers,
+		Grants:         h.cluster,
+		Clock:          jobs.SystemClock{},
+		NewPlanner:     h.newPlanner,
+		CommitInterval: h.settings.commitInterval(),
+		Policy:         h.settings.policy(),
+		SyncWait:       jobSyncWait,
+		DurableWait:    jobDurableWait,
+		DoubtLimit:     h.settings.leaseTime(),
+		Cells:          h.settings.Cells,
+		Logger:         h.log.Logger,
+	}, table.New(0, nil))
+}
+
+func (h *JobHost) newPlanner(id ident.CellID, t *table.Table) placement.Planner {
+	planner := placement.NewCell(rand.Uint64(), placement.Options{
+		Cell: id, Cells: h.settings.Cells, ShareShift: h.cluster.Grant(id).ShareShift,
+		Candidates: mostCandidates,
+		// A worker's room does not grow when a task on it is slowed down.
+		MinThrottle: 1,
+	})
+	planner.SetTable(t)
+	return planner
+}
+
+func (h *JobHost) listen() error {
+	servers := []struct {
+		server      **httpServer
+		address     string
+		connections int
+	}{
+		{&h.callers, h.settings.CallerAddress, callerLimit},
+		{&h.status, h.settings.StatusAddress, statusLimit},
+		{&h.counters, h.settings.MetricsAddress, statusLimit},
+	}
+	for _, s := range servers {
+		l, err := listenTCP(s.address)
+		if err != nil {
+			return fmt.Errorf("listen on %s: %w", s.address, err)
+		}
+		*s.server = newHTTPServer(l, newHTTPLimits(s.connections, longestOperation), nil)
+	}
+	router := jobs.NewRouter(h.jobs, numberedCells{h.settings.Cells, h.members}, peergrpc.NewJobsClient(h.pool))
+	h.callers.echo.Use(h.closeConnections)
+	h.ports.Callers(h.callers.echo, router)
+	h.ports.Status(h.status.echo, h.ready)
+	telemetry.Register(h.counters.echo, h.metrics)
+	h.peers = grpc.NewServer(peergrpc.ServerOptions(insecure.NewCredentials())...)
+	peerv1.RegisterJobsServer(h.peers, peergrpc.NewJobsServer(h.jobs))
+	peergrpc.RegisterGossip(h.peers, h.cluster)
+	return nil
+}
+
+// numberedCells tells the router where the cells are owned. It implements jobs.Directory.
+type numberedCells struct {
+	cells   int
+	members *members
+}
+
+// Cells implements jobs.Directory. Jobs have numbers, which pick their cell, so that no order by room is needed.
+func (d numberedCells) Cells() []ident.CellID {
+	return CellIDs(d.cells)
+}
+
+// Owner implements jobs.Directory.
+func (d numberedCells) Owner(cell ident.CellID) (address string, local, ok bool) {
+	owner, address, ok := d.members.Owner(cell)
+	return address, owner == d.members.self, ok
+}
+
+// CellIDs lists the cells of a deployment.
+func CellIDs(n int) []ident.CellID {
+	out := make([]ident.CellID, n)
+	for i := range out {
+		out[i] = ident.CellID(i)
+	}
+	return out
+}
+
+func (h *JobHost) closeConnections(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		if phase(h.phase.Load()) == phaseDraining {
+			c.Response().Header().Set(echo.HeaderConnection, "close")
+		}
+		return next(c)
+	}
+}
+
+// ready reports whether the host takes callers: it has a table, knows an owner, and does not stop.
+func (h *JobHost) ready() bool {
+	if phase(h.phase.Load()) != phaseReady || !h.hasTable.Load() {
+		return false
+	}
+	for _, id := range CellIDs(h.settings.Cells) {
+		if _, _, ok := h.members.Owner(id); ok {
+			return true
+		}
+	}
+	return false
+}
+
+// Run serves until ctx ends, and then hands over and stops.
+func (h *JobHost) Run(ctx context.Context) error {
+	background, stopBackground := context.WithCancel(context.Background())
+	defer stopBackground()
+	group, background := errgroup.WithContext(background)
+	h.cluster.Listen(h.grantChanged(background))
+	peerPort, err := listenTCP(h.settings.PeerAddress)
+	if err != nil {
+		return fmt.Errorf("listen on %s: %w", h.settings.PeerAddress, err)
+	}
+	group.Go(func() error { return h.peers.Serve(netutil.LimitListener(peerPort, DefaultMaxPeerConnections)) })
+	for _, s := range []*httpServer{h.callers, h.status, h.counters} {
+		group.Go(s.serve)
+	}
+	h.cluster.Start()
+	for _, loop := range []func(context.Context){
+		func(ctx context.Context) { h.ports.FollowTable(ctx, h.takeTable) },
+		func(ctx context.Context) { h.ports.FollowWorkers(ctx, h.takeWorkers) },
+		every(countInterval, h.publish),
+	} {
+		group.Go(func() error {
+			loop(background)
+			return nil
+		})
+	}
+	h.phase.Store(int32(phaseReady))
+	h.log.WithField("instance", h.self.String()).Info("host started")
+	select {
+	case <-ctx.Done():
+	case <-background.Done():
+	}
+	err = h.drain()
+	stopBackground()
+	return errors.Join(err, group.Wait())
+}
+
+func (h *JobHost) takeTable(t *table.Table) {
+	h.jobs.SetTable(t)
+	h.hasTable.Store(true)
+	h.metrics.Gauge("table_revision").Update(int64(t.Revision()))
+	h.log.WithField("revision", t.Revision()).Info("table in force")
+}
+
+// takeWorkers divides the workers over the cells.
+func (h *JobHost) takeWorkers(list []lifecycle.Member) {
+	next := &hosts{workers: make(map[ident.CellID][]lifecycle.Member)}
+	for _, m := range list {
+		id, ok := h.cellMap.Cell(m.DataCentre, m.Rack)
+		if !ok {
+			h.log.WithFields(logrus.Fields{"worker": m.ID, "data_centre": m.DataCentre}).Warn("a worker is in no cell")
+			continue
+		}
+		next.workers[id] = append(next.workers[id], m)
+	}
+	h.fleet.current.Store(next)
+	for _, id := range CellIDs(h.settings.Cells) {
+		h.jobs.SetMembers(id, next.workers[id])
+	}
+	h.metrics.Gauge("workers_listed").Update(int64(len(list)))
+}
+
+// publish gossips the cells of this host and copies the counters of the services into the metrics.
+func (h *JobHost) publish() {
+	var local cluster.Local
+	for _, id := range CellIDs(h.settings.Cells) {
+		if h.cluster.Grant(id).Authority != ownership.None {
+			local.Loads = append(local.Loads, membership.Load{Cell: id})
+		}
+	}
+	h.cluster.SetLocal(local)
+	exportCluster(h.metrics, h.cluster, h.settings.Cells)
+	exportJobs(h.metrics, h.jobs.Stats())
+}
+
+// grantChanged returns the listener that starts and ends the work in cells.
+func (h *JobHost) grantChanged(ctx context.Context) func(cluster.Change) {
+	return func(c cluster.Change) {
+		switch {
+		case c.New.Authority == ownership.None:
+			h.jobs.Lost(c.New.Cell)
+		case c.Old.Authority == ownership.None || c.Old.Epoch != c.New.Epoch:
+			go acquireCell(ctx, c.New, h.cluster, h.jobs, h.fleet, h.metrics)
+		}
+	}
+}
+
+func (h *JobHost) drainCell(ctx context.Context, id ident.CellID) {
+	if err := h.jobs.Drain(ctx, id); err != nil {
+		h.metrics.Counter("drain_failures_total").Inc(1)
+		h.log.WithError(err).WithField("cell", id).Warn("a cell was not handed over cleanly")
+	}
+}
+
+// drain stops the host as planned: it reports that it stops, hands its cells over, and finishes the calls of callers.
+func (h *JobHost) drain() error {
+	h.phase.Store(int32(phaseDraining))
+	h.log.Info("drain started")
+	ctx, cancel := context.WithTimeout(context.Background(), max(h.settings.Grace-stopReserve, stopReserve))
+	defer cancel()
+	notice := time.NewTimer(unhealthyNotice)
+	defer notice.Stop()
+	err := h.cluster.Leave(ctx)
+	select {
+	case <-notice.C:
+	case <-ctx.Done():
+	}
+	err = errors.Join(err, h.callers.shutdown(ctx))
+	h.peers.Stop()
+	for _, s := range []*httpServer{h.callers, h.status, h.counters} {
+		_ = s.server.Close()
+	}
+	for _, id := range CellIDs(h.settings.Cells) {
+		h.jobs.Lost(id)
+	}
+	h.pool.Close()
+	if err != nil {
+		h.log.WithError(err).Error("drain ended early")
+		return fmt.Errorf("%w: %w", ErrDrainTimeout, err)
+	}
+	h.log.Info("drain finished")
+	return nil
+}
--- a/daemon/loops.go
+++ b/daemon/loops.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/bulrushrelay/bulrushrelay/adapter/telemetry"
 	"github.com/bulrushrelay/bulrushrelay/core/cellmap"
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
@@ -12,6 +13,7 @@
 	"github.com/bulrushrelay/bulrushrelay/core/ownership"
 	"github.com/bulrushrelay/bulrushrelay/core/table"
 	"github.com/bulrushrelay/bulrushrelay/relay/cluster"
+	"github.com/bulrushrelay/bulrushrelay/relay/jobs"
 )
 
 const (
@@ -104,25 +106,27 @@
 		case c.New.Authority == ownership.None:
 			h.jobs.Lost(c.New.Cell)
 		case c.Old.Authority == ownership.None || c.Old.Epoch != c.New.Epoch:
-			go h.acquire(ctx, c.New)
+			go acquireCell(ctx, c.New, h.cluster, h.jobs, h.fleet, h.metrics)
 		}
 	}
 }
 
-// acquire starts the jobs of a cell, again and again until the store answers or the cell has another owner.
-func (h *Host) acquire(ctx context.Context, g ownership.Grant) {
+// acquireCell starts the jobs of a cell, again and again until the store answers or the cell has another owner.
+func acquireCell(
+	ctx context.Context, g ownership.Grant, grants *cluster.Service, owned *jobs.Service, workers *fleet, metrics *telemetry.Registry,
+) {
 	ticker := time.NewTicker(acquireRetry)
 	defer ticker.Stop()
 	for {
-		if current := h.cluster.Grant(g.Cell); current.Epoch != g.Epoch || current.Authority == ownership.None {
+		if current := grants.Grant(g.Cell); current.Epoch != g.Epoch || current.Authority == ownership.None {
 			return
 		}
-		err := h.jobs.Acquire(ctx, g, h.fleet.workersOf(g.Cell))
+		err := owned.Acquire(ctx, g, workers.workersOf(g.Cell))
 		if err == nil {
-			h.jobs.SetMembers(g.Cell, h.fleet.workersOf(g.Cell))
+			owned.SetMembers(g.Cell, workers.workersOf(g.Cell))
 			return
 		}
-		h.metrics.Counter("acquire_failures_total").Inc(1)
+		metrics.Counter("acquire_failures_total").Inc(1)
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
--- a/relay/cluster/service.go
+++ b/relay/cluster/service.go
@@ -61,10 +61,7 @@
 	Drain func(ctx context.Context, cell ident.CellID)
 	// Busy returns how long requests under way in a cell may still hold slots; nil means the longest deadline.
 	Busy func(cell ident.CellID) time.Duration
-	// GoneAfter is how long a registered host may be without a leased record, while this host hears from the store,
-	// before it counts as stopped; 0 if only a proof counts. Its owners must have ended their work by then.
-	GoneAfter time.Duration
-	Log       logrus.FieldLogger
+	Log  logrus.FieldLogger
 }
 
 // Change is a change of this host's right in a cell.
--- a/relay/cluster/store.go
+++ b/relay/cluster/store.go
@@ -227,8 +227,28 @@
 	}
 }
 
+// endPredecessor revokes the leases under which an earlier process of this host still holds cells. This process listens
+// at its address, so that it has certainly stopped, and its cells need not wait for the leases to run out.
+func (s *Service) endPredecessor(ctx context.Context, entries []store.Entry) {
+	self := s.cfg.Ownership.Self
+	ended := make(map[store.LeaseID]bool)
+	for _, e := range entries {
+		record, err := s.cfg.Codec.DecodeOwner(e.Value)
+		earlier := err == nil && record.Holder.Host == self.Host && record.Holder.Incarnation < self.Incarnation
+		if !earlier || e.Lease == 0 || ended[e.Lease] {
+			continue
+		}
+		ended[e.Lease] = true
+		err = s.call(ctx, func(ctx context.Context) error { return s.cfg.Store.Revoke(ctx, e.Lease) })
+		if err != nil {
+			s.log.WithError(err).WithField("holder", record.Holder.String()).Warn("the lease of the predecessor was not ended")
+		}
+	}
+}
+
 func (s *Service) watchOwners(ctx context.Context) {
 	reset := func(r store.RangeResult) {
+		s.endPredecessor(ctx, r.Entries)
 		s.decide(func(m *ownership.Machine, now time.Time) {
 			seen := make(map[ident.CellID]bool)
 			for _, e := range r.Entries {
