Place and pace fillers by what they do to the tails of serving tasks

Change: the planner learns the logarithm of the factor for each pair of images, puts serving tasks of one image together, lets a filler wait up to 3 s for a worker where it disturbs none, and slows down those that harm the most first. One cell spans a region, because a lasting task must run wherever there is room for it.

--- a/adapter/cellpb/codec_test.go
+++ b/adapter/cellpb/codec_test.go
@@ -23,8 +23,8 @@
 			Count: 3, Need: resource.Vector{MilliCPU: 1, MemoryMB: 2, Accelerators: 3},
 			RunTime: time.Second, Command: "run",
 		}, {
-			Count: 2, Need: resource.Vector{MilliCPU: 1}, After: []int{0}, Lasting: true, Volatile: true,
-			Constraints: placement.Constraints{Label: "l", Rack: "r", MaxPerWorker: 2, Serving: true, Filler: true},
+			Count: 2, Need: resource.Vector{MilliCPU: 1}, After: []int{0}, Lasting: true, Volatile: true, TailTarget: time.Second,
+			Constraints: placement.Constraints{Label: "l", Rack: "r", MaxPerWorker: 2, Serving: true, Filler: true, Image: "i"},
 		}},
 	}
 	checkpoint = lifecycle.Checkpoint{ID: "c1", At: at}
--- a/adapter/cellpb/records.go
+++ b/adapter/cellpb/records.go
@@ -180,6 +180,8 @@
 			Lasting:     g.Lasting,
 			Volatile:    g.Volatile,
 			Constraints: constraintsOut(g.Constraints),
+
+			TailTargetMs: g.TailTarget.Milliseconds(),
 		})
 	}
 	return out
@@ -204,6 +206,7 @@
 			Lasting:     g.GetLasting(),
 			Volatile:    g.GetVolatile(),
 			Constraints: constraintsIn(g.GetConstraints()),
+			TailTarget:  durationIn(g.GetTailTargetMs()),
 		})
 	}
 	return out
@@ -230,13 +233,13 @@
 		return nil
 	}
 	return &cellv1.Constraints{
-		Label: c.Label, Rack: string(c.Rack), MaxPerWorker: uint32(max(c.MaxPerWorker, 0)), Serving: c.Serving, Filler: c.Filler,
+		Label: c.Label, Rack: string(c.Rack), MaxPerWorker: uint32(max(c.MaxPerWorker, 0)), Serving: c.Serving, Filler: c.Filler, Image: c.Image,
 	}
 }
 
 func constraintsIn(c *cellv1.Constraints) placement.Constraints {
 	return placement.Constraints{
 		Label: c.GetLabel(), Rack: ident.Rack(c.GetRack()), MaxPerWorker: int(c.GetMaxPerWorker()),
-		Serving: c.GetServing(), Filler: c.GetFiller(),
+		Serving: c.GetServing(), Filler: c.GetFiller(), Image: c.GetImage(),
 	}
 }
--- a/adapter/jobhttp/messages.go
+++ b/adapter/jobhttp/messages.go
@@ -43,9 +43,12 @@
 	Label        string `json:"label,omitempty"`
 	Rack         string `json:"rack,omitempty"`
 	MaxPerWorker int    `json:"max_per_worker,omitempty"`
-	// Serving tasks are kept apart from Filler tasks, which use the processors that others leave.
-	Serving bool `json:"serving,omitempty"`
-	Filler  bool `json:"filler,omitempty"`
+	// TailTargetMS is what the tail of the response times of tasks that serve must stay below. Filler tasks use the
+	// processors that others leave, and are slowed down where a tail comes near its target.
+	TailTargetMS int64 `json:"tail_target_ms,omitempty"`
+	Filler       bool  `json:"filler,omitempty"`
+	// Image names what the tasks run; tasks of one image disturb others alike.
+	Image string `json:"image,omitempty"`
 }
 
 // Submitted is the answer to an accepted submission.
@@ -119,6 +122,9 @@
 		if g.MemoryMB > maxAmount || g.Accelerators > maxAmount {
 			return spec, invalid("group %d: amounts: want at most %d", i, int64(maxAmount))
 		}
+		if g.TailTargetMS < 0 || g.TailTargetMS > int64(math.MaxInt64/time.Millisecond) {
+			return spec, invalid("group %d: tail_target_ms is out of range", i)
+		}
 		if g.RunTimeMS < 0 || g.RunTimeMS > int64(math.MaxInt64/time.Millisecond) {
 			return spec, invalid("group %d: run_time_ms is out of range", i)
 		}
@@ -133,8 +139,10 @@
 			Lasting:  g.Lasting,
 			Volatile: g.Volatile,
 			Constraints: placement.Constraints{
-				Label: g.Label, Rack: ident.Rack(g.Rack), MaxPerWorker: g.MaxPerWorker, Serving: g.Serving, Filler: g.Filler,
+				Label: g.Label, Rack: ident.Rack(g.Rack), MaxPerWorker: g.MaxPerWorker, Serving: g.TailTargetMS > 0,
+				Filler: g.Filler, Image: g.Image,
 			},
+			TailTarget: time.Duration(g.TailTargetMS) * time.Millisecond,
 		})
 	}
 	return spec, spec.Validate()
@@ -159,7 +167,8 @@
 			Accelerators: g.Need.Accelerators, RunTimeMS: g.RunTime.Milliseconds(), Command: g.Command,
 			After: g.After, Lasting: g.Lasting, Volatile: g.Volatile,
 			Label: g.Constraints.Label, Rack: string(g.Constraints.Rack), MaxPerWorker: g.Constraints.MaxPerWorker,
-			Serving: g.Constraints.Serving, Filler: g.Constraints.Filler,
+			TailTargetMS: g.TailTarget.Milliseconds(), Filler: g.Constraints.Filler,
+			Image: g.Constraints.Image,
 		})
 	}
 	for _, t := range v.Tasks {
--- a/adapter/peergrpc/jobmessages.go
+++ b/adapter/peergrpc/jobmessages.go
@@ -47,6 +47,8 @@
 			Lasting:     g.Lasting,
 			Volatile:    g.Volatile,
 			Constraints: constraintsOut(g.Constraints),
+
+			TailTargetMs: g.TailTarget.Milliseconds(),
 		})
 	}
 	return out
@@ -71,6 +73,7 @@
 			Lasting:     g.GetLasting(),
 			Volatile:    g.GetVolatile(),
 			Constraints: constraintsIn(g.GetConstraints()),
+			TailTarget:  fromAgeMs(g.GetTailTargetMs()),
 		})
 	}
 	return out
@@ -186,13 +189,13 @@
 		return nil
 	}
 	return &peerv1.JobConstraints{
-		Label: c.Label, Rack: string(c.Rack), MaxPerWorker: uint32(max(c.MaxPerWorker, 0)), Serving: c.Serving, Filler: c.Filler,
+		Label: c.Label, Rack: string(c.Rack), MaxPerWorker: uint32(max(c.MaxPerWorker, 0)), Serving: c.Serving, Filler: c.Filler, Image: c.Image,
 	}
 }
 
 func constraintsIn(c *peerv1.JobConstraints) placement.Constraints {
 	return placement.Constraints{
 		Label: c.GetLabel(), Rack: ident.Rack(c.GetRack()), MaxPerWorker: int(c.GetMaxPerWorker()),
-		Serving: c.GetServing(), Filler: c.GetFiller(),
+		Serving: c.GetServing(), Filler: c.GetFiller(), Image: c.GetImage(),
 	}
 }
--- a/adapter/peergrpc/jobs_test.go
+++ b/adapter/peergrpc/jobs_test.go
@@ -28,8 +28,8 @@
 			Groups: []lifecycle.TaskGroup{{
 				Count: 2, Need: resource.Vector{MilliCPU: 1, MemoryMB: 2, Accelerators: 3}, RunTime: time.Second, Command: "x",
 			}, {
-				Count: 2, Need: resource.Vector{MilliCPU: 1}, After: []int{0}, Lasting: true, Volatile: true,
-				Constraints: placement.Constraints{Label: "l", Rack: "r", MaxPerWorker: 2, Serving: true, Filler: true},
+				Count: 2, Need: resource.Vector{MilliCPU: 1}, After: []int{0}, Lasting: true, Volatile: true, TailTarget: time.Second,
+				Constraints: placement.Constraints{Label: "l", Rack: "r", MaxPerWorker: 2, Serving: true, Filler: true, Image: "i"},
 			}},
 		},
 		State: lifecycle.Cancelled, Counts: map[lifecycle.State]int{lifecycle.Done: 1, lifecycle.Cancelled: 1},
--- a/cmd/relayd/platform.go
+++ b/cmd/relayd/platform.go
@@ -37,7 +37,7 @@
 				Destination: &path, Sources: cli.EnvVars(platform.SettingsVariable),
 			},
 			&cli.IntFlag{
-				Name: "cells", Usage: "cells of the deployment, the same on every host; 0 means one for each data centre",
+				Name: "cells", Usage: "cells of the deployment, the same on every host; 0 means one for each region",
 				Destination: &cells,
 			},
 		},
@@ -47,9 +47,6 @@
 				*code = exitSettings
 				return err
 			}
-			if cells == 0 {
-				cells = len(s.DataCentres)
-			}
 			return runPlatform(ctx, path, s, cells)
 		},
 	}
@@ -60,13 +57,14 @@
 	client := platform.NewClient()
 	defer client.Close()
 	store := platform.NewStore(client, s.StoreAddress)
-	ids := daemon.CellIDs(cells)
+	settings := jobSettings(s, cells)
+	ids := daemon.CellIDs(settings.CellCount())
 	jobOf := func(number uint64) ident.JobID {
 		return ident.ChosenJobID(jobs.CellOfNumber(ids, number), number)
 	}
 	manifests := platform.NewManifests(store, log)
 	var front *platform.Front
-	h, err := daemon.NewJobHost(jobSettings(s, cells), daemon.JobPorts{
+	h, err := daemon.NewJobHost(settings, daemon.JobPorts{
 		Store:         store,
 		Workers:       platform.NewWorkers(client, s.WorkerLease, jobOf, log),
 		FollowWorkers: platform.NewDirectory(store, log).Run,
@@ -91,7 +89,7 @@
 
 func jobSettings(s platform.Settings, cells int) daemon.JobSettings {
 	return daemon.JobSettings{
-		HostID: s.Host, DataCentre: s.DataCentre, DataCentres: s.DataCentres, Cells: cells,
+		HostID: s.Host, DataCentre: s.DataCentre, Regions: s.Regions, Cells: cells,
 		CallerAddress: s.CallerAddress, StatusAddress: s.ReadyAddress, PeerAddress: s.PeerAddress, MetricsAddress: s.MetricsAddress,
 		WorkerLease: s.WorkerLease, StopTime: s.StopTime, SmallestLease: s.SmallestLease, StoreWrites: s.StoreWrites, Grace: s.Grace,
 	}
--- a/core/lifecycle/types.go
+++ b/core/lifecycle/types.go
@@ -91,6 +91,8 @@
 	Lasting bool
 	// Volatile tasks save no progress: a stop loses it all.
 	Volatile bool
+	// TailTarget is what the tail of the response times of serving tasks must stay below; 0 if the tasks do not serve.
+	TailTarget time.Duration
 	// Constraints says where the tasks may run, and beside what.
 	Constraints placement.Constraints
 }
@@ -98,7 +100,8 @@
 // equal reports whether two groups ask for the same work.
 func (g TaskGroup) equal(o TaskGroup) bool {
 	return g.Count == o.Count && g.Need == o.Need && g.RunTime == o.RunTime && g.Command == o.Command &&
-		slices.Equal(g.After, o.After) && g.Lasting == o.Lasting && g.Volatile == o.Volatile && g.Constraints == o.Constraints
+		slices.Equal(g.After, o.After) && g.Lasting == o.Lasting && g.Volatile == o.Volatile &&
+		g.TailTarget == o.TailTarget && g.Constraints == o.Constraints
 }
 
 // JobSpec is what a caller submits.
@@ -155,6 +158,8 @@
 			return invalid("group %d: run time: want at least 0", i)
 		case len(g.Command) > MaxCommandBytes:
 			return invalid("group %d: command: want at most %d bytes", i, MaxCommandBytes)
+		case g.TailTarget < 0:
+			return invalid("group %d: tail target: want at least 0", i)
 		case g.Constraints.MaxPerWorker < 0:
 			return invalid("group %d: max per worker: want at least 0", i)
 		}
@@ -298,6 +303,9 @@
 	Usage resource.Vector
 	// Slowdown is the run speed alone divided by the speed seen; 0 if not measured.
 	Slowdown float64
+	// Measure is what the worker measured lately: for a serving task the tail of its response times in milliseconds, for
+	// any other the processors in use, in thousandths. It is 0 if nothing was measured.
+	Measure float64
 	// MeasuredAge is how long before the report the usage was measured.
 	MeasuredAge time.Duration
 	// Checkpoint is the last checkpoint taken; its ID is empty if there is none.
--- a/core/lifecycle/worker.go
+++ b/core/lifecycle/worker.go
@@ -384,6 +384,14 @@
 		r.saveAt = now
 		eff.do(CheckpointTask{Run: r.Run, Worker: r.worker})
 	}
+	switch target := t.group.TailTarget; {
+	case target > 0 && a.Measure > 0:
+		tail := a.Measure / float64(target.Milliseconds())
+		return append(obs, placement.Observation{Task: a.Task, Tail: tail, At: now.Add(-a.MeasuredAge)})
+	case t.group.Constraints.Filler:
+		used := resource.Vector{MilliCPU: int64(a.Measure)}
+		return append(obs, placement.Observation{Task: a.Task, Usage: used, At: now.Add(-a.MeasuredAge)})
+	}
 	if a.Usage.IsZero() && a.Slowdown == 0 {
 		return obs
 	}
--- a/core/placement/booking.go
+++ b/core/placement/booking.go
@@ -10,7 +10,7 @@
 	if n, ok := c.workers[id]; ok {
 		return n
 	}
-	n := &node{worker: Worker{ID: id}, rack: noRack, changed: noTime}
+	n := &node{worker: Worker{ID: id}, rack: noRack, changed: noTime, overSince: noTime}
 	c.workers[id] = n
 	c.nodes = append(c.nodes, n)
 	n.slot = len(c.nodes) - 1
--- a/core/placement/cell.go
+++ b/core/placement/cell.go
@@ -59,6 +59,12 @@
 	priced     []priced
 	giving     taking
 	loads      []Load
+	// images numbers the images of tasks in the order of their first use, and quiet holds by that number the usual tail of
+	// serving tasks without fillers, as a part of the target.
+	images map[string]int
+	quiet  []float64
+	// measured lists the workers whose fillers or serving tasks were measured since the last Plan.
+	measured []*node
 	// now is the time of the last Plan call.
 	now stamp
 }
@@ -77,9 +83,10 @@
 		parked:      make(map[ident.TaskID]*task),
 		shares:      newShares(opts),
 		spread:      newSpread(),
+		images:      make(map[string]int),
 		shapes:      newShapes(),
 		required: []Filter{
-			leavingFilter{}, quarantineFilter{}, avoidFilter{}, poolFilter{}, labelFilter{}, perWorkerFilter{}, apartFilter{},
+			leavingFilter{}, quarantineFilter{}, avoidFilter{}, poolFilter{}, labelFilter{}, perWorkerFilter{}, fillerFilter{},
 		},
 		preferred: []Filter{spreadFilter{}},
 		scores: []weightedScore{
@@ -183,6 +190,8 @@
 	t := newTask(r.Pending, cl)
 	t.started = stampOf(r.StartedAt)
 	t.checkpointed = stampOf(r.CheckpointedAt)
+	// What the predecessor told the worker is not known.
+	t.paceKnown = false
 	c.track(t)
 	n := c.node(r.Worker)
 	c.book(t, n)
@@ -211,6 +220,7 @@
 		c.drop(old)
 	}
 	t := newTask(p, c.shares.class(p.Class, p.Kind))
+	t.queuedAt = c.now
 	c.track(t)
 	if d, largest := c.impossible(t); d != "" {
 		c.park(t, d, largest)
@@ -268,11 +278,25 @@
 func (c *Cell) Observe(observations []Observation) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	var serving []*task
 	for _, o := range observations {
-		if t, ok := c.tasks[o.Task]; ok && t.node != nil {
+		t, ok := c.tasks[o.Task]
+		switch {
+		case !ok || t.node == nil:
+		case t.constraints.Filler:
+			t.using = min(max(o.Usage.MilliCPU, 0), maxAmount)
+			c.noteMeasured(t.node)
+		case o.Tail > 0:
+			t.tail, t.tailAt = o.Tail, stampOf(o.At)
+			serving = append(serving, t)
+			c.noteMeasured(t.node)
+		default:
 			c.observe(t, o)
 		}
 	}
+	for _, t := range serving {
+		c.learnTail(t)
+	}
 }
 
 // Booked returns what is booked on a worker.
--- a/core/placement/constraints.go
+++ b/core/placement/constraints.go
@@ -10,6 +10,8 @@
 	Rack ident.Rack
 	// MaxPerWorker is how many tasks of the group may run on one worker; 0 if any number.
 	MaxPerWorker int
+	// Image names what the task runs. Tasks of one image disturb others, and are disturbed, alike.
+	Image string
 	// Serving tasks answer requests of their own users, and their latency suffers from fillers beside them.
 	Serving bool
 	// Filler tasks use the processors that others leave: none are booked for them.
--- a/core/placement/filter_constraints.go
+++ b/core/placement/filter_constraints.go
@@ -24,17 +24,13 @@
 	return most == 0 || n.GroupTasks(r.Task) < most
 }
 
-// apartFilter keeps fillers away from serving tasks. How much a filler disturbs a serving task changes within seconds,
-// and is known only from measurements that arrive late.
-type apartFilter struct{}
-
-func (apartFilter) Admits(_ Snapshot, r *Request, n NodeInfo) bool {
-	switch {
-	case r.Constraints.Filler:
-		return n.Serving() == 0
-	case r.Constraints.Serving:
-		return n.Fillers() == 0
-	default:
+// fillerFilter admits fillers while the processors that others leave suffice for all of them, and one filler anywhere.
+// Fillers that share too little all end late, so that in a flood it is better to let some wait.
+type fillerFilter struct{}
+
+func (fillerFilter) Admits(_ Snapshot, r *Request, n NodeInfo) bool {
+	if !r.Constraints.Filler || n.Fillers() == 0 {
 		return true
 	}
+	return r.Wish+n.FillerCPU() <= leftover(n)
 }
--- a/core/placement/framework.go
+++ b/core/placement/framework.go
@@ -30,6 +30,12 @@
 	// Serving and Fillers count the tasks of these kinds that are booked or wait for the worker.
 	Serving() int
 	Fillers() int
+	// ServingOf counts the serving tasks of an image.
+	ServingOf(image string) int
+	// ServingCPU is what the serving tasks have booked, in thousandths of a processor.
+	ServingCPU() int64
+	// FillerCPU is what the fillers would use if they could, in thousandths of a processor.
+	FillerCPU() int64
 }
 
 // Snapshot is what filters and scores see of the cell. It is valid during one decision.
@@ -51,6 +57,10 @@
 	Avoid       []ident.WorkerID
 	Pool        string
 	Constraints Constraints
+	// Wish is what a filler would use if it could, in thousandths of a processor.
+	Wish int64
+	// Patient fillers wait for a worker where they are not expected to bring a serving task near its target.
+	Patient bool
 }
 
 // Filter rules workers out.
--- a/core/placement/node.go
+++ b/core/placement/node.go
@@ -30,11 +30,17 @@
 	loads []ClassLoad
 	// serving and fillers count the tasks of these kinds that are booked or claimed.
 	serving, fillers int
+	fillerCPU        int64
+	servingCPU       int64
 	// pressed marks a worker in Cell.pressed.
 	pressed bool
 	// stalled is set when evicted tasks were not released in time, and cleared by the next release. No task is evicted
 	// there meanwhile.
 	stalled bool
+	// overSince is since when a serving task has been over its target; noTime if none is. measured marks a worker in
+	// Cell.measured.
+	overSince stamp
+	measured  bool
 	// changed is when a task last came or went.
 	changed stamp
 }
@@ -115,9 +121,11 @@
 func (n *node) countKinds(t *task, by int) {
 	if t.constraints.Serving {
 		n.serving += by
+		n.servingCPU += int64(by) * t.declared.MilliCPU
 	}
 	if t.constraints.Filler {
 		n.fillers += by
+		n.fillerCPU += int64(by) * t.wish
 	}
 }
 
@@ -127,6 +135,28 @@
 // Fillers implements NodeInfo.
 func (n *node) Fillers() int { return n.fillers }
 
+// ServingOf implements NodeInfo.
+func (n *node) ServingOf(image string) int {
+	count := 0
+	for _, t := range n.tasks {
+		if t.constraints.Serving && t.constraints.Image == image {
+			count++
+		}
+	}
+	for _, cl := range n.claims {
+		if cl.task.constraints.Serving && cl.task.constraints.Image == image {
+			count++
+		}
+	}
+	return count
+}
+
+// ServingCPU implements NodeInfo.
+func (n *node) ServingCPU() int64 { return n.servingCPU }
+
+// FillerCPU implements NodeInfo.
+func (n *node) FillerCPU() int64 { return n.fillerCPU }
+
 // GroupTasks implements NodeInfo.
 func (n *node) GroupTasks(id ident.TaskID) int {
 	count := 0
--- a/core/placement/options.go
+++ b/core/placement/options.go
@@ -21,11 +21,17 @@
 	defaultClaimTimeout = 5 * time.Second
 	// defaultMaxVictims bounds the tasks evicted for one urgent task.
 	defaultMaxVictims = 8
+	// defaultFillerPatience is about the run time of a filler, after which others have made room elsewhere.
+	defaultFillerPatience = 3 * time.Second
 	// defaultMinThrottle is the smallest fraction of its processors that a throttled task keeps.
 	defaultMinThrottle = 0.5
 
 	// rackWeight is more than the other scores together, because a task far from its data runs half as long again.
 	rackWeight = 4
+	// tailWeight makes a filler avoid workers where it is expected to bring a serving task near its target.
+	tailWeight = 4
+	// servingWeight is as much as the other scores together: what fillers cost a serving task depends on what both run.
+	servingWeight = 3.5
 
 	// maxVain bounds the index nodes visited in vain by one Plan, and maxWork the sum of what it does, so that a Plan of
 	// a full cell ends within 1 ms. A queued task that is looked at counts as 1, a start and a try to displace others by
@@ -73,10 +79,14 @@
 	ClaimTimeout time.Duration
 	// MaxVictims bounds the tasks evicted for one urgent task.
 	MaxVictims int
+	// FillerPatience is how long a filler waits for a worker where it disturbs no serving task.
+	FillerPatience time.Duration
 	// MinThrottle is the smallest fraction of its processors that a throttled task keeps; 1 turns throttling off.
 	MinThrottle float64
 	// Interference estimates the slowdown between classes; nil means a new Estimator.
 	Interference Interference
+	// Tails estimates how much fillers lengthen the tails of serving tasks, between images; nil means a new Estimator.
+	Tails Interference
 }
 
 func (o Options) withDefaults() Options {
@@ -87,10 +97,14 @@
 	setDefault(&o.ReserveAfter, defaultReserveAfter)
 	setDefault(&o.ClaimTimeout, defaultClaimTimeout)
 	setDefault(&o.MaxVictims, defaultMaxVictims)
+	setDefault(&o.FillerPatience, defaultFillerPatience)
 	setDefault(&o.MinThrottle, defaultMinThrottle)
 	if o.Interference == nil {
 		o.Interference = NewEstimator()
 	}
+	if o.Tails == nil {
+		o.Tails = NewEstimator()
+	}
 	return o
 }
 
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -65,6 +65,7 @@
 	c.reports = nil
 	c.round++
 	r.relieve()
+	r.paceFillers()
 	r.reviewClaims()
 	r.startComplete()
 	r.tooLarge = r.tooLarge[:0]
@@ -238,7 +239,8 @@
 func (r *round) request(t *task) Request {
 	return Request{
 		Task: t.id, Class: t.class.index, Urgent: t.class.urgent, Booking: t.want, Avoid: t.avoid,
-		Pool: t.pool, Constraints: t.constraints,
+		Pool: t.pool, Constraints: t.constraints, Wish: t.wish,
+		Patient: r.now.since(t.queuedAt) < r.opts.FillerPatience,
 	}
 }
 
@@ -256,8 +258,12 @@
 func (c *Cell) admit(req *Request) {
 	c.candidates = c.candidates[:0]
 	for _, slot := range c.slots {
-		if passes(c.required, c.spread, req, c.nodes[slot]) {
-			c.candidates = append(c.candidates, c.nodes[slot])
+		n := c.nodes[slot]
+		if req.Constraints.Filler && req.Patient && c.tailBeside(req, n) > nearTail {
+			continue
+		}
+		if passes(c.required, c.spread, req, n) {
+			c.candidates = append(c.candidates, n)
 		}
 	}
 }
@@ -289,11 +295,14 @@
 // score returns the weighted sum of the scores.
 func (c *Cell) score(req *Request, n *node) float64 {
 	if req.Constraints.Filler {
-		return fillerScore{}.Score(c.spread, req, n)
+		return fillerScore{}.Score(c.spread, req, n) - tailWeight*max(0, c.tailBeside(req, n)-calmTail)
 	}
 	sum := 0.0
+	if req.Constraints.Serving {
+		sum += servingWeight * servingScore{}.Score(c.spread, req, n)
+	}
 	if req.Constraints.Rack != "" {
-		sum = rackWeight * rackScore{}.Score(c.spread, req, n)
+		sum += rackWeight * rackScore{}.Score(c.spread, req, n)
 	}
 	for _, s := range c.scores {
 		sum += s.weight * s.Score.Score(c.spread, req, n)
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -73,7 +73,7 @@
 	For     ident.TaskID
 }
 
-// Throttle sets the fraction of its processors that a running task may use, 0 < Fraction <= 1. A start on the same
+// Throttle sets the fraction of its processors that a running task may use, 0 < Fraction <= 1, or 0 for a filler. A start on the same
 // worker in the same Plan relies on it: if the throttle fails, the caller must not perform the start and releases it.
 type Throttle struct {
 	Task     ident.TaskID
@@ -107,6 +107,8 @@
 	Task ident.TaskID
 	// Usage is what the task used; zero dimensions are not measured.
 	Usage resource.Vector
+	// Tail is the tail of the response times of a serving task, as a part of its target; 0 if not measured.
+	Tail float64
 	// Slowdown is the run speed alone divided by the speed seen, at least 1; 0 if not measured.
 	Slowdown float64
 	// At is when the measurement was taken, which may be well before it arrives.
--- /dev/null
+++ b/core/placement/tails.go
@@ -0,0 +1,272 @@
+package placement
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// Tails are parts of the target: at 1 a serving task misses it.
+const (
+	// calmTail is where fillers are placed and sped up without concern, nearTail where they are slowed down, and goalTail
+	// what slowing down aims at.
+	calmTail = 0.75
+	nearTail = 0.9
+	goalTail = 0.75
+	// speedTail is what speeding up keeps to.
+	speedTail = 0.85
+	// worstTail bounds what is expected, so that scores stay comparable.
+	worstTail = 4
+	// firstQuiet is the usual tail without fillers of an image not yet seen, and quietRate how fast it is learnt.
+	firstQuiet = 0.35
+	quietRate  = 0.1
+	leastQuiet = 0.02
+	// partUnit is the use in thousandths of a processor that counts as 1 in the estimates.
+	partUnit = 10_000
+	// tailNoise is the variance of the logarithm of a tail: the load of the task itself changes the tail by a third.
+	tailNoise = 0.1
+	// quietUse is the use of all fillers, in units, below which a tail counts as one without fillers.
+	quietUse = 0.02
+	// leastShare is the expected part of the logarithm of a tail below which slowing a filler down is no use.
+	leastShare = 0.03
+	// settleTime is how long a pace takes until it shows: the time until it takes effect and the half second over which
+	// workers measure.
+	settleTime = 700 * time.Millisecond
+	// fadeTime is how long a tail takes to fall to its usual length after fillers have been slowed down: it halves within
+	// each third of a second.
+	fadeTime = 1200 * time.Millisecond
+	// overLimit is how long a serving task may be over its target before all fillers beside it stand still. Platforms
+	// allow a few seconds, of which measuring and slowing down take one.
+	overLimit = 1800 * time.Millisecond
+	// leastPace is the smallest change of a speed that is worth a call; below it fillers stand still.
+	leastPace = 0.1
+	// maxImages bounds the images that are told apart; later ones count as the first.
+	maxImages = 4096
+)
+
+// image returns the number of an image.
+func (c *Cell) image(name string) int {
+	i, ok := c.images[name]
+	if !ok && len(c.images) < maxImages {
+		i = len(c.images)
+		c.images[name] = i
+		c.quiet = append(c.quiet, firstQuiet)
+	}
+	return i
+}
+
+func (c *Cell) noteMeasured(n *node) {
+	if !n.measured {
+		n.measured = true
+		c.measured = append(c.measured, n)
+	}
+}
+
+// learnTail takes a measured tail into account: what it exceeds the usual tail of its image by is put down to the
+// fillers beside it.
+func (c *Cell) learnTail(t *task) {
+	image := c.image(t.constraints.Image)
+	loads := c.loads[:0]
+	total := 0.0
+	for _, f := range t.node.tasks {
+		if !f.constraints.Filler {
+			continue
+		}
+		if f.unsettled(t.tailAt) {
+			// The tail still shows the earlier speed of the filler.
+			return
+		}
+		if f.using == 0 {
+			continue
+		}
+		part := float64(f.using) / partUnit
+		total += part
+		number := c.image(f.constraints.Image)
+		if i := slices.IndexFunc(loads, func(l Load) bool { return l.Class == number }); i >= 0 {
+			loads[i].Part += part
+		} else {
+			loads = append(loads, Load{Class: number, Part: part})
+		}
+	}
+	c.loads = loads
+	quiet := c.quiet[image]
+	if total < quietUse {
+		c.quiet[image] = max(leastQuiet, quiet+quietRate*(t.tail-quiet))
+		return
+	}
+	c.opts.Tails.Learn(image, loads, 1+math.Log(t.tail/quiet), tailNoise)
+}
+
+// lengthening returns the expected logarithm of the factor by which a filler image lengthens the tail of a serving task,
+// for a use in thousandths of a processor. Fillers multiply a tail: three together harm far more than one three times.
+func (c *Cell) lengthening(serving *task, filler int, milliCPU float64) float64 {
+	mean, _ := c.opts.Tails.Expect(c.image(serving.constraints.Image), filler)
+	return mean * milliCPU / partUnit
+}
+
+// tailBeside returns the longest tail that is expected on a worker if a filler starts there.
+func (c *Cell) tailBeside(req *Request, n *node) float64 {
+	if n.serving == 0 {
+		return 0
+	}
+	filler := c.image(req.Constraints.Image)
+	longest := 0.0
+	for _, s := range n.tasks {
+		if !s.constraints.Serving {
+			continue
+		}
+		factor := c.lengthening(s, filler, float64(req.Wish))
+		for _, f := range n.tasks {
+			if f.constraints.Filler && f.using == 0 {
+				// It has just started, so that the measured tail does not show it yet.
+				factor += c.lengthening(s, c.image(f.constraints.Image), f.pace*float64(f.wish))
+			}
+		}
+		longest = max(longest, max(s.tail, c.quiet[c.image(s.constraints.Image)])*math.Exp(factor))
+	}
+	return min(longest, worstTail)
+}
+
+// paceFillers adjusts the speed of the fillers on the workers that were measured since the last Plan.
+func (r *round) paceFillers() {
+	for _, n := range r.measured {
+		n.measured = false
+		if n.known && n.fillers > 0 {
+			r.paceNode(n)
+		} else {
+			n.overSince = noTime
+		}
+	}
+	clear(r.measured)
+	r.measured = r.measured[:0]
+}
+
+func (r *round) paceNode(n *node) {
+	var worst *task
+	for _, t := range n.tasks {
+		if t.constraints.Serving && (worst == nil || t.tail > worst.tail) {
+			worst = t
+		}
+	}
+	if worst == nil || worst.tail < 1 {
+		n.overSince = noTime
+	} else if n.overSince == noTime {
+		n.overSince = r.now
+	}
+	switch {
+	case worst == nil || worst.tail < calmTail:
+		r.speedUp(n)
+	case n.overSince != noTime && r.now.since(n.overSince) >= overLimit:
+		for _, f := range n.tasks {
+			r.setPace(f, 0)
+		}
+	case worst.tail >= nearTail:
+		r.slowDown(n, worst)
+	}
+}
+
+// slowDown slows down the fillers that lengthen the tail of a serving task the most, as far as needed. If they do not
+// explain a missed target, all fillers are slowed down.
+func (r *round) slowDown(n *node, s *task) {
+	type share struct {
+		filler *task
+		factor float64
+	}
+	var shares []share
+	for _, f := range n.tasks {
+		if !f.constraints.Filler || f.pace == 0 || f.settling(r.now) {
+			continue
+		}
+		if factor := r.lengthening(s, r.image(f.constraints.Image), float64(f.using)); factor >= leastShare {
+			shares = append(shares, share{f, factor})
+		}
+	}
+	slices.SortStableFunc(shares, func(a, b share) int { return cmp.Compare(b.factor, a.factor) })
+	excess := math.Log(s.tail / goalTail)
+	for _, sh := range shares {
+		if excess <= 0 {
+			return
+		}
+		cut := min(1, excess/sh.factor)
+		excess -= cut * sh.factor
+		r.setPace(sh.filler, sh.filler.pace*(1-cut))
+	}
+	if excess <= 0 || s.tail < 1 {
+		return
+	}
+	for _, f := range n.tasks {
+		if f.constraints.Filler && !f.settling(r.now) {
+			r.setPace(f, f.pace/2)
+		}
+	}
+}
+
+// unsettled reports whether a measurement at a time may still show an earlier speed of a filler.
+func (f *task) unsettled(at stamp) bool {
+	return f.pacedAt != noTime && at.since(f.pacedAt) < fadeTime
+}
+
+// settling reports whether the last change of a filler's speed may not show in the measurements yet.
+func (f *task) settling(now stamp) bool {
+	return f.pacedAt != noTime && now.since(f.pacedAt) < settleTime
+}
+
+// speedUp lets slowed fillers work as fast as no serving task is expected to come near its target, those that harm the
+// least first.
+func (r *round) speedUp(n *node) {
+	type slowed struct {
+		filler *task
+		image  int
+		factor float64
+	}
+	var serving []*task
+	var room []float64
+	for _, s := range n.tasks {
+		if s.constraints.Serving {
+			serving = append(serving, s)
+			room = append(room, math.Log(speedTail/max(s.tail, leastQuiet)))
+		}
+	}
+	var list []slowed
+	for _, f := range n.tasks {
+		if !f.constraints.Filler || f.pace == 1 && f.paceKnown || f.settling(r.now) {
+			continue
+		}
+		sl := slowed{filler: f, image: r.image(f.constraints.Image)}
+		for _, s := range serving {
+			sl.factor = max(sl.factor, r.lengthening(s, sl.image, float64(f.wish)))
+		}
+		list = append(list, sl)
+	}
+	slices.SortStableFunc(list, func(a, b slowed) int { return cmp.Compare(a.factor, b.factor) })
+	for _, sl := range list {
+		more := 1 - sl.filler.pace
+		for i, s := range serving {
+			if full := r.lengthening(s, sl.image, float64(sl.filler.wish)); full*more > room[i] {
+				more = max(0, room[i]/full)
+			}
+		}
+		if more < leastPace && sl.filler.paceKnown {
+			continue
+		}
+		for i, s := range serving {
+			room[i] -= more * r.lengthening(s, sl.image, float64(sl.filler.wish))
+		}
+		r.setPace(sl.filler, min(1, sl.filler.pace+more))
+	}
+}
+
+// setPace adds the decision on the speed of a filler.
+func (r *round) setPace(f *task, pace float64) {
+	if pace < leastPace {
+		pace = 0
+	}
+	if !f.constraints.Filler || f.state != running || pace == f.pace && f.paceKnown {
+		return
+	}
+	f.pace, f.pacedAt, f.paceKnown = pace, r.now, true
+	r.plan.Throttles = append(r.plan.Throttles, Throttle{
+		Task: f.id, Attempt: f.attempt, Worker: f.node.worker.ID, Fraction: pace,
+	})
+}
--- a/core/placement/task.go
+++ b/core/placement/task.go
@@ -71,9 +71,20 @@
 	// fullCPU is want.MilliCPU without throttling; 0 if the task is not throttled.
 	fullCPU int64
 
-	runTime      time.Duration
-	pool         string
-	constraints  Constraints
+	runTime     time.Duration
+	pool        string
+	constraints Constraints
+	// queuedAt is when the task was queued.
+	queuedAt stamp
+	// wish is what a filler would use if it could, and using what it was last seen to use, in thousandths of a processor.
+	wish, using int64
+	// pace is the part of its speed at which a filler may work, since pacedAt; paceKnown says that its worker knows it.
+	pace      float64
+	pacedAt   stamp
+	paceKnown bool
+	// tail is the last measured tail of a serving task, as a part of its target.
+	tail         float64
+	tailAt       stamp
 	lasting      bool
 	submitted    stamp
 	started      stamp
@@ -93,7 +104,9 @@
 }
 
 func newTask(p Pending, cl *class) *task {
+	wish := int64(0)
 	if p.Constraints.Filler {
+		wish = min(max(p.Need.MilliCPU, 0), maxAmount)
 		p.Need.MilliCPU = 0
 	}
 	return &task{
@@ -107,6 +120,11 @@
 		runTime:      max(0, p.RunTime),
 		pool:         p.Pool,
 		constraints:  p.Constraints,
+		wish:         wish,
+		pace:         1,
+		paceKnown:    true,
+		pacedAt:      noTime,
+		tailAt:       noTime,
 		lasting:      p.Lasting,
 		submitted:    stampOf(p.SubmittedAt),
 		started:      noTime,
@@ -119,13 +137,15 @@
 
 // pending returns the task as it was submitted.
 func (t *task) pending() Pending {
+	need := t.declared
+	need.MilliCPU += t.wish
 	return Pending{
 		Task:        t.id,
 		Attempt:     t.attempt,
 		Class:       t.class.name,
 		Tenant:      t.tenant.name,
 		Kind:        t.class.kind(),
-		Need:        t.declared,
+		Need:        need,
 		RunTime:     t.runTime,
 		Pool:        t.pool,
 		Constraints: t.constraints,
--- a/daemon/jobhost.go
+++ b/daemon/jobhost.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -61,9 +63,11 @@
 type JobSettings struct {
 	HostID     ident.HostID
 	DataCentre ident.DataCentre
-	// DataCentres and Cells divide the workers into cells, equally on every host.
-	DataCentres []ident.DataCentre
-	Cells       int
+	// Regions gives the region of each data centre. A cell spans a part of one region: the room of its data centres is
+	// shared, because a task that lasts must run wherever there is room for it.
+	Regions map[ident.DataCentre]ident.DataCentre
+	// Cells is the number of cells, the same on every host; 0 means one for each region.
+	Cells int
 
 	CallerAddress, StatusAddress, PeerAddress, MetricsAddress string
 
@@ -112,10 +116,11 @@
 
 // NewJobHost assembles a host and opens its listeners.
 func NewJobHost(s JobSettings, p JobPorts, log *logrus.Entry) (*JobHost, error) {
+	s.Cells = s.CellCount()
 	h := &JobHost{
 		settings: s, ports: p, log: log,
 		self:    ident.Instance{Host: s.HostID, Incarnation: ident.Incarnation(time.Now().UnixNano())},
-		cellMap: cellmap.New(s.Cells, s.DataCentres),
+		cellMap: cellmap.New(s.Cells, s.regions()),
 		metrics: telemetry.NewRegistry(),
 		pool:    peergrpc.NewPool(insecure.NewCredentials()),
 	}
@@ -124,6 +129,19 @@
 	return h, h.listen()
 }
 
+// regions lists the regions in a fixed order, so that every host numbers the cells alike.
+func (s JobSettings) regions() []ident.DataCentre {
+	return slices.Compact(slices.Sorted(maps.Values(s.Regions)))
+}
+
+// CellCount returns the number of cells of the deployment.
+func (s JobSettings) CellCount() int {
+	if s.Cells > 0 {
+		return s.Cells
+	}
+	return len(s.regions())
+}
+
 // leaseTime returns the time to live of the host's lease: half of a worker's, so that a successor renews before the
 // tasks of a lost owner lapse.
 func (s JobSettings) leaseTime() time.Duration {
@@ -149,7 +167,7 @@
 func (h *JobHost) assemble() {
 	codec := clusterrecord.JSON{}
 	owning := ownership.ConfigFor(h.settings.leaseTime())
-	owning.Self, owning.DataCentre = h.self, h.settings.DataCentre
+	owning.Self, owning.DataCentre = h.self, h.settings.Regions[h.settings.DataCentre]
 	for i := range h.settings.Cells {
 		id := ident.CellID(i)
 		owning.Cells = append(owning.Cells, ownership.Cell{ID: id, DataCentre: h.cellMap.DataCentre(id)})
@@ -317,7 +335,7 @@
 func (h *JobHost) takeWorkers(list []lifecycle.Member) {
 	next := &hosts{workers: make(map[ident.CellID][]lifecycle.Member)}
 	for _, m := range list {
-		id, ok := h.cellMap.Cell(m.DataCentre, m.Rack)
+		id, ok := h.cellMap.Cell(h.settings.Regions[m.DataCentre], m.Rack)
 		if !ok {
 			h.log.WithFields(logrus.Fields{"worker": m.ID, "data_centre": m.DataCentre}).Warn("a worker is in no cell")
 			continue
