Keep withdrawn submissions under a number from being taken for accepted, and count waiting jobs by what has run

Change: the withdrawal uses the same key as the acceptance; a job has begun once one of its tasks has run. Result: TestWithdrawnNumberIsAcceptedAnew and TestWaitingCountsJobsThatHaveNotBegun failed before and pass.

--- a/core/lifecycle/attempt.go
+++ b/core/lifecycle/attempt.go
@@ -93,7 +93,6 @@
 	r.incarnation = w.incarnation
 	t.wait = WaitNone
 	t.maySent = true
-	t.job.begun = true
 	w.sentTokenAt = w.tokenAt
 	eff.do(StartTask{
 		Run: r.Run, Worker: w.member.ID, Token: w.token, Class: t.job.spec.Class, Booked: r.booked,
@@ -115,7 +114,7 @@
 	case Applied:
 		c.seq++
 		t.run.confirmedSeq = c.seq
-		t.lastRan = r.Attempt
+		t.ran(r.Attempt)
 		t.refusals = 0
 		if t.run.phase == phaseStarting {
 			t.run.phase = phaseActive
@@ -275,7 +274,7 @@
 	if e.End == EndNeverStarted {
 		t.maySent = t.run.priorSent
 	} else {
-		t.lastRan = e.Attempt
+		t.ran(e.Attempt)
 	}
 	if e.Checkpoint.ID != "" {
 		t.checkpoint = Checkpoint{ID: e.Checkpoint.ID, At: now}
--- a/core/lifecycle/cell.go
+++ b/core/lifecycle/cell.go
@@ -87,7 +87,7 @@
 	failing bool
 	// fresh jobs were accepted by this owner: no predecessor can have started their tasks.
 	fresh bool
-	// begun is set once a start may have been sent.
+	// begun is set once a task has run.
 	begun bool
 	// groups holds what the job's groups have left to do, by number.
 	groups  []groupState
@@ -212,9 +212,7 @@
 	spec.Tenant = row.Tenant
 	spec.Kind = row.Kind
 	id := ident.ChosenJobID(c.id, spec.Number)
-	if spec.Number != 0 && spec.Token == "" {
-		spec.Token = id.String()
-	}
+	spec.Token = spec.repeatToken(c.id)
 	if earlier, used := c.tokens[spec.Token]; used && spec.Token != "" {
 		if !sameWork(earlier.spec, spec) {
 			return ident.JobID{}, Effects{}, verdict.New(verdict.NotRun, verdict.CodeConflict,
@@ -237,6 +235,14 @@
 	return id, Effects{Records: []Record{JobAccepted{Job: id, Spec: spec, At: now}}}, nil
 }
 
+// repeatToken returns the token that makes a repeat of the submission safe; a number serves as one.
+func (s JobSpec) repeatToken(cell ident.CellID) string {
+	if s.Number != 0 && s.Token == "" {
+		return ident.ChosenJobID(cell, s.Number).String()
+	}
+	return s.Token
+}
+
 // sameWork ignores what the table adds, which may change between two submissions.
 func sameWork(a, b JobSpec) bool {
 	return a.Name == b.Name && a.Class == b.Class && a.Pool == b.Pool && a.FailFast == b.FailFast &&
@@ -247,8 +253,9 @@
 func (c *Cell) Withdraw(id ident.JobID, spec JobSpec) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.tokens[spec.Token].job == id {
-		delete(c.tokens, spec.Token)
+	token := spec.repeatToken(c.id)
+	if c.tokens[token].job == id {
+		delete(c.tokens, token)
 	}
 }
 
@@ -341,6 +348,12 @@
 	return true
 }
 
+// ran notes that an attempt has run.
+func (t *task) ran(a ident.Attempt) {
+	t.lastRan = max(t.lastRan, a)
+	t.job.begun = true
+}
+
 // close counts a task of a group as done, once.
 func (t *task) close() {
 	t.job.groups[t.id.Group()].open--
--- /dev/null
+++ b/core/lifecycle/groups_test.go
@@ -0,0 +1,179 @@
+package lifecycle
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bulrushrelay/bulrushrelay/core/ident"
+	"github.com/bulrushrelay/bulrushrelay/core/placement"
+	"github.com/bulrushrelay/bulrushrelay/core/resource"
+)
+
+var need = resource.Vector{MilliCPU: 1000}
+
+func (f *fixture) accept(spec JobSpec) ident.JobID {
+	spec.Class = "batch"
+	id, eff, err := f.c.Accept(f.now, spec)
+	require.NoError(f.t, err)
+	f.apply(eff)
+	return id
+}
+
+// ends reports the ends of attempts on a worker; its other attempts run on.
+func (f *fixture) ends(w ident.WorkerID, ends ...Ended) {
+	report := Report{Capacity: capacity, Token: "token", Ended: ends}
+	f.c.mu.Lock()
+	f.c.seq++
+	seq := f.c.seq
+	for _, t := range f.c.workers[w].sortedRuns() {
+		if !slices.ContainsFunc(ends, func(e Ended) bool { return e.Run == t.run.Run }) {
+			report.Active = append(report.Active, Active{Run: t.run.Run})
+		}
+	}
+	f.c.mu.Unlock()
+	f.apply(f.c.Synced(f.now, w, seq, "p1", nil, report))
+}
+
+func taskOf(id ident.JobID, group, member int) ident.TaskID {
+	return ident.TaskID{Job: id, Index: ident.TaskIndex(group, member)}
+}
+
+// queuedWith returns the tasks that were passed to the planner since the last call.
+func (f *fixture) queuedWith() []ident.TaskID {
+	var ids []ident.TaskID
+	for _, c := range f.cmds {
+		if e, ok := c.(Enqueue); ok {
+			for _, p := range e.Tasks {
+				ids = append(ids, p.Task)
+			}
+		}
+	}
+	f.cmds = nil
+	return ids
+}
+
+// Guards against a group that starts before the groups that it waits for are done, or that never starts.
+func TestGroupWaitsForEarlierGroups(t *testing.T) {
+	f := newFixture(t, 1, "w")
+	id := f.accept(JobSpec{Groups: []TaskGroup{{Count: 2, Need: need}, {Count: 1, Need: need, After: []int{0}}}})
+	require.Equal(t, []ident.TaskID{taskOf(id, 0, 0), taskOf(id, 0, 1)}, f.queuedWith())
+	first, second := f.running(taskOf(id, 0, 0), "w"), f.running(taskOf(id, 0, 1), "w")
+	f.ends("w", Ended{Run: first, End: EndDone})
+	require.Empty(t, f.queuedWith())
+	f.held = true
+	f.ends("w", Ended{Run: second, End: EndDone})
+	require.Equal(t, []ident.TaskID{taskOf(id, 1, 0)}, f.queuedWith(), "the record of the end need not be durable yet")
+}
+
+// Guards against a successor that starts a group too early, or twice, because it lost count of what is done.
+func TestSuccessorKeepsTheOrderOfGroups(t *testing.T) {
+	f := newFixture(t, 1, "w")
+	id := f.accept(JobSpec{Groups: []TaskGroup{{Count: 2, Need: need}, {Count: 1, Need: need, After: []int{0}}}})
+	done := f.running(taskOf(id, 0, 0), "w")
+	f.ends("w", Ended{Run: done, End: EndDone})
+	next := newFixture(t, 2)
+	for _, r := range f.log {
+		next.c.Replay(r)
+		next.c.Replay(r)
+	}
+	next.apply(next.c.Recover(next.now, false, []Member{{ID: "w"}}))
+	next.claim("w", Report{})
+	require.Equal(t, []ident.TaskID{taskOf(id, 0, 1)}, next.queuedWith())
+}
+
+// Guards against a job that fails fast and goes on, or is shown as cancelled.
+func TestJobFailsWithItsFirstFinalFailure(t *testing.T) {
+	f := newFixture(t, 1, "w")
+	id := f.accept(JobSpec{FailFast: true, Groups: []TaskGroup{{Count: 2, Need: need}, {Count: 1, Need: need, After: []int{0}}}})
+	other := f.running(taskOf(id, 0, 1), "w")
+	for range 3 {
+		f.now = f.now.Add(time.Minute)
+		f.ends("w", Ended{Run: f.running(taskOf(id, 0, 0), "w"), End: EndFailed})
+	}
+	v, err := f.c.Get(id, 0, 0)
+	require.NoError(t, err)
+	require.Equal(t, Failed, v.State)
+	require.Contains(t, f.cmds, StopTasks{Worker: "w", Runs: []Run{other}})
+	next := newFixture(t, 2)
+	for _, r := range f.log {
+		next.c.Replay(r)
+	}
+	v, err = next.c.Get(id, 0, 0)
+	require.NoError(t, err)
+	require.Equal(t, Failed, v.State)
+}
+
+// Guards against a lasting task that stays away after it ended or failed, or uses up its retries.
+func TestLastingTaskIsStartedAgainHoweverItEnds(t *testing.T) {
+	f := newFixture(t, 1, "w")
+	id := f.accept(JobSpec{FailFast: true, Groups: []TaskGroup{{Count: 1, Need: need, Lasting: true}}})
+	f.queuedWith()
+	for _, end := range []End{EndDone, EndFailed, EndFailed, EndFailed, EndFailed, EndStopped, EndLapsed} {
+		f.ends("w", Ended{Run: f.running(taskOf(id, 0, 0), "w"), End: end})
+		require.Equal(t, []ident.TaskID{taskOf(id, 0, 0)}, f.queuedWith(), end)
+	}
+	v, err := f.c.Get(id, 0, 0)
+	require.NoError(t, err)
+	require.Equal(t, Queued, v.State)
+}
+
+// Guards against a repeat of a withdrawn submission that is answered as accepted although it is not durable.
+func TestWithdrawnNumberIsAcceptedAnew(t *testing.T) {
+	f := newFixture(t, 1, "w")
+	spec := JobSpec{Class: "batch", Number: 7, Groups: []TaskGroup{{Count: 1, Need: need}}}
+	id, eff, err := f.c.Accept(f.now, spec)
+	require.NoError(t, err)
+	require.Equal(t, ident.ChosenJobID(1, 7), id)
+	require.Len(t, eff.Records, 1)
+	again, eff, err := f.c.Accept(f.now, spec)
+	require.NoError(t, err)
+	require.Equal(t, id, again)
+	require.Empty(t, eff.Records)
+	f.c.Withdraw(id, spec)
+	_, eff, err = f.c.Accept(f.now, spec)
+	require.NoError(t, err)
+	require.Len(t, eff.Records, 1)
+}
+
+// Guards against a count of waiting jobs that leaves out jobs after a change of owner or after a refused start.
+func TestWaitingCountsJobsThatHaveNotBegun(t *testing.T) {
+	f := newFixture(t, 1, "w")
+	waits := f.accept(JobSpec{Groups: []TaskGroup{{Count: 1, Need: need}}})
+	refused := f.accept(JobSpec{Groups: []TaskGroup{{Count: 1, Need: need}}})
+	begun := f.accept(JobSpec{Groups: []TaskGroup{{Count: 1, Need: need}}})
+	r := f.place(taskOf(refused, 0, 0), "w")
+	f.apply(f.c.StartAnswered(f.now, "w", r, Answer{Outcome: Refused, Reason: ReasonCapacity}))
+	f.ends("w", Ended{Run: f.running(taskOf(begun, 0, 0), "w"), End: EndFailed})
+	require.Equal(t, map[ident.ClassName]int{"batch": 2}, f.c.Waiting())
+	next := newFixture(t, 2)
+	snapshot := f.c.Snapshot(f.now, false)
+	next.c.RestoreSnapshot(snapshot)
+	next.apply(next.c.Recover(next.now, false, []Member{{ID: "w"}}))
+	require.Equal(t, map[ident.ClassName]int{"batch": 2}, next.c.Waiting())
+	third := newFixture(t, 3)
+	third.c.RestoreSnapshot(next.c.Snapshot(f.now, false))
+	require.Equal(t, map[ident.ClassName]int{"batch": 2}, third.c.Waiting(), waits)
+}
+
+// Guards against a tail that is passed on as a use of processors, or for a task without a target.
+func TestMeasuresReachThePlanner(t *testing.T) {
+	f := newFixture(t, 1, "w")
+	id := f.accept(JobSpec{Groups: []TaskGroup{
+		{Count: 1, Need: need, Lasting: true, TailTarget: 200 * time.Millisecond, Constraints: placement.Constraints{Serving: true}},
+		{Count: 1, Need: need, Constraints: placement.Constraints{Filler: true}},
+		{Count: 1, Need: need},
+	}})
+	var active []Active
+	for g, measure := range []float64{150, 700, 900} {
+		active = append(active, Active{Run: f.running(taskOf(id, g, 0), "w"), Measure: measure})
+	}
+	f.cmds = nil
+	f.apply(f.c.Synced(f.now, "w", 1<<40, "p1", nil, Report{Capacity: capacity, Token: "token", Active: active}))
+	require.Contains(t, f.cmds, Observe{Observations: []placement.Observation{
+		{Task: taskOf(id, 0, 0), Tail: 0.75, At: f.now},
+		{Task: taskOf(id, 1, 0), Usage: resource.Vector{MilliCPU: 700}, At: f.now},
+	}})
+}
--- a/core/lifecycle/restore.go
+++ b/core/lifecycle/restore.go
@@ -43,7 +43,7 @@
 		j.failing = j.failing || j.spec.FailFast
 	default:
 	}
-	j.begun = j.begun || s.MaySent
+	j.begun = j.begun || s.LastRan > 0
 	t.next = s.Next
 	t.logged = s.Next - 1
 	t.ended = s.Ended
@@ -126,10 +126,9 @@
 		return
 	}
 	t.maySent = true
-	t.job.begun = true
 	t.next = max(t.next, r.Attempt+1)
 	t.logged = max(t.logged, r.Attempt)
-	t.lastRan = max(t.lastRan, r.Attempt)
+	t.ran(r.Attempt)
 	f(t)
 }
 
--- a/core/lifecycle/view.go
+++ b/core/lifecycle/view.go
@@ -83,7 +83,7 @@
 	return v, nil
 }
 
-// Waiting counts the open jobs by class of which no task was ever sent to a worker.
+// Waiting counts the open jobs by class of which no task has run.
 func (c *Cell) Waiting() map[ident.ClassName]int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/core/lifecycle/worker.go
+++ b/core/lifecycle/worker.go
@@ -279,9 +279,8 @@
 	delete(c.held, a.Task)
 	c.seq++
 	t.maySent = true
-	t.job.begun = true
 	t.next = max(t.next, a.Attempt+1)
-	t.lastRan = a.Attempt
+	t.ran(a.Attempt)
 	t.wait = WaitNone
 	t.run = &run{
 		Run: a.Run, worker: w.member.ID, phase: phaseActive, booked: a.Booked, startedAt: now,
--- a/relay/jobs/api.go
+++ b/relay/jobs/api.go
@@ -172,7 +172,7 @@
 	return o.cell.Get(id, from, limit)
 }
 
-// Waiting counts the jobs of a cell of which no task was ever sent to a worker, by class.
+// Waiting counts the jobs of a cell of which no task has run, by class.
 func (s *Service) Waiting(_ context.Context, cell ident.CellID) (map[ident.ClassName]int, error) {
 	o, ok := s.owners.Get(cell)
 	if !ok {
--- a/relay/jobs/router.go
+++ b/relay/jobs/router.go
@@ -38,7 +38,7 @@
 	Get(ctx context.Context, address string, id ident.JobID, from, limit int, version uint64, wait time.Duration) (lifecycle.JobView, error)
 	List(ctx context.Context, address string, cell ident.CellID, after ident.JobID, limit int) ([]lifecycle.JobView, error)
 	Cancel(ctx context.Context, address string, id ident.JobID) error
-	// Waiting counts the jobs of a cell of which no task was ever sent to a worker, by class.
+	// Waiting counts the jobs of a cell of which no task has run, by class.
 	Waiting(ctx context.Context, address string, cell ident.CellID) (map[ident.ClassName]int, error)
 }
 
@@ -136,7 +136,7 @@
 	return ident.ChosenJobID(CellOfNumber(r.directory.Cells(), number), number)
 }
 
-// Waiting counts the jobs of a class of which no task was ever sent to a worker, in all cells. ok is false if a cell
+// Waiting counts the jobs of a class of which no task has run, in all cells. ok is false if a cell
 // could not be asked.
 func (r *Router) Waiting(ctx context.Context, class ident.ClassName) (n int, ok bool) {
 	ok = true
