Take the size of a worker from the list also when the list comes later

Nothing was started from 37 s on (planner: 48 workers, capacity 0). Change: the list's capacity goes before the report's, and a report without one keeps what is known.

--- a/core/lifecycle/groups_test.go
+++ b/core/lifecycle/groups_test.go
@@ -177,3 +177,23 @@
 		{Task: taskOf(id, 1, 0), Usage: resource.Vector{MilliCPU: 700}, At: f.now},
 	}})
 }
+
+// Guards against workers without room after the loss of all hosts: a successor claims the workers that the log names
+// before it has read the list that tells their capacity.
+func TestCapacityComesFromTheListLater(t *testing.T) {
+	f := newFixture(t, 1, "w")
+	next := &fixture{t: t, c: NewCell(1, 2, f.c.table), now: f.now}
+	next.c.SetAuthority(next.now, true, true)
+	for _, r := range f.log {
+		next.c.Replay(r)
+	}
+	next.apply(next.c.Recover(next.now, false, nil))
+	next.apply(next.c.Claimed(next.now, "w", "p1", Report{Token: "token"}))
+	next.cmds = nil
+	next.apply(next.c.SetMembers(next.now, []Member{{ID: "w", Pool: "p", Capacity: capacity}}))
+	put := PutWorker{Worker: placement.Worker{ID: "w", Pool: "p", Labels: []string{}, Capacity: capacity}}
+	require.Contains(t, next.cmds, put)
+	next.cmds = nil
+	next.apply(next.c.Synced(next.now, "w", 1<<40, "p1", nil, Report{Token: "token"}))
+	require.Empty(t, next.cmds, "a report without a capacity must not take it away")
+}
--- a/core/lifecycle/worker.go
+++ b/core/lifecycle/worker.go
@@ -47,6 +47,19 @@
 	return w.sentTokenAt.Add(c.policy.LeaseDuration + c.policy.LeaseMargin)
 }
 
+// size returns what the worker holds: what the list says, or else what the worker reports. A worker that reports nothing
+// keeps what is known of it.
+func (w *worker) size(reported resource.Vector) resource.Vector {
+	switch {
+	case !w.member.Capacity.IsZero():
+		return w.member.Capacity
+	case !reported.IsZero():
+		return reported
+	default:
+		return w.capacity
+	}
+}
+
 // leaving reports whether the worker gets no new tasks. The host list may drop a worker that still answers.
 func (w *worker) leaving() bool {
 	return w.member.Leaving || !w.listed
@@ -91,6 +104,7 @@
 	moved := w.member.Address != m.Address
 	w.listed = true
 	w.member = m
+	w.capacity = w.size(w.capacity)
 	if moved {
 		eff.do(ClaimWorker{Member: m})
 	}
@@ -239,7 +253,7 @@
 	// Leases of adopted tasks were renewed by the predecessor with tokens that this owner has not seen, but none
 	// newer than the one issued by the claim.
 	w.sentTokenAt = now
-	w.capacity = report.Capacity
+	w.capacity = w.size(report.Capacity)
 	if _, known := c.logged[id]; known {
 		c.putWorker(w, &eff)
 	} else {
@@ -317,9 +331,9 @@
 	w.contactAt = now
 	w.incarnation = incarnation
 	c.takeToken(now, w, r)
-	if w.silent || w.capacity != r.Capacity {
+	if size := w.size(r.Capacity); w.silent || w.capacity != size {
 		w.silent = false
-		w.capacity = r.Capacity
+		w.capacity = size
 		c.putWorker(w, eff)
 		c.reviveImpossible(now)
 	}
--- a/relay/jobs/service.go
+++ b/relay/jobs/service.go
@@ -135,8 +135,8 @@
 		o.cell.Replay(r)
 	}
 	o.logger.WithFields(logrus.Fields{"records": len(h.records), "clean": h.clean()}).Info("cell acquired")
-	o.checkAuthority()
 	o.apply(o.cell.Recover(o.now(), h.clean(), members))
+	o.checkAuthority()
 	o.wg.Add(2)
 	go o.loop()
 	go func() {
