Acknowledge an end only by its own record

After a store outage the queue held records of checkpoints that were taken while the attempts ran. Their commit acknowledged the ends of the same attempts, whose records were queued behind them; the owner was killed in the 60 ms between the two, and the successor ran the tasks again. Change: the commit of a checkpoint acknowledges an end only if that checkpoint is all there is to record of it. Result: TestCheckpointRecordDoesNotAcknowledgeAnEnd failed before and passes.

--- a/core/lifecycle/attempt.go
+++ b/core/lifecycle/attempt.go
@@ -298,7 +298,7 @@
 	case EndFailed:
 		c.failed(now, w, t, e, eff)
 	case EndEvicted:
-		c.unlogged[e.Run] = w.member.ID
+		c.unlogged[e.Run] = unloggedEnd{worker: w.member.ID}
 		if preempted {
 			t.evictions++
 		}
@@ -314,7 +314,7 @@
 func (c *Cell) completed(now time.Time, w *worker, t *task, e Ended, eff *Effects) {
 	t.settled = true
 	t.wait = WaitLog
-	c.unlogged[e.Run] = w.member.ID
+	c.unlogged[e.Run] = unloggedEnd{worker: w.member.ID}
 	c.clearBlame(w, eff)
 	c.provenGood(now, t.job, eff)
 	eff.log(TaskDone{Run: e.Run, At: now})
@@ -352,7 +352,7 @@
 	if open && e.End != EndDone && e.Checkpoint.ID != "" && e.Attempt >= t.lastRan && t.run == nil {
 		// The worker was given up before it could report the checkpoint, and no attempt has resumed yet.
 		t.checkpoint = Checkpoint{ID: e.Checkpoint.ID, At: now}
-		c.unlogged[e.Run] = w.member.ID
+		c.unlogged[e.Run] = unloggedEnd{worker: w.member.ID, checkpoint: e.Checkpoint.ID}
 		eff.log(CheckpointSaved{Run: e.Run, Checkpoint: t.checkpoint})
 		return
 	}
--- a/core/lifecycle/cell.go
+++ b/core/lifecycle/cell.go
@@ -49,7 +49,7 @@
 	// waiting holds the starts that wait for their log record.
 	waiting map[Run]*task
 	// unlogged holds the ended attempts whose record is not durable yet; the worker must keep them until then.
-	unlogged map[Run]ident.WorkerID
+	unlogged map[Run]unloggedEnd
 	changed  map[ident.JobID]struct{}
 
 	// seq orders the answers of a worker against its reports.
@@ -64,6 +64,15 @@
 	fenced bool
 }
 
+// unloggedEnd is the end of an attempt whose record is not durable yet.
+type unloggedEnd struct {
+	// worker must keep the end; empty if its leases have lapsed since.
+	worker ident.WorkerID
+	// checkpoint is set if all that is to be recorded of the end is this checkpoint. Otherwise a record of a checkpoint
+	// says nothing about the end: it may have been queued while the attempt ran.
+	checkpoint string
+}
+
 // accepted is a submission under a client token.
 type accepted struct {
 	job  ident.JobID
@@ -177,7 +186,7 @@
 		logged:   make(map[ident.WorkerID]string),
 		held:     make(map[ident.TaskID]*task),
 		waiting:  make(map[Run]*task),
-		unlogged: make(map[Run]ident.WorkerID),
+		unlogged: make(map[Run]unloggedEnd),
 		changed:  make(map[ident.JobID]struct{}),
 	}
 }
--- a/core/lifecycle/commit.go
+++ b/core/lifecycle/commit.go
@@ -37,7 +37,9 @@
 		c.acknowledge(r.Run)
 		c.commitEviction(now, r, eff)
 	case CheckpointSaved:
-		c.acknowledge(r.Run)
+		if c.unlogged[r.Run].checkpoint == r.Checkpoint.ID {
+			c.acknowledge(r.Run)
+		}
 	case CheckpointConsumed:
 		c.commitConsumed(now, r, eff)
 	case AttemptsUsed:
@@ -112,12 +114,12 @@
 }
 
 func (c *Cell) acknowledge(r Run) {
-	id, ok := c.unlogged[r]
+	end, ok := c.unlogged[r]
 	if !ok {
 		return
 	}
 	delete(c.unlogged, r)
-	if w, found := c.workers[id]; found && w.claimed {
+	if w, found := c.workers[end.worker]; found && w.claimed {
 		w.acks[r] = struct{}{}
 	}
 }
--- a/core/lifecycle/failure.go
+++ b/core/lifecycle/failure.go
@@ -63,7 +63,7 @@
 	c.blame(now, w, t.job, eff)
 	charged := c.chargedFailures(t)
 	final := charged > c.retries(t)
-	c.unlogged[e.Run] = w.member.ID
+	c.unlogged[e.Run] = unloggedEnd{worker: w.member.ID}
 	if final && t.job.spec.FailFast && !t.job.cancelling {
 		c.beginFailing(t.job, eff)
 	}
--- a/core/lifecycle/groups_test.go
+++ b/core/lifecycle/groups_test.go
@@ -197,3 +197,25 @@
 	next.apply(next.c.Synced(next.now, "w", 1<<40, "p1", nil, Report{Token: "token"}))
 	require.Empty(t, next.cmds, "a report without a capacity must not take it away")
 }
+
+// Guards against an end that is acknowledged to its worker by the record of an earlier checkpoint of the same attempt: if
+// the owner then dies before the end is durable, the task runs a second time.
+func TestCheckpointRecordDoesNotAcknowledgeAnEnd(t *testing.T) {
+	f := newFixture(t, 1, "w")
+	id := f.submit(1)
+	run := f.running(taskOf(id, 0, 0), "w")
+	f.held = true
+	f.log = nil
+	active := Active{Run: run, Checkpoint: Checkpoint{ID: "c1"}}
+	f.apply(f.c.Synced(f.now, "w", 1<<40, "p1", nil, Report{Capacity: capacity, Token: "token", Active: []Active{active}}))
+	require.Len(t, f.log, 1)
+	saved := f.log
+	f.ends("w", Ended{Run: run, End: EndDone, Checkpoint: Checkpoint{ID: "c1"}})
+	f.apply(f.c.Committed(f.now, saved))
+	req, ok := f.c.SyncRequest("w")
+	require.True(t, ok)
+	require.Empty(t, req.Acks)
+	f.apply(f.c.Committed(f.now, f.log[1:]))
+	req, _ = f.c.SyncRequest("w")
+	require.Equal(t, []Run{run}, req.Acks)
+}
--- a/core/lifecycle/tick.go
+++ b/core/lifecycle/tick.go
@@ -93,9 +93,10 @@
 	for _, t := range w.sortedRuns() {
 		c.lose(now, t, eff)
 	}
-	for r, id := range c.unlogged {
-		if id == w.member.ID {
-			c.unlogged[r] = ""
+	for r, end := range c.unlogged {
+		if end.worker == w.member.ID {
+			end.worker = ""
+			c.unlogged[r] = end
 		}
 	}
 	eff.do(ClaimWorker{Member: w.member})
--- a/core/lifecycle/worker.go
+++ b/core/lifecycle/worker.go
@@ -221,8 +221,8 @@
 	if !ok || len(w.acks) > 0 {
 		return false
 	}
-	for _, worker := range c.unlogged {
-		if worker == id {
+	for _, end := range c.unlogged {
+		if end.worker == id {
 			return true
 		}
 	}
