Count late failures, look further down the queues, and compute expected tails once a Plan

BUDGET: after a change of owner, the end of an earlier failed attempt was acknowledged without being counted when its worker answered after that of a later one. LOST: a lasting task that failed queued behind 16 tasks that did not fit and was not tried for 20 s. The planner took 3.4 ms a Plan at the owner (10.1 s of 60 s on 0.16 cores), because the tails beside each of 48 workers were worked out for each waiting filler. Change: a failure that is listed late is recorded and counted; lasting tasks that have run queue first, and 512 tasks behind one that does not fit are tried; expected tails are kept for a Plan, and a group of which one task found no worker is not tried again in it.

--- a/core/lifecycle/attempt.go
+++ b/core/lifecycle/attempt.go
@@ -349,6 +349,10 @@
 // task; the attempt that replaced it is stopped.
 func (c *Cell) lateEnd(now time.Time, w *worker, t *task, e Ended, eff *Effects) {
 	open := t != nil && !t.settled && !t.state.Final() && !t.job.cancelling && !t.group.Lasting
+	if open && e.End == EndFailed && !t.hasFailed(e.Attempt) {
+		c.lateFailure(now, w, t, e, eff)
+		return
+	}
 	if open && e.End != EndDone && e.Checkpoint.ID != "" && e.Attempt >= t.lastRan && t.run == nil {
 		// The worker was given up before it could report the checkpoint, and no attempt has resumed yet.
 		t.checkpoint = Checkpoint{ID: e.Checkpoint.ID, At: now}
--- a/core/lifecycle/failure.go
+++ b/core/lifecycle/failure.go
@@ -1,6 +1,7 @@
 package lifecycle
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -54,6 +55,42 @@
 }
 
 func (c *Cell) failed(now time.Time, w *worker, t *task, e Ended, eff *Effects) {
+	final, charged := c.noteFailure(now, w, t, e, eff)
+	switch {
+	case final:
+	case t.job.cancelled:
+		c.setState(now, t, Cancelled)
+	default:
+		c.requeue(now, t, c.backoff(charged), WaitBackoff, eff)
+	}
+}
+
+// hasFailed reports whether a failed attempt is counted already.
+func (t *task) hasFailed(a ident.Attempt) bool {
+	return slices.ContainsFunc(t.failures, func(f Failure) bool { return f.Attempt == a })
+}
+
+// lateFailure counts the failure of an attempt that no longer is the present one: after a change of owner the ends of
+// earlier attempts come from their workers in any order.
+func (c *Cell) lateFailure(now time.Time, w *worker, t *task, e Ended, eff *Effects) {
+	t.next = max(t.next, e.Attempt+1)
+	final, _ := c.noteFailure(now, w, t, e, eff)
+	if !final {
+		return
+	}
+	delete(c.held, t.id)
+	switch {
+	case t.run == nil:
+		eff.do(Dequeue{Tasks: []ident.TaskID{t.id}})
+	case t.run.phase == phaseLogging:
+		c.endRun(now, t, eff)
+	default:
+		c.stopRun(t, eff)
+	}
+}
+
+// noteFailure counts a failed attempt and settles the task if it was the last one allowed.
+func (c *Cell) noteFailure(now time.Time, w *worker, t *task, e Ended, eff *Effects) (final bool, charged int) {
 	if len(e.Message) > maxMessageBytes {
 		e.Message = strings.ToValidUTF8(e.Message[:maxMessageBytes], "")
 	}
@@ -61,8 +98,8 @@
 	t.message = e.Message
 	t.job.failedOn[w.member.ID] = struct{}{}
 	c.blame(now, w, t.job, eff)
-	charged := c.chargedFailures(t)
-	final := charged > c.retries(t)
+	charged = c.chargedFailures(t)
+	final = charged > c.retries(t)
 	c.unlogged[e.Run] = unloggedEnd{worker: w.member.ID}
 	if final && t.job.spec.FailFast && !t.job.cancelling {
 		c.beginFailing(t.job, eff)
@@ -71,13 +108,8 @@
 	if final {
 		t.settled = true
 		t.wait = WaitLog
-		return
-	}
-	if t.job.cancelled {
-		c.setState(now, t, Cancelled)
-		return
 	}
-	c.requeue(now, t, c.backoff(charged), WaitBackoff, eff)
+	return final, charged
 }
 
 // beginFailing keeps further tasks of a job from starting; what runs is stopped once the failure is durable.
--- a/core/lifecycle/groups_test.go
+++ b/core/lifecycle/groups_test.go
@@ -219,3 +219,29 @@
 	req, _ = f.c.SyncRequest("w")
 	require.Equal(t, []Run{run}, req.Acks)
 }
+
+// Guards against a task that runs more often than its row allows: after a change of owner the failures of earlier attempts
+// are listed by workers that answer later than that of the present attempt.
+func TestLateFailureCountsAgainstTheRetries(t *testing.T) {
+	f := newFixture(t, 1, "v", "w", "x")
+	id := f.submit(1)
+	next := &fixture{t: t, c: NewCell(1, 2, f.c.table), now: f.now}
+	next.c.SetAuthority(next.now, true, true)
+	for _, r := range f.log {
+		next.c.Replay(r)
+	}
+	next.apply(next.c.Recover(next.now, false, []Member{{ID: "v"}, {ID: "w"}, {ID: "x"}}))
+	run := func(a ident.Attempt) Run { return Run{Task: taskOf(id, 0, 0), Attempt: a} }
+	next.claim("x", Report{Ended: []Ended{{Run: run(3), End: EndFailed}}})
+	next.claim("v", Report{Ended: []Ended{{Run: run(1), End: EndFailed}}})
+	next.claim("w", Report{Ended: []Ended{{Run: run(2), End: EndFailed}}})
+	v, err := next.c.Get(id, 0, 1)
+	require.NoError(t, err)
+	require.Equal(t, Failed, v.State)
+	require.Equal(t, 3, v.Tasks[0].Failures)
+	for _, id := range []ident.WorkerID{"v", "w", "x"} {
+		req, ok := next.c.SyncRequest(id)
+		require.True(t, ok)
+		require.Len(t, req.Acks, 1, "the failure is durable")
+	}
+}
--- a/core/lifecycle/restore.go
+++ b/core/lifecycle/restore.go
@@ -138,8 +138,7 @@
 }
 
 func (c *Cell) replayFailure(t *task, r TaskFailed) {
-	known := slices.ContainsFunc(t.failures, func(f Failure) bool { return f.Attempt == r.Attempt })
-	if !known {
+	if !t.hasFailed(r.Attempt) {
 		t.failures = append(t.failures, Failure{Attempt: r.Attempt, Worker: r.Worker, Message: r.Message})
 	}
 	t.message = r.Message
--- a/core/placement/cell.go
+++ b/core/placement/cell.go
@@ -188,6 +188,7 @@
 	}
 	cl := c.shares.class(r.Class, r.Kind)
 	t := newTask(r.Pending, cl)
+	t.image = c.image(r.Constraints.Image)
 	t.started = stampOf(r.StartedAt)
 	t.checkpointed = stampOf(r.CheckpointedAt)
 	// What the predecessor told the worker is not known.
@@ -220,6 +221,7 @@
 		c.drop(old)
 	}
 	t := newTask(p, c.shares.class(p.Class, p.Kind))
+	t.image = c.image(p.Constraints.Image)
 	t.queuedAt = c.now
 	c.track(t)
 	if d, largest := c.impossible(t); d != "" {
--- a/core/placement/class.go
+++ b/core/placement/class.go
@@ -110,8 +110,8 @@
 	return held.Exceeds(cl.limit())
 }
 
-// tenantQueue holds the queued tasks of one tenant in one class, in order of submission. Tasks that have been evicted
-// go to the front, because their tenant has already waited for them once.
+// tenantQueue holds the queued tasks of one tenant in one class, in order of submission. Tasks that have been evicted,
+// and lasting ones that have run, go to the front: their tenant has already waited for them once.
 type tenantQueue struct {
 	shareItem
 	class   *class
@@ -131,7 +131,7 @@
 }
 
 func (q *tenantQueue) push(t *task) {
-	if t.evictions > 0 {
+	if t.evictions > 0 || t.lasting && t.attempt > 1 {
 		q.pushFront(t)
 		return
 	}
--- a/core/placement/framework.go
+++ b/core/placement/framework.go
@@ -59,6 +59,8 @@
 	Constraints Constraints
 	// Wish is what a filler would use if it could, in thousandths of a processor.
 	Wish int64
+	// image is the number of the task's image in the cell.
+	image int
 	// Patient fillers wait for a worker where they are not expected to bring a serving task near its target.
 	Patient bool
 }
--- a/core/placement/node.go
+++ b/core/placement/node.go
@@ -37,6 +37,10 @@
 	// stalled is set when evicted tasks were not released in time, and cleared by the next release. No task is evicted
 	// there meanwhile.
 	stalled bool
+	// expected holds what Cell.expect returned in the Plan expectedIn, with expectedFor fillers.
+	expected    []expectation
+	expectedIn  uint64
+	expectedFor int
 	// overSince is since when a serving task has been over its target; noTime if none is. measured marks a worker in
 	// Cell.measured.
 	overSince stamp
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/resource"
 )
 
@@ -24,6 +25,9 @@
 	// tooLarge lists bookings for which the index has no worker. While the queues are served nothing becomes free, so
 	// tasks at least as large need no search.
 	tooLarge []resource.Vector
+	// misfit is the group of the last task that found no worker. While the queues are served nothing becomes free, so that
+	// the others of the group need no search.
+	misfit group
 	// stuck lists urgent tasks for which no room could be made; larger ones of the same class are not tried.
 	stuck []*task
 	// touched lists the queues whose cursors are in use.
@@ -188,7 +192,7 @@
 
 // choose returns the best worker of a sample of those that fit, or nil.
 func (r *round) choose(t *task) *node {
-	if r.isTooLarge(t.want) {
+	if r.isTooLarge(t.want) || r.misfit == r.groupOf(t) {
 		return nil
 	}
 	visited := r.sample(&r.free, t.want)
@@ -205,10 +209,28 @@
 	}
 	if best == nil {
 		r.vain += visited
+		r.misfit = r.groupOf(t)
 	}
 	return best
 }
 
+// group names the tasks that differ in nothing that placement looks at.
+type group struct {
+	job     ident.JobID
+	group   int
+	avoid   int
+	patient bool
+}
+
+func (r *round) groupOf(t *task) group {
+	return group{t.id.Job, t.id.Group(), len(t.avoid), r.patient(t)}
+}
+
+// patient reports whether a filler still waits for a worker where it disturbs no serving task.
+func (r *round) patient(t *task) bool {
+	return r.now.since(t.queuedAt) < r.opts.FillerPatience
+}
+
 func (r *round) isTooLarge(need resource.Vector) bool {
 	for _, v := range r.tooLarge {
 		if v.Fits(need) {
@@ -240,7 +262,8 @@
 	return Request{
 		Task: t.id, Class: t.class.index, Urgent: t.class.urgent, Booking: t.want, Avoid: t.avoid,
 		Pool: t.pool, Constraints: t.constraints, Wish: t.wish,
-		Patient: r.now.since(t.queuedAt) < r.opts.FillerPatience,
+		image:   t.image,
+		Patient: r.patient(t),
 	}
 }
 
--- a/core/placement/tails.go
+++ b/core/placement/tails.go
@@ -66,7 +66,7 @@
 // learnTail takes a measured tail into account: what it exceeds the usual tail of its image by is put down to the
 // fillers beside it.
 func (c *Cell) learnTail(t *task) {
-	image := c.image(t.constraints.Image)
+	image := t.image
 	loads := c.loads[:0]
 	total := 0.0
 	for _, f := range t.node.tasks {
@@ -82,7 +82,7 @@
 		}
 		part := float64(f.using) / partUnit
 		total += part
-		number := c.image(f.constraints.Image)
+		number := f.image
 		if i := slices.IndexFunc(loads, func(l Load) bool { return l.Class == number }); i >= 0 {
 			loads[i].Part += part
 		} else {
@@ -101,31 +101,53 @@
 // lengthening returns the expected logarithm of the factor by which a filler image lengthens the tail of a serving task,
 // for a use in thousandths of a processor. Fillers multiply a tail: three together harm far more than one three times.
 func (c *Cell) lengthening(serving *task, filler int, milliCPU float64) float64 {
-	mean, _ := c.opts.Tails.Expect(c.image(serving.constraints.Image), filler)
+	mean, _ := c.opts.Tails.Expect(serving.image, filler)
 	return mean * milliCPU / partUnit
 }
 
-// tailBeside returns the longest tail that is expected on a worker if a filler starts there.
-func (c *Cell) tailBeside(req *Request, n *node) float64 {
-	if n.serving == 0 {
-		return 0
+// expectation is the longest expected tail of the serving tasks of one image on a worker, as a logarithm.
+type expectation struct {
+	image int
+	tail  float64
+}
+
+// expect returns what is expected of the serving tasks of a worker in this Plan, by image. It is computed once for each
+// Plan and after each start of a filler there.
+func (c *Cell) expect(n *node) []expectation {
+	if n.expectedIn == c.round && n.expectedFor == n.fillers {
+		return n.expected
 	}
-	filler := c.image(req.Constraints.Image)
-	longest := 0.0
+	n.expectedIn, n.expectedFor = c.round, n.fillers
+	n.expected = n.expected[:0]
 	for _, s := range n.tasks {
 		if !s.constraints.Serving {
 			continue
 		}
-		factor := c.lengthening(s, filler, float64(req.Wish))
+		tail := math.Log(max(s.tail, c.quiet[s.image]))
 		for _, f := range n.tasks {
 			if f.constraints.Filler && f.using == 0 {
 				// It has just started, so that the measured tail does not show it yet.
-				factor += c.lengthening(s, c.image(f.constraints.Image), f.pace*float64(f.wish))
+				tail += c.lengthening(s, f.image, f.pace*float64(f.wish))
 			}
 		}
-		longest = max(longest, max(s.tail, c.quiet[c.image(s.constraints.Image)])*math.Exp(factor))
+		i := slices.IndexFunc(n.expected, func(e expectation) bool { return e.image == s.image })
+		if i < 0 {
+			n.expected = append(n.expected, expectation{s.image, tail})
+			continue
+		}
+		n.expected[i].tail = max(n.expected[i].tail, tail)
+	}
+	return n.expected
+}
+
+// tailBeside returns the longest tail that is expected on a worker if a filler starts there.
+func (c *Cell) tailBeside(req *Request, n *node) float64 {
+	longest := math.Inf(-1)
+	for _, e := range c.expect(n) {
+		mean, _ := c.opts.Tails.Expect(e.image, req.image)
+		longest = max(longest, e.tail+mean*float64(req.Wish)/partUnit)
 	}
-	return min(longest, worstTail)
+	return min(math.Exp(longest), worstTail)
 }
 
 // paceFillers adjusts the speed of the fillers on the workers that were measured since the last Plan.
@@ -178,7 +200,7 @@
 		if !f.constraints.Filler || f.pace == 0 || f.settling(r.now) {
 			continue
 		}
-		if factor := r.lengthening(s, r.image(f.constraints.Image), float64(f.using)); factor >= leastShare {
+		if factor := r.lengthening(s, f.image, float64(f.using)); factor >= leastShare {
 			shares = append(shares, share{f, factor})
 		}
 	}
@@ -233,7 +255,7 @@
 		if !f.constraints.Filler || f.pace == 1 && f.paceKnown || f.settling(r.now) {
 			continue
 		}
-		sl := slowed{filler: f, image: r.image(f.constraints.Image)}
+		sl := slowed{filler: f, image: f.image}
 		for _, s := range serving {
 			sl.factor = max(sl.factor, r.lengthening(s, sl.image, float64(f.wish)))
 		}
--- a/core/placement/task.go
+++ b/core/placement/task.go
@@ -82,6 +82,8 @@
 	pace      float64
 	pacedAt   stamp
 	paceKnown bool
+	// image is the number of the task's image.
+	image int
 	// tail is the last measured tail of a serving task, as a part of its target.
 	tail         float64
 	tailAt       stamp
--- a/daemon/jobhost.go
+++ b/daemon/jobhost.go
@@ -61,6 +61,8 @@
 	statusLimit = 64
 	// mostCandidates is how many workers are scored for one task: every one of a cell of a few racks.
 	mostCandidates = 64
+	// mostBackfill is how many tasks behind one that does not fit are tried: those of about 50 jobs.
+	mostBackfill = 512
 )
 
 // JobSettings configures a JobHost.
@@ -212,6 +214,8 @@
 	planner := placement.NewCell(rand.Uint64(), placement.Options{
 		Cell: id, Cells: h.settings.Cells, ShareShift: h.cluster.Grant(id).ShareShift,
 		Candidates: mostCandidates,
+		// Tasks of one class differ much in size, and in where they may run.
+		BackfillDepth: mostBackfill,
 		// A worker's room does not grow when a task on it is slowed down.
 		MinThrottle: 1,
 	})
