Order queues by what can still meet its objective, and learn tails from their growth

Cause: batch jobs took 17 s in the median for 5.4 s of work: fillers were slowed down on 40 % of the reports although most pairs of images do no harm. The load of a serving task itself moves its tail by a third (standard deviation of the logarithm 0.4 without fillers), so that estimates from levels blamed harmless images, and what was learnt after a speed-up was thrown away. In a flood all jobs were served in the order of arrival, and so late. Change: the estimate compares a tail with the measurement before, and puts its growth down to the fillers that came or sped up in between; fillers keep below a speed at which they did harm for 5 s; what has started and is not measured yet counts. Jobs carry an objective; tasks whose job can still meet it go first, begun jobs before others, late ones behind.

--- a/adapter/cellpb/codec_test.go
+++ b/adapter/cellpb/codec_test.go
@@ -18,7 +18,7 @@
 	run  = lifecycle.Run{Task: ident.TaskID{Job: job, Index: 2}, Attempt: 66}
 	spec = lifecycle.JobSpec{
 		Name: "n", Class: "c", Tenant: "t", Kind: "batch", Token: "k",
-		Number: 1<<63 + 5, Pool: "p", FailFast: true,
+		Number: 1<<63 + 5, Pool: "p", FailFast: true, Stretch: 1.5, Grace: time.Second,
 		Groups: []lifecycle.TaskGroup{{
 			Count: 3, Need: resource.Vector{MilliCPU: 1, MemoryMB: 2, Accelerators: 3},
 			RunTime: time.Second, Command: "run",
--- a/adapter/cellpb/records.go
+++ b/adapter/cellpb/records.go
@@ -167,6 +167,7 @@
 	out := &cellv1.JobSpec{
 		Name: s.Name, Class: string(s.Class), Tenant: string(s.Tenant), Kind: string(s.Kind), Token: s.Token,
 		Number: s.Number, Pool: s.Pool, FailFast: s.FailFast,
+		Stretch: s.Stretch, GraceMs: s.Grace.Milliseconds(),
 	}
 	for _, g := range s.Groups {
 		out.Groups = append(out.Groups, &cellv1.TaskGroup{
@@ -192,6 +193,7 @@
 		Name: s.GetName(), Class: ident.ClassName(s.GetClass()), Tenant: ident.TenantName(s.GetTenant()),
 		Kind: table.Kind(s.GetKind()), Token: s.GetToken(),
 		Number: s.GetNumber(), Pool: s.GetPool(), FailFast: s.GetFailFast(),
+		Stretch: s.GetStretch(), Grace: durationIn(s.GetGraceMs()),
 	}
 	for _, g := range s.GetGroups() {
 		out.Groups = append(out.Groups, lifecycle.TaskGroup{
--- a/adapter/jobhttp/messages.go
+++ b/adapter/jobhttp/messages.go
@@ -21,8 +21,11 @@
 	// Pool names the pool of workers that may run the job.
 	Pool string `json:"pool,omitempty"`
 	// FailFast ends the job with the first task that fails for good.
-	FailFast bool    `json:"fail_fast,omitempty"`
-	Groups   []Group `json:"groups"`
+	FailFast bool `json:"fail_fast,omitempty"`
+	// Stretch and GraceMS give the objective: Stretch times the longest chain of run times, and GraceMS more.
+	Stretch float64 `json:"stretch,omitempty"`
+	GraceMS int64   `json:"grace_ms,omitempty"`
+	Groups  []Group `json:"groups"`
 }
 
 // Group describes equal tasks.
@@ -107,6 +110,10 @@
 func (s Submission) spec(token string) (lifecycle.JobSpec, error) {
 	spec := lifecycle.JobSpec{
 		Name: s.Name, Class: ident.ClassName(s.Class), Token: token, Pool: s.Pool, FailFast: s.FailFast,
+		Stretch: s.Stretch, Grace: time.Duration(s.GraceMS) * time.Millisecond,
+	}
+	if s.GraceMS < 0 || s.GraceMS > int64(math.MaxInt64/time.Millisecond) {
+		return spec, invalid("grace_ms is out of range")
 	}
 	if s.Number != "" {
 		n, err := strconv.ParseUint(s.Number, 16, 64)
--- a/adapter/peergrpc/jobmessages.go
+++ b/adapter/peergrpc/jobmessages.go
@@ -34,6 +34,7 @@
 	out := &peerv1.JobSpec{
 		Name: s.Name, Class: string(s.Class), Token: s.Token, Tenant: string(s.Tenant), Kind: string(s.Kind),
 		Number: s.Number, Pool: s.Pool, FailFast: s.FailFast,
+		Stretch: s.Stretch, GraceMs: s.Grace.Milliseconds(),
 	}
 	for _, g := range s.Groups {
 		out.Groups = append(out.Groups, &peerv1.JobTaskGroup{
@@ -59,6 +60,7 @@
 		Name: s.GetName(), Class: ident.ClassName(s.GetClass()), Token: s.GetToken(),
 		Tenant: ident.TenantName(s.GetTenant()), Kind: table.Kind(s.GetKind()),
 		Number: s.GetNumber(), Pool: s.GetPool(), FailFast: s.GetFailFast(),
+		Stretch: s.GetStretch(), Grace: fromAgeMs(s.GetGraceMs()),
 	}
 	for _, g := range s.GetGroups() {
 		out.Groups = append(out.Groups, lifecycle.TaskGroup{
--- a/adapter/peergrpc/jobs_test.go
+++ b/adapter/peergrpc/jobs_test.go
@@ -24,7 +24,7 @@
 		Job: ident.JobID{Cell: 1, Epoch: 2, Seq: 3},
 		Spec: lifecycle.JobSpec{
 			Name: "n", Class: "c", Tenant: "t", Kind: "batch", Token: "k",
-			Number: 1<<63 + 5, Pool: "p", FailFast: true,
+			Number: 1<<63 + 5, Pool: "p", FailFast: true, Stretch: 1.5, Grace: time.Second,
 			Groups: []lifecycle.TaskGroup{{
 				Count: 2, Need: resource.Vector{MilliCPU: 1, MemoryMB: 2, Accelerators: 3}, RunTime: time.Second, Command: "x",
 			}, {
--- a/core/lifecycle/cell.go
+++ b/core/lifecycle/cell.go
@@ -99,8 +99,10 @@
 	// begun is set once a task has run.
 	begun bool
 	// groups holds what the job's groups have left to do, by number.
-	groups  []groupState
-	version uint64
+	groups []groupState
+	// objective is how long the job should take; 0 if it has no objective.
+	objective time.Duration
+	version   uint64
 }
 
 // groupState is the progress of one task group.
@@ -109,6 +111,8 @@
 	first int
 	// open counts the tasks that are not done.
 	open int
+	// chain is the longest chain of declared run times that begins with the group.
+	chain time.Duration
 }
 
 type task struct {
@@ -377,9 +381,11 @@
 		failedOn:   make(map[ident.WorkerID]struct{}),
 		groups:     make([]groupState, len(spec.Groups)),
 	}
+	chains, longest := spec.chains()
+	j.objective = spec.objective(longest)
 	i := 0
 	for g := range j.spec.Groups {
-		j.groups[g] = groupState{first: i, open: j.spec.Groups[g].Count}
+		j.groups[g] = groupState{first: i, open: j.spec.Groups[g].Count, chain: chains[g]}
 		for member := range j.spec.Groups[g].Count {
 			j.tasks[i] = task{
 				id:    ident.TaskID{Job: id, Index: ident.TaskIndex(g, member)},
--- a/core/lifecycle/queue.go
+++ b/core/lifecycle/queue.go
@@ -26,6 +26,9 @@
 	if t.run != nil {
 		p.Attempt = t.run.Attempt
 	}
+	if j := t.job; j.objective > 0 {
+		p.Due = placement.Due{At: j.acceptedAt.Add(j.objective), Objective: j.objective, Remaining: j.groups[t.id.Group()].chain, Begun: j.begun}
+	}
 	p.Avoid = c.avoid(t)
 	return p
 }
--- a/core/lifecycle/types.go
+++ b/core/lifecycle/types.go
@@ -28,6 +28,10 @@
 	MaxTasksPerJob = 20_000
 	// MaxGroupsPerJob bounds the distinct task shapes of one job.
 	MaxGroupsPerJob = 64
+	// MaxStretch bounds the objective of a job.
+	MaxStretch = 1000
+	// MaxRunTime bounds a declared run time, so that sums of them stay in range.
+	MaxRunTime = 10 * 365 * 24 * time.Hour
 	// MaxCommandBytes bounds the command of one task group.
 	MaxCommandBytes = 4096
 	// MaxNameBytes bounds the names and the client token of a job.
@@ -120,7 +124,29 @@
 	Pool string
 	// FailFast ends the job with the first task that fails for good: what still runs is stopped.
 	FailFast bool
-	Groups   []TaskGroup
+	// Stretch and Grace give the objective of the job: Stretch times its longest chain of declared run times, and Grace
+	// more. Both 0 means that there is none.
+	Stretch float64
+	Grace   time.Duration
+	Groups  []TaskGroup
+}
+
+// chains returns for each group the longest chain of declared run times that begins with it, and the longest of all.
+func (s JobSpec) chains() (from []time.Duration, longest time.Duration) {
+	from = make([]time.Duration, len(s.Groups))
+	for g := len(s.Groups) - 1; g >= 0; g-- {
+		from[g] += s.Groups[g].RunTime
+		longest = max(longest, from[g])
+		for _, earlier := range s.Groups[g].After {
+			from[earlier] = max(from[earlier], from[g])
+		}
+	}
+	return from, longest
+}
+
+// objective returns how long the job should take; 0 if it has no objective.
+func (s JobSpec) objective(longest time.Duration) time.Duration {
+	return time.Duration(s.Stretch*float64(longest)) + s.Grace
 }
 
 // Tasks returns the number of tasks of the job.
@@ -147,6 +173,9 @@
 	case len(s.Groups) == 0 || len(s.Groups) > MaxGroupsPerJob:
 		return invalid("groups: want 1 to %d", MaxGroupsPerJob)
 	}
+	if !(s.Stretch >= 0 && s.Stretch <= MaxStretch) || s.Grace < 0 {
+		return invalid("objective: want a stretch of 0 to %d and a grace of at least 0", MaxStretch)
+	}
 	total := 0
 	for i, g := range s.Groups {
 		switch {
@@ -154,8 +183,8 @@
 			return invalid("group %d: count %d: want 1 to %d", i, g.Count, MaxTasksPerJob)
 		case !g.Need.NonNegative() || g.Need.IsZero():
 			return invalid("group %d: need: want amounts of at least 0, not all 0", i)
-		case g.RunTime < 0:
-			return invalid("group %d: run time: want at least 0", i)
+		case g.RunTime < 0 || g.RunTime > MaxRunTime:
+			return invalid("group %d: run time: want 0 to %s", i, MaxRunTime)
 		case len(g.Command) > MaxCommandBytes:
 			return invalid("group %d: command: want at most %d bytes", i, MaxCommandBytes)
 		case g.TailTarget < 0:
--- a/core/placement/class.go
+++ b/core/placement/class.go
@@ -135,16 +135,45 @@
 		q.pushFront(t)
 		return
 	}
-	t.prev, t.next = q.last, nil
-	if q.last != nil {
-		q.last.next = t
+	after := q.last
+	for after != nil && t.before(after) {
+		after = after.prev
+	}
+	q.insert(t, after)
+}
+
+// insert puts a task behind another one; at the front if that is nil.
+func (q *tenantQueue) insert(t, after *task) {
+	if after == nil {
+		q.pushFront(t)
+		return
+	}
+	t.prev, t.next = after, after.next
+	if after.next != nil {
+		after.next.prev = t
 	} else {
-		q.first = t
+		q.last = t
 	}
-	q.last = t
+	after.next = t
 	q.length++
 }
 
+// demote moves a task whose time has passed behind the others, and returns the task to be looked at next.
+func (q *tenantQueue) demote(t *task, r rank) *task {
+	next := t.next
+	q.remove(t)
+	t.rank = r
+	after := q.last
+	for after != nil && t.before(after) {
+		after = after.prev
+	}
+	q.insert(t, after)
+	if next == nil {
+		next = t
+	}
+	return next
+}
+
 func (q *tenantQueue) pushFront(t *task) {
 	t.prev, t.next = nil, q.first
 	if q.first != nil {
--- a/core/placement/fair.go
+++ b/core/placement/fair.go
@@ -13,6 +13,8 @@
 // within its guaranteed share, weight over the sum of the weights of the active classes; beyond it, it competes like
 // batch work, so that a flood of urgent work leaves batch work its share.
 type shares struct {
+	// now is the time of the last Plan.
+	now    stamp
 	cell   ident.CellID
 	cells  int
 	shift  uint8
@@ -127,6 +129,7 @@
 
 func (s *shares) enqueue(t *task) {
 	t.state = queued
+	t.rank = t.rankAt(s.now)
 	t.tenant.push(t)
 	s.countQueued(t, 1)
 	t.tenant.blocked = false
--- a/core/placement/interference.go
+++ b/core/placement/interference.go
@@ -34,6 +34,7 @@
 // a task beside several classes corrects each pair in proportion to its load and its uncertainty.
 type Estimator struct {
 	pairs map[pair]estimate
+	prior estimate
 }
 
 type pair struct {
@@ -48,14 +49,19 @@
 
 // NewEstimator returns an estimator that has seen nothing.
 func NewEstimator() *Estimator {
-	return &Estimator{pairs: make(map[pair]estimate)}
+	return NewEstimatorWith(priorCoefficient, priorVariance)
+}
+
+// NewEstimatorWith returns an estimator that has seen nothing, with the coefficient and variance of a pair not yet seen.
+func NewEstimatorWith(coefficient, variance float64) *Estimator {
+	return &Estimator{pairs: make(map[pair]estimate), prior: estimate{float32(coefficient), float32(variance)}}
 }
 
 func (e *Estimator) at(victim, aggressor int) estimate {
 	if v, ok := e.pairs[pair{int32(victim), int32(aggressor)}]; ok {
 		return v
 	}
-	return estimate{priorCoefficient, priorVariance}
+	return e.prior
 }
 
 // Expect implements Interference.
@@ -79,7 +85,7 @@
 			continue
 		}
 		v := e.at(victim, l.Class)
-		variance := min(float64(v.variance)+driftVariance, priorVariance)
+		variance := min(float64(v.variance)+driftVariance, float64(e.prior.variance))
 		gain := variance * l.Part / total
 		e.pairs[key] = estimate{
 			mean:     float32(max(0, float64(v.mean)+gain*surprise)),
--- a/core/placement/options.go
+++ b/core/placement/options.go
@@ -103,7 +103,7 @@
 		o.Interference = NewEstimator()
 	}
 	if o.Tails == nil {
-		o.Tails = NewEstimator()
+		o.Tails = NewEstimatorWith(priorLengthening, priorTailVariance)
 	}
 	return o
 }
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -61,6 +61,7 @@
 		c.shares.rekey()
 	}
 	c.now = max(c.now, stampOf(now))
+	c.shares.now = c.now
 	r := &round{Cell: c, limit: limit, mostServed: c.shares.mostServed()}
 	if c.shares.cycle == 0 {
 		c.depth = min(c.opts.BackfillDepth, maxBackfill/(1+c.shares.waiting()))
@@ -106,6 +107,10 @@
 		}
 		t := q.cursor
 		r.work++
+		if late := t.rankAt(r.now); late > t.rank && late >= rankLate {
+			q.cursor = q.demote(t, late)
+			continue
+		}
 		switch r.place(t, t == q.first) {
 		case placed:
 			r.work += startWork
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -40,6 +40,8 @@
 	// Lasting tasks run until they are cancelled and never give way.
 	Lasting     bool
 	SubmittedAt time.Time
+	// Due says until when the task is of use.
+	Due Due
 	// Evictions counts how often the task has been evicted.
 	Evictions int
 	// Avoid lists workers on which the task has failed.
--- a/core/placement/tails.go
+++ b/core/placement/tails.go
@@ -24,8 +24,17 @@
 	leastQuiet = 0.02
 	// partUnit is the use in thousandths of a processor that counts as 1 in the estimates.
 	partUnit = 10_000
-	// tailNoise is the variance of the logarithm of a tail: the load of the task itself changes the tail by a third.
-	tailNoise = 0.1
+	// priorLengthening and priorTailVariance describe a pair of images not yet seen: most pairs hardly matter, some
+	// multiply a tail.
+	priorLengthening  = 0.1
+	priorTailVariance = 0.25
+	// tailNoise is the variance of the growth of the logarithm of a tail between two measurements without fillers.
+	tailNoise = 0.03
+	// Measurements are compared if they lie leastElapsed to mostElapsed apart: further than the half second over which
+	// workers measure, and near against the swing of the load. leastGrowth is the smallest change of use that counts.
+	leastElapsed = 250 * time.Millisecond
+	mostElapsed  = 2500 * time.Millisecond
+	leastGrowth  = 0.05
 	// quietUse is the use of all fillers, in units, below which a tail counts as one without fillers.
 	quietUse = 0.02
 	// leastShare is the expected part of the logarithm of a tail below which slowing a filler down is no use.
@@ -36,11 +45,16 @@
 	// fadeTime is how long a tail takes to fall to its usual length after fillers have been slowed down: it halves within
 	// each third of a second.
 	fadeTime = 1200 * time.Millisecond
+	// harmMemory is how long a filler keeps below harmMargin of the speed at which it was slowed down: about half a swing
+	// of the load of serving tasks.
+	harmMemory = 5 * time.Second
+	harmMargin = 0.6
 	// overLimit is how long a serving task may be over its target before all fillers beside it stand still. Platforms
 	// allow a few seconds, of which measuring and slowing down take one.
 	overLimit = 1800 * time.Millisecond
-	// leastPace is the smallest change of a speed that is worth a call; below it fillers stand still.
-	leastPace = 0.1
+	// leastChange is the smallest change of a speed that is worth a call. Below leastPace fillers stand still.
+	leastChange = 0.15
+	leastPace   = 0.1
 	// maxImages bounds the images that are told apart; later ones count as the first.
 	maxImages = 4096
 )
@@ -63,39 +77,72 @@
 	}
 }
 
-// learnTail takes a measured tail into account: what it exceeds the usual tail of its image by is put down to the
-// fillers beside it.
-func (c *Cell) learnTail(t *task) {
-	image := t.image
-	loads := c.loads[:0]
-	total := 0.0
-	for _, f := range t.node.tasks {
-		if !f.constraints.Filler {
-			continue
-		}
-		if f.unsettled(t.tailAt) {
-			// The tail still shows the earlier speed of the filler.
-			return
-		}
-		if f.using == 0 {
+// use is what the fillers of one image use on a worker, in units of partUnit.
+type use struct {
+	image int
+	part  float64
+}
+
+// filling returns the use of the fillers on a worker by image.
+func (n *node) filling(into []use) (uses []use, total float64) {
+	uses = into[:0]
+	for _, f := range n.tasks {
+		if !f.constraints.Filler || f.using == 0 {
 			continue
 		}
 		part := float64(f.using) / partUnit
 		total += part
-		number := f.image
-		if i := slices.IndexFunc(loads, func(l Load) bool { return l.Class == number }); i >= 0 {
-			loads[i].Part += part
+		if i := slices.IndexFunc(uses, func(u use) bool { return u.image == f.image }); i >= 0 {
+			uses[i].part += part
 		} else {
-			loads = append(loads, Load{Class: number, Part: part})
+			uses = append(uses, use{f.image, part})
 		}
 	}
-	c.loads = loads
-	quiet := c.quiet[image]
-	if total < quietUse {
-		c.quiet[image] = max(leastQuiet, quiet+quietRate*(t.tail-quiet))
+	return uses, total
+}
+
+// learnTail takes a measured tail into account. The load of the serving task itself changes its tail as much as fillers
+// do, but slowly. What the tail has grown by since the last measurement is therefore put down to the fillers that have
+// come or sped up since. Decreases teach little, because a tail falls slowly.
+func (c *Cell) learnTail(t *task) {
+	uses, total := t.node.filling(nil)
+	was, before, at := t.usesBefore, t.tailBefore, t.beforeAt
+	t.usesBefore, t.tailBefore, t.beforeAt = uses, t.tail, t.tailAt
+	if total < quietUse && len(was) == 0 {
+		quiet := c.quiet[t.image]
+		c.quiet[t.image] = max(leastQuiet, quiet+quietRate*(t.tail-quiet))
+	}
+	elapsed := t.tailAt.since(at)
+	if at == noTime || elapsed < leastElapsed || elapsed > mostElapsed || t.node.fading(t.tailAt) {
 		return
 	}
-	c.opts.Tails.Learn(image, loads, 1+math.Log(t.tail/quiet), tailNoise)
+	loads := c.loads[:0]
+	grown := 0.0
+	for _, u := range uses {
+		part := u.part
+		if i := slices.IndexFunc(was, func(w use) bool { return w.image == u.image }); i >= 0 {
+			part -= was[i].part
+		}
+		if part < -leastGrowth {
+			return
+		}
+		loads = append(loads, Load{Class: u.image, Part: part})
+		grown += part
+	}
+	for _, w := range was {
+		if w.part >= leastGrowth && !slices.ContainsFunc(uses, func(u use) bool { return u.image == w.image }) {
+			return
+		}
+	}
+	c.loads = loads
+	if grown >= leastGrowth {
+		c.opts.Tails.Learn(t.image, loads, 1+math.Log(max(t.tail, leastQuiet)/max(before, leastQuiet)), tailNoise)
+	}
+}
+
+// fading reports whether the tails on a worker may still show an earlier, higher speed of a filler.
+func (n *node) fading(at stamp) bool {
+	return slices.ContainsFunc(n.tasks, func(f *task) bool { return f.constraints.Filler && f.unsettled(at) })
 }
 
 // lengthening returns the expected logarithm of the factor by which a filler image lengthens the tail of a serving task,
@@ -125,9 +172,8 @@
 		}
 		tail := math.Log(max(s.tail, c.quiet[s.image]))
 		for _, f := range n.tasks {
-			if f.constraints.Filler && f.using == 0 {
-				// It has just started, so that the measured tail does not show it yet.
-				tail += c.lengthening(s, f.image, f.pace*float64(f.wish))
+			if f.constraints.Filler {
+				tail += c.lengthening(s, f.image, f.unseen(c.now))
 			}
 		}
 		i := slices.IndexFunc(n.expected, func(e expectation) bool { return e.image == s.image })
@@ -224,9 +270,19 @@
 	}
 }
 
-// unsettled reports whether a measurement at a time may still show an earlier speed of a filler.
+// unsettled reports whether a measurement at a time may still show an earlier, higher speed of a filler.
 func (f *task) unsettled(at stamp) bool {
-	return f.pacedAt != noTime && at.since(f.pacedAt) < fadeTime
+	return f.slowedAt != noTime && at.since(f.slowedAt) < fadeTime
+}
+
+// unseen returns what a filler will use beyond what the last measurement shows, in thousandths of a processor: it has
+// just started or been sped up.
+func (f *task) unseen(now stamp) float64 {
+	since := max(f.started, f.pacedAt)
+	if since == noTime || now.since(since) >= fadeTime {
+		return 0
+	}
+	return max(0, f.pace*float64(f.wish)-float64(f.using))
 }
 
 // settling reports whether the last change of a filler's speed may not show in the measurements yet.
@@ -247,7 +303,13 @@
 	for _, s := range n.tasks {
 		if s.constraints.Serving {
 			serving = append(serving, s)
-			room = append(room, math.Log(speedTail/max(s.tail, leastQuiet)))
+			left := math.Log(speedTail / max(s.tail, leastQuiet))
+			for _, f := range n.tasks {
+				if f.constraints.Filler {
+					left -= r.lengthening(s, f.image, f.unseen(r.now))
+				}
+			}
+			room = append(room, left)
 		}
 	}
 	var list []slowed
@@ -263,7 +325,7 @@
 	}
 	slices.SortStableFunc(list, func(a, b slowed) int { return cmp.Compare(a.factor, b.factor) })
 	for _, sl := range list {
-		more := 1 - sl.filler.pace
+		more := sl.filler.limit(r.now) - sl.filler.pace
 		for i, s := range serving {
 			if full := r.lengthening(s, sl.image, float64(sl.filler.wish)); full*more > room[i] {
 				more = max(0, room[i]/full)
@@ -279,6 +341,14 @@
 	}
 }
 
+// limit returns the speed that a filler may have: for some time less than that at which it harmed a serving task.
+func (f *task) limit(now stamp) float64 {
+	if f.slowedAt != noTime && now.since(f.slowedAt) < harmMemory {
+		return max(f.pace, f.harmful*harmMargin)
+	}
+	return 1
+}
+
 // setPace adds the decision on the speed of a filler.
 func (r *round) setPace(f *task, pace float64) {
 	if pace < leastPace {
@@ -287,6 +357,12 @@
 	if !f.constraints.Filler || f.state != running || pace == f.pace && f.paceKnown {
 		return
 	}
+	if pace > 0 && pace < 1 && f.paceKnown && math.Abs(pace-f.pace) < leastChange {
+		return
+	}
+	if pace < f.pace {
+		f.harmful, f.slowedAt = f.pace, r.now
+	}
 	f.pace, f.pacedAt, f.paceKnown = pace, r.now, true
 	r.plan.Throttles = append(r.plan.Throttles, Throttle{
 		Task: f.id, Attempt: f.attempt, Worker: f.node.worker.ID, Fraction: pace,
--- a/core/placement/task.go
+++ b/core/placement/task.go
@@ -79,18 +79,32 @@
 	// wish is what a filler would use if it could, and using what it was last seen to use, in thousandths of a processor.
 	wish, using int64
 	// pace is the part of its speed at which a filler may work, since pacedAt; paceKnown says that its worker knows it.
-	pace      float64
-	pacedAt   stamp
+	pace    float64
+	pacedAt stamp
+	// harmful is the speed from which the filler was slowed down last, at slowedAt.
+	harmful   float64
+	slowedAt  stamp
 	paceKnown bool
 	// image is the number of the task's image.
 	image int
 	// tail is the last measured tail of a serving task, as a part of its target.
-	tail         float64
-	tailAt       stamp
-	lasting      bool
-	submitted    stamp
-	started      stamp
-	checkpointed stamp
+	tail   float64
+	tailAt stamp
+	// tailBefore and usesBefore are the tail and the use of the fillers beside the task that were compared last, at beforeAt.
+	tailBefore float64
+	usesBefore []use
+	beforeAt   stamp
+	lasting    bool
+	submitted  stamp
+	// due, objective, remainingChain and begun are those of Due; due is noTime without an objective. rank is the rank
+	// under which the task is queued.
+	due            stamp
+	objective      time.Duration
+	remainingChain time.Duration
+	begun          bool
+	rank           rank
+	started        stamp
+	checkpointed   stamp
 	// blocked is when the task first failed to fit as the first one of its queue.
 	blocked stamp
 	// retryAt is when evictions may be tried for the task again.
@@ -112,28 +126,35 @@
 		p.Need.MilliCPU = 0
 	}
 	return &task{
-		id:           p.Task,
-		attempt:      p.Attempt,
-		evictions:    int32(min(max(p.Evictions, 0), math.MaxInt32)),
-		class:        cl,
-		tenant:       cl.tenant(p.Tenant),
-		declared:     bounded(p.Need),
-		want:         bounded(p.Need),
-		runTime:      max(0, p.RunTime),
-		pool:         p.Pool,
-		constraints:  p.Constraints,
-		wish:         wish,
-		pace:         1,
-		paceKnown:    true,
-		pacedAt:      noTime,
-		tailAt:       noTime,
-		lasting:      p.Lasting,
-		submitted:    stampOf(p.SubmittedAt),
-		started:      noTime,
-		checkpointed: noTime,
-		blocked:      noTime,
-		retryAt:      noTime,
-		avoid:        p.Avoid,
+		id:          p.Task,
+		attempt:     p.Attempt,
+		evictions:   int32(min(max(p.Evictions, 0), math.MaxInt32)),
+		class:       cl,
+		tenant:      cl.tenant(p.Tenant),
+		declared:    bounded(p.Need),
+		want:        bounded(p.Need),
+		runTime:     max(0, p.RunTime),
+		pool:        p.Pool,
+		constraints: p.Constraints,
+		wish:        wish,
+		pace:        1,
+		paceKnown:   true,
+		pacedAt:     noTime,
+		slowedAt:    noTime,
+		tailAt:      noTime,
+		beforeAt:    noTime,
+		lasting:     p.Lasting,
+		submitted:   stampOf(p.SubmittedAt),
+		due:         stampOf(p.Due.At),
+
+		objective:      p.Due.Objective,
+		remainingChain: p.Due.Remaining,
+		begun:          p.Due.Begun,
+		started:        noTime,
+		checkpointed:   noTime,
+		blocked:        noTime,
+		retryAt:        noTime,
+		avoid:          p.Avoid,
 	}
 }
 
@@ -153,6 +174,7 @@
 		Constraints: t.constraints,
 		Lasting:     t.lasting,
 		SubmittedAt: t.submitted.time(),
+		Due:         Due{At: t.due.time(), Objective: t.objective, Remaining: t.remainingChain, Begun: t.begun},
 		Evictions:   int(t.evictions),
 		Avoid:       t.avoid,
 	}
--- a/relay/jobs/router.go
+++ b/relay/jobs/router.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"strconv"
+	"encoding/binary"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -128,7 +128,16 @@
 
 // CellOfNumber returns the cell of a job whose number its caller chose, which is the same at every host.
 func CellOfNumber(cells []ident.CellID, number uint64) ident.CellID {
-	return cellOfToken(cells, strconv.FormatUint(number, 16))
+	best, bestScore := cells[0], uint64(0)
+	for _, cell := range cells {
+		var key [12]byte
+		binary.BigEndian.PutUint64(key[:], number)
+		binary.BigEndian.PutUint32(key[8:], uint32(cell))
+		if score := xxhash.Sum64(key[:]); score > bestScore || score == bestScore && cell < best {
+			best, bestScore = cell, score
+		}
+	}
+	return best
 }
 
 // JobOfNumber returns the id of a job whose number its caller chose.
