Send the speed of a filler that was slowed down before its start was answered

Fillers that had waited for 3 s were also started beside tasks that missed their targets already. Change: the order is kept and sent after the next report; fillers that have waited for long start where they are expected to cause at most 1.5 times the target, and anywhere only after 9 s. Result: TestThrottleOfAStartIsSentLater failed before and passes.

--- a/core/lifecycle/attempt.go
+++ b/core/lifecycle/attempt.go
@@ -25,9 +25,14 @@
 	defer c.mu.Unlock()
 	var eff Effects
 	for _, th := range plan.Throttles {
-		if t := c.task(th.Task); t != nil && t.run != nil && t.run.phase == phaseActive {
-			t.run.fraction = th.Fraction
-			t.run.throttleLost = false
+		t := c.task(th.Task)
+		if t == nil || t.run == nil || t.run.Attempt != th.Attempt {
+			continue
+		}
+		t.run.fraction = th.Fraction
+		// An attempt whose start is not answered yet is slowed down by the next report that lists it.
+		t.run.throttleLost = t.run.phase == phaseStarting
+		if t.run.phase == phaseActive {
 			eff.do(ThrottleTask{Run: t.run.Run, Worker: t.run.worker, Fraction: th.Fraction})
 		}
 	}
--- a/core/lifecycle/groups_test.go
+++ b/core/lifecycle/groups_test.go
@@ -245,3 +245,17 @@
 		require.Len(t, req.Acks, 1, "the failure is durable")
 	}
 }
+
+// Guards against an attempt that runs at full speed although the planner has slowed it down: a report may list it, and the
+// planner decide, before the answer to its start arrives.
+func TestThrottleOfAStartIsSentLater(t *testing.T) {
+	f := newFixture(t, 1, "w")
+	id := f.submit(1)
+	run := f.place(taskOf(id, 0, 0), "w")
+	f.cmds = nil
+	f.apply(f.c.Planned(f.now, placement.Plan{Throttles: []placement.Throttle{{Task: run.Task, Attempt: 1, Worker: "w", Fraction: 0.5}}}))
+	require.Empty(t, f.cmds)
+	f.apply(f.c.StartAnswered(f.now, "w", run, Answer{Outcome: Applied}))
+	f.ends("w")
+	require.Contains(t, f.cmds, ThrottleTask{Run: run, Worker: "w", Fraction: 0.5})
+}
--- a/core/placement/framework.go
+++ b/core/placement/framework.go
@@ -61,8 +61,8 @@
 	Wish int64
 	// image is the number of the task's image in the cell.
 	image int
-	// Patient fillers wait for a worker where they are not expected to bring a serving task near its target.
-	Patient bool
+	// MostTail is how long a tail of a serving task a filler may be expected to cause, as a part of the target.
+	MostTail float64
 }
 
 // Filter rules workers out.
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"time"
 
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
@@ -221,19 +222,27 @@
 
 // group names the tasks that differ in nothing that placement looks at.
 type group struct {
-	job     ident.JobID
-	group   int
-	avoid   int
-	patient bool
+	job      ident.JobID
+	group    int
+	avoid    int
+	mostTail float64
 }
 
 func (r *round) groupOf(t *task) group {
-	return group{t.id.Job, t.id.Group(), len(t.avoid), r.patient(t)}
+	return group{t.id.Job, t.id.Group(), len(t.avoid), r.mostTail(t)}
 }
 
-// patient reports whether a filler still waits for a worker where it disturbs no serving task.
-func (r *round) patient(t *task) bool {
-	return r.now.since(t.queuedAt) < r.opts.FillerPatience
+// mostTail returns how long a tail a filler may be expected to cause. It rises with the time for which the filler waits,
+// so that one which harms all serving tasks runs in the end, at the speed that pacing leaves it.
+func (r *round) mostTail(t *task) float64 {
+	switch waits := r.now.since(t.queuedAt); {
+	case waits < r.opts.FillerPatience:
+		return nearTail
+	case waits < impatience*r.opts.FillerPatience:
+		return impatientTail
+	default:
+		return math.Inf(1)
+	}
 }
 
 func (r *round) isTooLarge(need resource.Vector) bool {
@@ -267,8 +276,8 @@
 	return Request{
 		Task: t.id, Class: t.class.index, Urgent: t.class.urgent, Booking: t.want, Avoid: t.avoid,
 		Pool: t.pool, Constraints: t.constraints, Wish: t.wish,
-		image:   t.image,
-		Patient: r.patient(t),
+		image:    t.image,
+		MostTail: r.mostTail(t),
 	}
 }
 
@@ -287,7 +296,7 @@
 	c.candidates = c.candidates[:0]
 	for _, slot := range c.slots {
 		n := c.nodes[slot]
-		if req.Constraints.Filler && req.Patient && c.tailBeside(req, n) > nearTail {
+		if req.Constraints.Filler && c.tailBeside(req, n) > req.MostTail {
 			continue
 		}
 		if passes(c.required, c.spread, req, n) {
--- a/core/placement/tails.go
+++ b/core/placement/tails.go
@@ -16,6 +16,9 @@
 	goalTail = 0.75
 	// speedTail is what speeding up keeps to.
 	speedTail = 0.85
+	// impatientTail is what fillers may cause that have waited in vain, for impatience times that long.
+	impatientTail = 1.5
+	impatience    = 3
 	// worstTail bounds what is expected, so that scores stay comparable.
 	worstTail = 4
 	// firstQuiet is the usual tail without fillers of an image not yet seen, and quietRate how fast it is learnt.
