Log decisions as JSON lines, bounded by kind and without blocking

Cause: when a caller complains, engineers on call have logs and metrics and nothing else; a host wrote neither. Change: owners note what they decide about jobs, tasks and workers, with the inputs, epoch and table revision; the entry host notes each call that it refuses; the loss and return of the store are noted once each. Lines go through a bounded queue; 400 lines a second of each kind at most, what is dropped is counted. Latency of jobs by class and store calls by kind and status are on the metrics address.

--- /dev/null
+++ b/adapter/decisionlog/journal.go
@@ -0,0 +1,80 @@
+package decisionlog
+
+import (
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
+
+	"github.com/bulrushrelay/bulrushrelay/relay/jobs"
+)
+
+const (
+	// linesPerSecond bounds the lines of one kind of event: more than the starts of a deployment of 50 workers at its peak.
+	linesPerSecond = 400
+	linesBurst     = 800
+	// reportEvery is how often dropped lines are reported.
+	reportEvery = 10 * time.Second
+)
+
+// Journal implements jobs.Journal. It is safe for concurrent use.
+type Journal struct {
+	log logrus.FieldLogger
+
+	// mu guards kinds and reportedAt; nothing is written under it.
+	mu         sync.Mutex
+	kinds      map[jobs.EventName]*kind
+	reportedAt time.Time
+}
+
+// kind is what is kept of one kind of event.
+type kind struct {
+	limit   *rate.Limiter
+	dropped int
+}
+
+var _ jobs.Journal = (*Journal)(nil)
+
+// NewJournal returns a journal that writes to log, whose output must not block.
+func NewJournal(log logrus.FieldLogger) *Journal {
+	return &Journal{log: log, kinds: make(map[jobs.EventName]*kind)}
+}
+
+// Note implements jobs.Journal.
+func (j *Journal) Note(e jobs.EventName, f jobs.Fields) {
+	now := time.Now()
+	allowed, dropped := j.admit(e, now)
+	if len(dropped) > 0 {
+		j.log.WithField("event", "lines_dropped").WithFields(dropped).Warn("lines of the decision log were dropped")
+	}
+	if allowed {
+		j.log.WithFields(logrus.Fields(f)).WithField("event", string(e)).Info(string(e))
+	}
+}
+
+// admit reports whether a line may be written, and now and then how many of each kind were dropped.
+func (j *Journal) admit(e jobs.EventName, now time.Time) (allowed bool, dropped logrus.Fields) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	k, ok := j.kinds[e]
+	if !ok {
+		k = &kind{limit: rate.NewLimiter(linesPerSecond, linesBurst)}
+		j.kinds[e] = k
+	}
+	if allowed = k.limit.AllowN(now, 1); !allowed {
+		k.dropped++
+	}
+	if now.Sub(j.reportedAt) < reportEvery {
+		return allowed, nil
+	}
+	j.reportedAt = now
+	dropped = logrus.Fields{}
+	for name, k := range j.kinds {
+		if k.dropped > 0 {
+			dropped[string(name)] = k.dropped
+			k.dropped = 0
+		}
+	}
+	return allowed, dropped
+}
--- a/cmd/relayd/platform.go
+++ b/cmd/relayd/platform.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
 	"os"
 	"os/signal"
 	"reflect"
@@ -13,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
 
+	"github.com/bulrushrelay/bulrushrelay/adapter/decisionlog"
 	"github.com/bulrushrelay/bulrushrelay/adapter/telemetry"
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/table"
@@ -55,11 +58,14 @@
 }
 
 func runPlatform(ctx context.Context, path string, s platform.Settings, cells int) error {
-	log := platformLogger(s)
+	sink := decisionlog.NewSink(os.Stdout)
+	defer sink.Close()
+	log := platformLogger(s, sink)
+	journal := decisionlog.NewJournal(log)
 	client := platform.NewClient()
 	defer client.Close()
 	metrics := telemetry.NewRegistry()
-	store := platform.NewStore(client, s.StoreAddress, storeCalls(metrics))
+	store := platform.NewStore(client, s.StoreAddress, storeCalls(metrics, daemon.NewDependency("store", log)))
 	settings := jobSettings(s, cells)
 	ids := daemon.CellIDs(settings.CellCount())
 	jobOf := func(number uint64) ident.JobID {
@@ -69,6 +75,7 @@
 	var front *platform.Front
 	h, err := daemon.NewJobHost(settings, daemon.JobPorts{
 		Metrics:       metrics,
+		Journal:       journal,
 		Store:         store,
 		Workers:       platform.NewWorkers(client, s.WorkerLease, jobOf, log),
 		FollowWorkers: platform.NewDirectory(store, log).Run,
@@ -79,7 +86,7 @@
 			})
 		},
 		Callers: func(e *echo.Echo, r *jobs.Router) {
-			front = platform.NewFront(r)
+			front = platform.NewFront(r, journal)
 			front.Register(e)
 		},
 		Status: platform.RegisterReady,
@@ -92,11 +99,13 @@
 }
 
 // storeCalls counts the calls to the store and how long they take.
-func storeCalls(m *telemetry.Registry) platform.CallObserver {
+func storeCalls(m *telemetry.Registry, store *daemon.Dependency) platform.CallObserver {
 	return func(path string, status int, took time.Duration) {
 		call := telemetry.Label{Name: "call", Value: path}
 		m.Counter("store_calls_total", call, telemetry.Label{Name: "status", Value: strconv.Itoa(status)}).Inc(1)
 		m.Histogram("store_call_us", call).Update(took.Microseconds())
+		answered := status != 0 && status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests
+		store.Note(answered, "last status "+strconv.Itoa(status))
 	}
 }
 
@@ -108,9 +117,9 @@
 	}
 }
 
-func platformLogger(s platform.Settings) *logrus.Entry {
+func platformLogger(s platform.Settings, out io.Writer) *logrus.Entry {
 	logger := logrus.New()
-	logger.SetOutput(os.Stdout)
+	logger.SetOutput(out)
 	logger.SetFormatter(&logrus.JSONFormatter{})
 	return logger.WithFields(logrus.Fields{"host": s.Host, "data_centre": s.DataCentre})
 }
--- a/core/lifecycle/cell.go
+++ b/core/lifecycle/cell.go
@@ -202,6 +202,13 @@
 	c.table = t
 }
 
+// TableRevision returns the revision of the table in force.
+func (c *Cell) TableRevision() table.Revision {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.Revision()
+}
+
 // Fenced reports whether a worker refused a call because it knows a higher epoch: this owner has been replaced.
 func (c *Cell) Fenced() bool {
 	c.mu.Lock()
@@ -381,8 +388,8 @@
 		failedOn:   make(map[ident.WorkerID]struct{}),
 		groups:     make([]groupState, len(spec.Groups)),
 	}
-	chains, longest := spec.chains()
-	j.objective = spec.objective(longest)
+	chains, longest := spec.Chains()
+	j.objective = spec.Objective(longest)
 	i := 0
 	for g := range j.spec.Groups {
 		j.groups[g] = groupState{first: i, open: j.spec.Groups[g].Count, chain: chains[g]}
--- a/core/lifecycle/types.go
+++ b/core/lifecycle/types.go
@@ -131,8 +131,8 @@
 	Groups  []TaskGroup
 }
 
-// chains returns for each group the longest chain of declared run times that begins with it, and the longest of all.
-func (s JobSpec) chains() (from []time.Duration, longest time.Duration) {
+// Chains returns for each group the longest chain of declared run times that begins with it, and the longest of all.
+func (s JobSpec) Chains() (from []time.Duration, longest time.Duration) {
 	from = make([]time.Duration, len(s.Groups))
 	for g := len(s.Groups) - 1; g >= 0; g-- {
 		from[g] += s.Groups[g].RunTime
@@ -144,8 +144,8 @@
 	return from, longest
 }
 
-// objective returns how long the job should take; 0 if it has no objective.
-func (s JobSpec) objective(longest time.Duration) time.Duration {
+// Objective returns how long the job should take; 0 if it has no objective.
+func (s JobSpec) Objective(longest time.Duration) time.Duration {
 	return time.Duration(s.Stretch*float64(longest)) + s.Grace
 }
 
--- a/core/ownership/grant.go
+++ b/core/ownership/grant.go
@@ -19,6 +19,18 @@
 	Full
 )
 
+// String returns the authority for logs.
+func (a Authority) String() string {
+	switch a {
+	case Full:
+		return "full"
+	case InDoubt:
+		return "in doubt"
+	default:
+		return "none"
+	}
+}
+
 // Grant is the right of this host in one cell at one moment.
 type Grant struct {
 	Cell      ident.CellID
--- /dev/null
+++ b/daemon/dependency.go
@@ -0,0 +1,61 @@
+package daemon
+
+import (
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// lostAfter calls in a row that fail, a dependency counts as lost: one or two can be a connection that was closed.
+const lostAfter = 3
+
+// Dependency logs when something that the host depends on is lost, and when it is back. It is safe for concurrent use.
+type Dependency struct {
+	name string
+	log  logrus.FieldLogger
+
+	// mu guards the fields below, which concurrent calls change.
+	mu       sync.Mutex
+	failures int
+	lostAt   time.Time
+	lost     bool
+}
+
+// NewDependency returns a dependency that has not failed yet.
+func NewDependency(name string, log logrus.FieldLogger) *Dependency {
+	return &Dependency{name: name, log: log}
+}
+
+// Note takes the outcome of a call; reason says why it failed.
+func (d *Dependency) Note(ok bool, reason string) {
+	changed, lost, failures, since := d.take(ok, time.Now())
+	if !changed {
+		return
+	}
+	line := d.log.WithFields(logrus.Fields{"dependency": d.name, "failures": failures})
+	if lost {
+		line.WithFields(logrus.Fields{"event": "dependency_lost", "reason": reason}).Warn("a dependency is lost")
+		return
+	}
+	line.WithFields(logrus.Fields{"event": "dependency_regained", "lost_ms": since.Milliseconds()}).Info("a dependency is back")
+}
+
+func (d *Dependency) take(ok bool, now time.Time) (changed, lost bool, failures int, since time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if ok {
+		changed, failures, since = d.lost, d.failures, now.Sub(d.lostAt)
+		d.lost, d.failures = false, 0
+		return changed, false, failures, since
+	}
+	if d.failures == 0 {
+		d.lostAt = now
+	}
+	d.failures++
+	if d.lost || d.failures < lostAfter {
+		return false, d.lost, d.failures, 0
+	}
+	d.lost = true
+	return true, true, d.failures, 0
+}
--- /dev/null
+++ b/daemon/dependency_test.go
@@ -0,0 +1,29 @@
+package daemon
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a line for each failed call of an outage, and against an outage of which the log tells no end.
+func TestDependencyLogsChangesOnly(t *testing.T) {
+	var out bytes.Buffer
+	log := logrus.New()
+	log.SetOutput(&out)
+	d := NewDependency("store", log)
+	d.Note(false, "reset")
+	d.Note(true, "")
+	require.Empty(t, out.String(), "a single failure is not the loss of a dependency")
+	for range 100 {
+		d.Note(false, "reset")
+	}
+	require.Equal(t, 1, strings.Count(out.String(), "dependency_lost"))
+	d.Note(true, "")
+	d.Note(true, "")
+	require.Equal(t, 1, strings.Count(out.String(), "dependency_regained"))
+	require.Contains(t, out.String(), "failures=100")
+}
--- a/daemon/jobhost.go
+++ b/daemon/jobhost.go
@@ -90,6 +90,8 @@
 type JobPorts struct {
 	// Metrics is served on the metrics address; the ports may count in it.
 	Metrics *telemetry.Registry
+	// Journal takes the decisions.
+	Journal jobs.Journal
 	Store   store.Store
 	Workers jobs.WorkerPort
 	// FollowWorkers and FollowTable call back with the present state and each change, until ctx ends. The workers may be
@@ -207,6 +209,10 @@
 		DoubtLimit:     h.settings.leaseTime(),
 		Cells:          h.settings.Cells,
 		Logger:         h.log.Logger,
+		Journal:        h.ports.Journal,
+		Latency: func(class ident.ClassName, took time.Duration) {
+			h.metrics.Histogram("job_ms", telemetry.Label{Name: "class", Value: string(class)}).Update(took.Milliseconds())
+		},
 	}, table.New(0, nil))
 }
 
--- a/relay/jobs/api.go
+++ b/relay/jobs/api.go
@@ -20,6 +20,13 @@
 		return ident.JobID{}, err
 	}
 	id, err := o.submit(ctx, spec)
+	if err != nil {
+		e := verdict.From(err)
+		o.note(EventJobRefused, Fields{
+			"job": jobField(ident.ChosenJobID(cell, spec.Number)), "class": spec.Class, "verdict": e.Verdict.String(),
+			"code": string(e.Code), "reason": err.Error(), "authority": o.authority().String(), "table": o.tableRevision(),
+		})
+	}
 	switch {
 	case err == nil:
 		s.stats.Accepted.Add(1)
--- a/relay/jobs/calls.go
+++ b/relay/jobs/calls.go
@@ -138,6 +138,9 @@
 			c := o.cfg.Workers.Claim(call, m, o.cellID, o.epoch)
 			cancel()
 			if c.Outcome == lifecycle.Applied {
+				o.note(EventWorkerClaimed, Fields{
+					"worker": m.ID, "life": c.Incarnation, "running": len(c.Report.Active), "ended": len(c.Report.Ended),
+				})
 				return o.call(ctx, func() { o.apply(o.cell.Claimed(o.now(), m.ID, c.Incarnation, c.Report)) })
 			}
 			if c.Reason == lifecycle.ReasonFenced {
@@ -281,6 +284,9 @@
 		o.stats.Started.Add(1)
 	case lifecycle.Refused:
 		o.stats.Refused.Add(1)
+		o.note(EventStartRefused, Fields{
+			"task": taskField(c.Task), "attempt": c.Attempt, "worker": m.ID, "reason": a.Reason.String(),
+		})
 	default:
 		o.stats.Unknown.Add(1)
 	}
--- a/relay/jobs/owner.go
+++ b/relay/jobs/owner.go
@@ -131,7 +131,9 @@
 		o.checkAuthority()
 		o.apply(o.cell.Tick(o.now()))
 		o.plan()
-		o.watch.notify(o.cell.TakeChanged())
+		changed := o.cell.TakeChanged()
+		o.noteFinished(changed)
+		o.watch.notify(changed)
 		o.checkQuiet()
 		timer.Reset(o.nextWake())
 	}
@@ -259,6 +261,7 @@
 }
 
 func (o *owner) perform(command lifecycle.Command) {
+	o.noteCommand(command)
 	switch c := command.(type) {
 	case lifecycle.Enqueue:
 		o.planner.Submit(c.Tasks)
@@ -304,7 +307,9 @@
 	// The log writer waits, so that a caller who is told of the commit also sees its effect.
 	o.call(o.ctx, func() {
 		o.apply(o.cell.Committed(o.now(), records))
+		now := o.now()
 		for _, r := range records {
+			o.noteRecord(r, now)
 			switch typed := r.(type) {
 			case lifecycle.JobAccepted:
 				delete(o.accepting, typed.Job)
--- a/relay/jobs/service.go
+++ b/relay/jobs/service.go
@@ -46,6 +46,9 @@
 	// Cells is the number of cells over which the limits of the table are divided.
 	Cells  int
 	Logger *logrus.Logger
+	// Journal takes the decisions of owners; nil drops them. Latency takes how long each finished job took; nil drops it.
+	Journal Journal
+	Latency func(class ident.ClassName, took time.Duration)
 	// Replaced is called when the store or a worker proves that another host owns a cell; it must not block.
 	Replaced func(cell ident.CellID, epoch ident.Epoch)
 }
@@ -80,6 +83,12 @@
 	if cfg.Policy == (lifecycle.Policy{}) {
 		cfg.Policy = lifecycle.DefaultPolicy()
 	}
+	if cfg.Journal == nil {
+		cfg.Journal = noJournal{}
+	}
+	if cfg.Latency == nil {
+		cfg.Latency = func(ident.ClassName, time.Duration) {}
+	}
 	if cfg.SyncWait == 0 {
 		cfg.SyncWait = DefaultSyncWait
 	}
