--- a/core/lifecycle/cell.go
+++ b/core/lifecycle/cell.go
@@ -263,6 +263,15 @@
 	return s.Token
 }
 
+// Knows reports whether a submission is a repeat of one that was made to this owner or is in the log.
+func (c *Cell) Knows(spec JobSpec) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	token := spec.repeatToken(c.id)
+	_, known := c.tokens[token]
+	return known && token != ""
+}
+
 // sameWork ignores what the table adds, which may change between two submissions.
 func sameWork(a, b JobSpec) bool {
 	return a.Name == b.Name && a.Class == b.Class && a.Pool == b.Pool && a.FailFast == b.FailFast &&
--- a/daemon/jobhost.go
+++ b/daemon/jobhost.go
@@ -39,6 +39,9 @@
 	jobSyncWait = time.Second
 	// jobDurableWait is how long a submission waits for the store and for an owner of its cell.
 	jobDurableWait = 1500 * time.Millisecond
+	// jobStallLimit is how long a commit may fail before new jobs are refused at once: a hundred times what the store
+	// takes for an answer.
+	jobStallLimit = 400 * time.Millisecond
 	// jobCommitInterval groups the records of a cell; each step of a job waits for half of it on average.
 	jobCommitInterval = 20 * time.Millisecond
 	// jobLogShare is the part of the store's writes that the cell logs may take together.
@@ -207,6 +210,7 @@
 		SyncWait:       jobSyncWait,
 		DurableWait:    jobDurableWait,
 		DoubtLimit:     h.settings.leaseTime(),
+		StallLimit:     jobStallLimit,
 		Cells:          h.settings.Cells,
 		Logger:         h.log.Logger,
 		Journal:        h.ports.Journal,
--- a/relay/jobs/api.go
+++ b/relay/jobs/api.go
@@ -62,7 +62,14 @@
 		it  *item
 		err error
 	)
+	stalled := o.log.failing()
 	ok := o.call(ctx, func() {
+		if limit := o.cfg.StallLimit; limit > 0 && stalled >= limit && !o.cell.Knows(spec) {
+			// It would wait in vain, and its caller can ask elsewhere or later.
+			err = verdict.New(verdict.NotRun, verdict.CodeLimited, "the store has not answered for %s", stalled.Round(time.Millisecond)).
+				After(stallRetry)
+			return
+		}
 		var eff lifecycle.Effects
 		if id, eff, err = o.cell.Accept(o.now(), spec); err != nil {
 			return
@@ -92,6 +99,10 @@
 		"job %s may have been accepted: the store did not answer; a repeat with the same client token is safe", id)
 }
 
+// stallRetry is when a job that was refused because the store does not answer may be offered again: about the time in
+// which a successor takes the cell over.
+const stallRetry = 2 * time.Second
+
 // awaitDurable waits until the record is durable; false after durableWait, or when the caller or the owner ends.
 func (o *owner) awaitDurable(ctx context.Context, it *item) bool {
 	limit := time.NewTimer(o.cfg.DurableWait)
--- a/relay/jobs/failure_test.go
+++ b/relay/jobs/failure_test.go
@@ -137,6 +137,39 @@
 	})
 }
 
+// Guards against jobs that wait for a store which is known not to answer, and against a refusal of a repeat whose first
+// submission may still be written.
+func TestNewJobsAreRefusedAtOnceWhileTheStoreIsDown(t *testing.T) {
+	scenario(t, 1, func(w *world, h *host) {
+		h.svc = h.withStallLimit(400 * time.Millisecond)
+		w.own(h)
+		w.engine.SetFault(kv.Fault{Down: true})
+		first := spec("batch", 1, "work=1s")
+		first.Number = 7
+		var outcome error
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_, outcome = h.svc.Submit(bg, cell, first)
+		}()
+		time.Sleep(time.Second)
+		start := time.Now()
+		second := first
+		second.Number = 8
+		_, err := h.svc.Submit(bg, cell, second)
+		require.Equal(t, verdict.NotRun, verdict.From(err).Verdict)
+		require.Equal(t, verdict.CodeLimited, verdict.From(err).Code)
+		require.Less(t, time.Since(start), 100*time.Millisecond)
+		w.engine.SetFault(kv.Fault{})
+		id, err := h.svc.Submit(bg, cell, first)
+		require.NoError(t, err, "the repeat waits for the record of the first submission")
+		<-done
+		require.NoError(t, outcome)
+		h.finished(time.Minute, id)
+		w.verify(h, id)
+	})
+}
+
 // Guards against a lost answer that doubles or loses a record, and against a second job after a safe repeat.
 func TestAnswerLostAfterAppend(t *testing.T) {
 	scenario(t, 2, func(w *world, h *host) {
--- a/relay/jobs/log.go
+++ b/relay/jobs/log.go
@@ -64,6 +64,8 @@
 	mu    sync.Mutex
 	queue []*item
 	bytes int
+	// failingSince is when the commit in progress failed first; zero if the last one succeeded.
+	failingSince time.Time
 	// busy is set while the writer has a batch that is not resolved.
 	busy bool
 	idle chan struct{}
@@ -298,7 +300,9 @@
 	pause := l.interval
 	maybe := false
 	for {
-		switch l.try(ctx, key, marker, value) {
+		outcome := l.try(ctx, key, marker, value)
+		l.noteOutcome(outcome)
+		switch outcome {
 		case store.Applied:
 			l.resolved(batch, records)
 			return true
@@ -325,6 +329,28 @@
 	}
 }
 
+// noteOutcome keeps since when commits fail.
+func (l *cellLog) noteOutcome(o store.Outcome) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case o == store.Applied:
+		l.failingSince = time.Time{}
+	case l.failingSince.IsZero():
+		l.failingSince = time.Now()
+	}
+}
+
+// failing returns for how long commits have failed; 0 if they do not.
+func (l *cellLog) failing() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.failingSince.IsZero() {
+		return 0
+	}
+	return time.Since(l.failingSince)
+}
+
 // fencedOutcome is the outcome of a commit whose conditions failed because another owner has the cell.
 const fencedOutcome store.Outcome = 255
 
--- a/relay/jobs/service.go
+++ b/relay/jobs/service.go
@@ -43,6 +43,9 @@
 	// DoubtLimit is how long an owner in doubt renews the leases of tasks; 0 means without end. A successor that cannot
 	// confirm that its predecessor stopped must wait for longer.
 	DoubtLimit time.Duration
+	// StallLimit is how long the store may leave a commit unanswered before new jobs are refused at once instead of
+	// waiting for it; 0 lets them wait.
+	StallLimit time.Duration
 	// Cells is the number of cells over which the limits of the table are divided.
 	Cells  int
 	Logger *logrus.Logger
@@ -145,6 +148,8 @@
 	}
 	o.logger.WithFields(logrus.Fields{"records": len(h.records), "clean": h.clean()}).Info("cell acquired")
 	o.apply(o.cell.Recover(o.now(), h.clean(), members))
+	// What the predecessor did is no change.
+	o.cell.TakeChanged()
 	o.checkAuthority()
 	o.wg.Add(2)
 	go o.loop()
--- a/relay/jobs/world_test.go
+++ b/relay/jobs/world_test.go
@@ -52,6 +52,7 @@
 type host struct {
 	w    *world
 	name string
+	cfg  jobs.Config
 	svc  *jobs.Service
 	link *worker.Link
 
@@ -65,6 +66,14 @@
 	return h.grant
 }
 
+// withStallLimit ends the host's service and returns one that refuses new jobs while the store is down.
+func (h *host) withStallLimit(limit time.Duration) *jobs.Service {
+	h.svc.Lost(cell)
+	cfg := h.cfg
+	cfg.StallLimit = limit
+	return jobs.New(cfg, testTable)
+}
+
 func (h *host) setGrant(f func(g *ownership.Grant)) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -102,12 +111,13 @@
 	h := &host{w: w, name: fmt.Sprintf("h%d", len(w.hosts)), link: worker.NewLink(w.fleet)}
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	h.svc = jobs.New(jobs.Config{
+	h.cfg = jobs.Config{
 		Store: wrap(h, w.engine.Client(h.name)), Codec: cellpb.Codec{}, Workers: h.link, Grants: h, Logger: logger,
 		NewPlanner: func(ident.CellID, *table.Table) placement.Planner {
 			return placement.NewCell(1, placement.Options{Cell: cell})
 		},
-	}, testTable)
+	}
+	h.svc = jobs.New(h.cfg, testTable)
 	w.hosts = append(w.hosts, h)
 	return h
 }
