Free what does not run at once after a planned hand-over

Each next owner waited for the lease of the gone worker anew, 6.3 s, before it started any task that might have run. Its successor starts at once what ran nowhere, and the rest as soon as the worker in question has answered. Result: TestCleanHandOverFreesWhatDoesNotRun failed before and passes.

--- a/adapter/cellpb/codec.go
+++ b/adapter/cellpb/codec.go
@@ -136,6 +136,7 @@
 	out := &cellv1.TaskSnapshot{
 		Index: t.Index, State: uint32(t.State), Next: uint32(t.Next), Ended: uint32(t.Ended), LastRan: uint32(t.LastRan), MaySent: t.MaySent,
 		Evictions: uint32(t.Evictions), Checkpoint: checkpointOut(t.Checkpoint),
+		Worker: string(t.Worker),
 	}
 	for _, f := range t.Failures {
 		out.Failures = append(out.Failures, &cellv1.Failure{
@@ -149,6 +150,7 @@
 	in := lifecycle.TaskSnapshot{
 		Index: t.GetIndex(), State: lifecycle.State(t.GetState()), Next: ident.Attempt(t.GetNext()),
 		Ended: ident.Attempt(t.GetEnded()), LastRan: ident.Attempt(t.GetLastRan()), MaySent: t.GetMaySent(), Evictions: int(t.GetEvictions()), Checkpoint: checkpointIn(t.GetCheckpoint()),
+		Worker: ident.WorkerID(t.GetWorker()),
 	}
 	for _, f := range t.GetFailures() {
 		in.Failures = append(in.Failures, lifecycle.Failure{
--- a/adapter/cellpb/codec_test.go
+++ b/adapter/cellpb/codec_test.go
@@ -59,7 +59,7 @@
 	js := lifecycle.JobSnapshot{Job: job, Spec: spec, AcceptedAt: at, Cancelled: true, FinishedAt: at}
 	for i := range uint32(1500) {
 		js.Tasks = append(js.Tasks, lifecycle.TaskSnapshot{
-			Index: i, State: lifecycle.Done, Next: 2, Ended: 1, LastRan: 1, MaySent: true, Evictions: 1, Checkpoint: checkpoint,
+			Index: i, State: lifecycle.Done, Next: 2, Ended: 1, LastRan: 1, MaySent: true, Evictions: 1, Checkpoint: checkpoint, Worker: "w",
 			Failures: []lifecycle.Failure{{Attempt: 1, Worker: "w", Message: "m"}},
 		})
 	}
--- a/core/lifecycle/cell.go
+++ b/core/lifecycle/cell.go
@@ -139,6 +139,10 @@
 	notBefore  time.Time
 	wait       Wait
 	message    string
+	// leftOn is the worker on which the predecessor left an attempt running, and freed is set if it certainly left none:
+	// known after a clean hand-over only.
+	leftOn ident.WorkerID
+	freed  bool
 	// tooLarge is set if the task is impossible because no worker could hold it, and not because of a limit.
 	tooLarge bool
 }
--- a/core/lifecycle/groups_test.go
+++ b/core/lifecycle/groups_test.go
@@ -259,3 +259,26 @@
 	f.ends("w")
 	require.Contains(t, f.cmds, ThrottleTask{Run: run, Worker: "w", Fraction: 0.5})
 }
+
+// Guards against tasks that wait for every worker after a planned hand-over: what certainly does not run starts at once, and
+// what runs on a worker that answers is taken over, although another worker has gone meanwhile.
+func TestCleanHandOverFreesWhatDoesNotRun(t *testing.T) {
+	f := newFixture(t, 1, "gone", "w")
+	id := f.submit(4)
+	left := f.running(taskOf(id, 0, 0), "gone")
+	runs := f.running(taskOf(id, 0, 1), "w")
+	f.running(taskOf(id, 0, 2), "w")
+	next := &fixture{t: t, c: NewCell(1, 2, f.c.table), now: f.now}
+	next.c.SetAuthority(next.now, true, true)
+	next.c.RestoreSnapshot(f.c.Snapshot(f.now, true))
+	next.apply(next.c.Recover(next.now, true, []Member{{ID: "w"}}))
+	require.Equal(t, []ident.TaskID{taskOf(id, 0, 3)}, next.queuedWith(), "the task that was never started")
+	next.claim("w", Report{Active: []Active{{Run: runs}}})
+	require.Equal(t, []ident.TaskID{taskOf(id, 0, 2)}, next.queuedWith(), "the task that the worker no longer runs")
+	require.True(t, next.c.Recovering(), "task %v may still run on the worker that does not answer", left.Task)
+	next.now = next.now.Add(LeaseDuration + LeaseMargin)
+	next.ends("w")
+	next.cmds = nil
+	next.apply(next.c.Tick(next.now))
+	require.Equal(t, []ident.TaskID{left.Task}, next.queuedWith())
+}
--- a/core/lifecycle/queue.go
+++ b/core/lifecycle/queue.go
@@ -85,7 +85,7 @@
 		if !t.startable() {
 			continue
 		}
-		if c.recovering && !t.job.fresh {
+		if c.recovering && !t.job.fresh && !t.freed {
 			t.wait = WaitRecovery
 			c.held[t.id] = t
 			continue
--- a/core/lifecycle/record.go
+++ b/core/lifecycle/record.go
@@ -124,6 +124,9 @@
 	Evictions  int
 	Checkpoint Checkpoint
 	Failures   []Failure
+	// Worker is where an attempt runs; empty if none does. It holds only in the last snapshot of an owner that drained:
+	// starts are not logged.
+	Worker ident.WorkerID
 }
 
 // Failure is a failed attempt of a task.
--- a/core/lifecycle/restore.go
+++ b/core/lifecycle/restore.go
@@ -52,6 +52,7 @@
 	t.evictions = s.Evictions
 	t.checkpoint = s.Checkpoint
 	t.failures = s.Failures
+	t.leftOn = s.Worker
 	for _, f := range s.Failures {
 		j.failedOn[f.Worker] = struct{}{}
 		t.ended = max(t.ended, f.Attempt)
@@ -193,8 +194,9 @@
 	eff.log(Takeover{Epoch: c.epoch, Clean: clean})
 	c.recovering = true
 	slices.SortFunc(c.order, compareJobs)
+	var free []*task
 	for _, id := range c.order {
-		c.holdOpenTasks(c.jobs[id])
+		free = append(free, c.holdOpenTasks(c.jobs[id], clean)...)
 	}
 	listed := make(map[ident.WorkerID]struct{}, len(members))
 	for _, m := range members {
@@ -209,19 +211,43 @@
 		w := c.addWorker(Member{ID: id, Address: address})
 		eff.do(ClaimWorker{Member: w.member})
 	}
+	c.enqueue(now, free, &eff)
 	c.finishRecovery(now, &eff)
 	return eff
 }
 
-func (c *Cell) holdOpenTasks(j *job) {
+// holdOpenTasks holds the tasks that may run already. After a clean hand-over it returns those that certainly do not.
+func (c *Cell) holdOpenTasks(j *job, clean bool) (free []*task) {
 	for i := range j.tasks {
 		t := &j.tasks[i]
 		if !t.startable() {
 			continue
 		}
+		if clean && t.leftOn == "" {
+			t.freed = true
+			free = append(free, t)
+			continue
+		}
 		t.wait = WaitRecovery
 		c.held[t.id] = t
 	}
+	return free
+}
+
+// releaseLeftOn queues the held tasks that the predecessor left on a worker which has answered and does not run them.
+func (c *Cell) releaseLeftOn(now time.Time, id ident.WorkerID, eff *Effects) {
+	var gone []*task
+	for _, t := range c.held {
+		if t.leftOn == id {
+			gone = append(gone, t)
+		}
+	}
+	slices.SortFunc(gone, func(a, b *task) int { return compareTasks(a.id, b.id) })
+	for _, t := range gone {
+		delete(c.held, t.id)
+		t.freed = true
+	}
+	c.enqueue(now, gone, eff)
 }
 
 // SetAuthority takes over what the ownership says. full is false while a successor may exist. confirmed means that
@@ -325,6 +351,9 @@
 		if t.state.Final() {
 			ts.State = t.state
 		}
+		if t.run != nil {
+			ts.Worker = t.run.worker
+		}
 		s.Tasks = append(s.Tasks, ts)
 	}
 	return s
--- a/core/lifecycle/worker.go
+++ b/core/lifecycle/worker.go
@@ -272,6 +272,7 @@
 	if len(orphans) > 0 {
 		eff.do(StopTasks{Worker: id, Runs: orphans})
 	}
+	c.releaseLeftOn(now, id, &eff)
 	c.finishRecovery(now, &eff)
 	return eff
 }
@@ -291,6 +292,8 @@
 		return false
 	}
 	delete(c.held, a.Task)
+	// Only a clean hand-over tells that no other attempt runs elsewhere.
+	t.freed = t.freed || t.leftOn == w.member.ID
 	c.seq++
 	t.maySent = true
 	t.next = max(t.next, a.Attempt+1)
