--- a/core/lifecycle/groups_test.go
+++ b/core/lifecycle/groups_test.go
@@ -282,3 +282,26 @@
 	next.apply(next.c.Tick(next.now))
 	require.Equal(t, []ident.TaskID{left.Task}, next.queuedWith())
 }
+
+// Guards against a task that runs twice because a snapshot from before its present attempt named another worker.
+func TestOlderSnapshotFreesNothing(t *testing.T) {
+	f := newFixture(t, 1, "v", "w")
+	id := f.submit(1)
+	first := f.running(taskOf(id, 0, 0), "v")
+	snapshot := f.c.Snapshot(f.now, false)
+	f.log = nil
+	f.ends("v", Ended{Run: first, End: EndFailed})
+	f.now = f.now.Add(time.Minute)
+	second := f.running(taskOf(id, 0, 0), "w")
+	next := &fixture{t: t, c: NewCell(1, 2, f.c.table), now: f.now}
+	next.c.SetAuthority(next.now, true, true)
+	next.c.RestoreSnapshot(snapshot)
+	for _, r := range f.log {
+		next.c.Replay(r)
+	}
+	next.apply(next.c.Recover(next.now, false, []Member{{ID: "v"}, {ID: "w"}}))
+	next.claim("v", Report{})
+	require.Empty(t, next.queuedWith())
+	next.claim("w", Report{Active: []Active{{Run: second}}})
+	require.Empty(t, next.queuedWith(), "the attempt is taken over")
+}
--- a/core/lifecycle/restore.go
+++ b/core/lifecycle/restore.go
@@ -223,6 +223,10 @@
 		if !t.startable() {
 			continue
 		}
+		if !clean {
+			// The snapshot is older than the last starts.
+			t.leftOn = ""
+		}
 		if clean && t.leftOn == "" {
 			t.freed = true
 			free = append(free, t)
