--- a/relay/jobs/events.go
+++ b/relay/jobs/events.go
@@ -75,7 +75,9 @@
 			o.note(EventTaskMoved, Fields{"task": taskField(c.Task), "attempt": c.Attempt, "worker": c.Worker})
 		}
 	case lifecycle.ThrottleTask:
-		o.note(EventTaskSlowed, Fields{"task": taskField(c.Task), "attempt": c.Attempt, "worker": c.Worker, "fraction": c.Fraction})
+		if c.Fraction == 0 || c.Fraction == 1 {
+			o.note(EventTaskSlowed, Fields{"task": taskField(c.Task), "attempt": c.Attempt, "worker": c.Worker, "fraction": c.Fraction})
+		}
 	case lifecycle.DropWorker:
 		o.note(EventWorkerLost, Fields{"worker": c.Worker, "reason": "its leases have lapsed without an answer"})
 	}
