--- a/core/placement/cell.go
+++ b/core/placement/cell.go
@@ -65,6 +65,8 @@
 	quiet  []float64
 	// measured lists the workers whose fillers or serving tasks were measured since the last Plan.
 	measured []*node
+	// missed holds when no worker was found for a group of fillers.
+	missed map[group]stamp
 	// now is the time of the last Plan call.
 	now stamp
 }
@@ -84,6 +86,7 @@
 		shares:      newShares(opts),
 		spread:      newSpread(),
 		images:      make(map[string]int),
+		missed:      make(map[group]stamp),
 		shapes:      newShapes(),
 		required: []Filter{
 			leavingFilter{}, quarantineFilter{}, avoidFilter{}, poolFilter{}, labelFilter{}, perWorkerFilter{}, fillerFilter{},
--- a/core/placement/due.go
+++ b/core/placement/due.go
@@ -20,8 +20,9 @@
 const (
 	// usefulFor is for how many times the objective a result is of some use.
 	usefulFor = 3
-	// slowness is how much longer than declared a chain is expected to take, with its waits.
-	slowness = 1.3
+	// slowness is how much longer than declared the chain of a job that has not begun is expected to take, with its waits:
+	// between the median and the upper quartile of fillers. A begun job keeps its place for as long as it could just make it.
+	slowness = 1.6
 )
 
 // rank orders queued tasks; lower goes first.
@@ -42,7 +43,11 @@
 	if t.due == noTime {
 		return rankTimely
 	}
-	ready := now + stamp(slowness*float64(t.remainingChain))
+	left := float64(t.remainingChain)
+	if !t.begun {
+		left *= slowness
+	}
+	ready := now + stamp(left)
 	switch {
 	case ready <= t.due && t.begun:
 		return rankBegun
--- a/core/placement/export_test.go
+++ b/core/placement/export_test.go
@@ -108,3 +108,13 @@
 	r := c.runRound(now, limit)
 	return r.plan, Work{Done: r.work, Vain: r.vain}
 }
+
+// WorkerOf returns the worker on which a task is booked; "" if none.
+func (c *Cell) WorkerOf(id ident.TaskID) ident.WorkerID {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t, ok := c.tasks[id]; ok && t.node != nil {
+		return t.node.worker.ID
+	}
+	return ""
+}
--- a/core/placement/options.go
+++ b/core/placement/options.go
@@ -28,6 +28,10 @@
 
 	// rackWeight is more than the other scores together, because a task far from its data runs half as long again.
 	rackWeight = 4
+	// missPause is how long a group of fillers waits after no worker was found for it: a small part of the run time of a
+	// filler. mostMissed bounds the groups that are remembered.
+	missPause  = 50 * time.Millisecond
+	mostMissed = 4096
 	// tailWeight makes a filler avoid workers where it is expected to bring a serving task near its target.
 	tailWeight = 4
 	// servingWeight is as much as the other scores together: what fillers cost a serving task depends on what both run.
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -58,6 +58,9 @@
 	if c.sweepDue {
 		c.sweep()
 	}
+	if len(c.missed) > mostMissed {
+		clear(c.missed)
+	}
 	if c.shares.stale {
 		c.shares.rekey()
 	}
@@ -198,7 +201,7 @@
 
 // choose returns the best worker of a sample of those that fit, or nil.
 func (r *round) choose(t *task) *node {
-	if r.isTooLarge(t.want) || r.misfit == r.groupOf(t) {
+	if r.isTooLarge(t.want) || r.misfit == r.groupOf(t) || r.hasMissed(t) {
 		return nil
 	}
 	visited := r.sample(&r.free, t.want)
@@ -216,10 +219,23 @@
 	if best == nil {
 		r.vain += visited
 		r.misfit = r.groupOf(t)
+		if t.constraints.Filler {
+			r.missed[r.misfit] = r.now
+		}
 	}
 	return best
 }
 
+// hasMissed reports whether no worker was found for a filler of the group a moment ago. In a flood hundreds of groups wait,
+// and a search looks at every worker.
+func (r *round) hasMissed(t *task) bool {
+	if !t.constraints.Filler {
+		return false
+	}
+	at, ok := r.missed[r.groupOf(t)]
+	return ok && r.now.since(at) < missPause
+}
+
 // group names the tasks that differ in nothing that placement looks at.
 type group struct {
 	job      ident.JobID
--- /dev/null
+++ b/core/placement/tails_test.go
@@ -0,0 +1,218 @@
+package placement_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bulrushrelay/bulrushrelay/core/ident"
+	"github.com/bulrushrelay/bulrushrelay/core/placement"
+)
+
+// colocation replays fillers of a harmful and of a harmless image beside serving tasks whose own load swings: a serving
+// task runs on each worker, and the harmful image multiplies its tail.
+type colocation struct {
+	t       *testing.T
+	c       *placement.Cell
+	workers int
+	now     time.Time
+	// fillers holds the running fillers by task, with their worker and speed.
+	fillers map[ident.TaskID]*running
+	next    int
+	// over counts the measurements above the target, full the fillers of each image that work at full speed.
+	over, measured int
+}
+
+type running struct {
+	worker ident.WorkerID
+	image  string
+	speed  float64
+	ends   time.Time
+}
+
+const fillerCPU = 8000
+
+func servingTask(i int) placement.Pending {
+	p := pendingTask(i, "web", vec(20_000, 1000, 0))
+	p.Lasting = true
+	p.Constraints = placement.Constraints{Serving: true, Image: "serve"}
+	return p
+}
+
+func newColocation(t *testing.T, workers int) *colocation {
+	s := &colocation{t: t, c: cellOf(workers, vec(64_000, 64_000, 0)), workers: workers, now: epoch, fillers: map[ident.TaskID]*running{}, next: 1000}
+	for i := range workers {
+		p := servingTask(i)
+		p.Constraints.MaxPerWorker = 1
+		s.c.Submit([]placement.Pending{p})
+	}
+	require.Len(t, s.c.Plan(s.now, 100).Starts, workers)
+	return s
+}
+
+func (s *colocation) submit(image string, n int) {
+	for range n {
+		s.next++
+		p := pendingTask(s.next, "etl", vec(fillerCPU, 1000, 0))
+		p.Constraints = placement.Constraints{Filler: true, Image: image}
+		s.c.Submit([]placement.Pending{p})
+	}
+}
+
+// tail is the tail of the serving task of a worker, as a part of its target.
+func (s *colocation) tail(w ident.WorkerID) float64 {
+	swing := 0.15 * math.Sin(s.now.Sub(epoch).Seconds()*2*math.Pi/20)
+	log := math.Log(0.45 + swing)
+	for _, f := range s.fillers {
+		if f.worker == w && f.image == "harmful" {
+			log += 1.2 * f.speed * fillerCPU / 10_000
+		}
+	}
+	return math.Exp(log)
+}
+
+// step lets half a second pass: fillers end after 2 s of work, all workers report, and the planner decides.
+func (s *colocation) step() {
+	s.now = s.now.Add(500 * time.Millisecond)
+	for id, f := range s.fillers {
+		if !s.now.Before(f.ends) && f.speed > 0 {
+			delete(s.fillers, id)
+			s.c.Release(id)
+		}
+	}
+	for i := range s.workers {
+		w := workerID(i)
+		var obs []placement.Observation
+		for id, f := range s.fillers {
+			if f.worker == w {
+				obs = append(obs, placement.Observation{Task: id, Usage: vec(int64(f.speed*fillerCPU), 0, 0), At: s.now})
+			}
+		}
+		for j := range s.workers {
+			if s.servedBy(j) == w {
+				tail := s.tail(w)
+				obs = append(obs, placement.Observation{Task: servingTask(j).Task, Tail: tail, At: s.now})
+				s.measured++
+				if tail >= 1 {
+					s.over++
+				}
+			}
+		}
+		s.c.Observe(obs)
+	}
+	plan := s.c.Plan(s.now, 100)
+	for _, th := range plan.Throttles {
+		if f := s.fillers[th.Task]; f != nil {
+			f.speed = th.Fraction
+		}
+	}
+	for _, st := range plan.Starts {
+		image := "harmless"
+		if int(st.Task.Job.Seq)%2 == 0 {
+			image = "harmful"
+		}
+		s.fillers[st.Task] = &running{worker: st.Worker, image: image, speed: 1, ends: s.now.Add(2 * time.Second)}
+	}
+}
+
+// servedBy returns the worker of a serving task. Tasks of one image may run once on each worker, so that each has one.
+func (s *colocation) servedBy(i int) ident.WorkerID {
+	return s.c.WorkerOf(servingTask(i).Task)
+}
+
+// Guards against fillers that keep serving tasks over their targets, and against harmless fillers that are slowed down with
+// the harmful ones: the load pattern is a steady flow of both beside serving tasks on every worker.
+func TestHarmfulFillersAreSlowedDownAndOthersAreNot(t *testing.T) {
+	s := newColocation(t, 4)
+	harmless, slowed := 0, 0
+	for i := range 120 {
+		// Numbers of jobs alternate, so that the image follows from the number.
+		s.submit(map[bool]string{true: "harmful", false: "harmless"}[s.next%2 == 1], 1)
+		s.submit(map[bool]string{true: "harmful", false: "harmless"}[s.next%2 == 1], 1)
+		s.step()
+		if i < 40 {
+			continue
+		}
+		for _, f := range s.fillers {
+			if f.image == "harmless" {
+				harmless++
+				if f.speed < 1 {
+					slowed++
+				}
+			}
+		}
+	}
+	require.Positive(t, harmless)
+	require.LessOrEqual(t, slowed, harmless/10, "harmless fillers work at full speed")
+	require.LessOrEqual(t, s.over, s.measured/10, "of %d measurements", s.measured)
+}
+
+// Guards against a serving task that misses its target for seconds because nothing explains it: after 1.8 s all fillers
+// beside it stand still, whatever has been learnt.
+func TestFillersStandStillBesideAMissedTarget(t *testing.T) {
+	c := cellOf(1, vec(64_000, 64_000, 0))
+	c.Submit([]placement.Pending{servingTask(1)})
+	for i := range 3 {
+		p := pendingTask(10+i, "etl", vec(fillerCPU, 1000, 0))
+		p.Constraints = placement.Constraints{Filler: true, Image: fmt.Sprint("image", i)}
+		c.Submit([]placement.Pending{p})
+	}
+	require.Len(t, c.Plan(epoch, 10).Starts, 4)
+	speed := map[ident.TaskID]float64{}
+	for i := range 3 {
+		speed[pendingTask(10+i, "etl", vec(1, 1, 0)).Task] = 1
+	}
+	for now := epoch; now.Sub(epoch) < 2500*time.Millisecond; now = now.Add(250 * time.Millisecond) {
+		obs := []placement.Observation{{Task: servingTask(1).Task, Tail: 3, At: now}}
+		for id, f := range speed {
+			obs = append(obs, placement.Observation{Task: id, Usage: vec(int64(f*fillerCPU), 0, 0), At: now})
+		}
+		c.Observe(obs)
+		for _, th := range c.Plan(now, 10).Throttles {
+			speed[th.Task] = th.Fraction
+		}
+	}
+	for id, f := range speed {
+		require.Zero(t, f, id)
+	}
+}
+
+// Guards against constraints that placement forgets: pool, label, the limit of a worker, and the rack of the data.
+func TestConstraints(t *testing.T) {
+	c := placement.NewCell(1, placement.Options{Candidates: 64})
+	for i := range 4 {
+		w := placement.Worker{ID: workerID(i), Rack: ident.Rack(fmt.Sprint("r", i/2)), Pool: "p", Capacity: vec(64_000, 64_000, 0)}
+		if i == 3 {
+			w.Labels, w.Pool = []string{"a", "fast"}, "q"
+		}
+		c.UpsertWorker(w)
+	}
+	place := func(seq int, change func(*placement.Pending)) []ident.WorkerID {
+		var workers []ident.WorkerID
+		var tasks []placement.Pending
+		for i := range 3 {
+			p := pendingTask(seq, "etl", vec(1000, 1000, 0))
+			p.Task.Index = uint32(i)
+			change(&p)
+			tasks = append(tasks, p)
+		}
+		c.Submit(tasks)
+		for _, s := range c.Plan(epoch.Add(time.Duration(seq)*time.Second), 10).Starts {
+			if int(s.Task.Job.Seq) == seq {
+				workers = append(workers, s.Worker)
+			}
+		}
+		return workers
+	}
+	require.Equal(t, []ident.WorkerID{workerID(3), workerID(3), workerID(3)}, place(1, func(p *placement.Pending) { p.Constraints.Label = "fast" }))
+	require.NotContains(t, place(2, func(p *placement.Pending) { p.Pool = "p" }), workerID(3))
+	once := place(3, func(p *placement.Pending) { p.Pool, p.Constraints.MaxPerWorker = "p", 1 })
+	require.ElementsMatch(t, []ident.WorkerID{workerID(0), workerID(1), workerID(2)}, once)
+	require.Empty(t, place(4, func(p *placement.Pending) { p.Pool = "none" }))
+	for _, w := range place(5, func(p *placement.Pending) { p.Constraints.Rack = "r1" }) {
+		require.Contains(t, []ident.WorkerID{workerID(2), workerID(3)}, w)
+	}
+}
