--- a/core/placement/tails_test.go
+++ b/core/placement/tails_test.go
@@ -74,7 +74,7 @@
 	return math.Exp(log)
 }
 
-// step lets half a second pass: fillers end after 2 s of work, all workers report, and the planner decides.
+// step lets half a second pass: fillers end 8 s after their start unless they stand still, all workers report, and the planner decides.
 func (s *colocation) step() {
 	s.now = s.now.Add(500 * time.Millisecond)
 	for id, f := range s.fillers {
@@ -114,7 +114,7 @@
 		if int(st.Task.Job.Seq)%2 == 0 {
 			image = "harmful"
 		}
-		s.fillers[st.Task] = &running{worker: st.Worker, image: image, speed: 1, ends: s.now.Add(2 * time.Second)}
+		s.fillers[st.Task] = &running{worker: st.Worker, image: image, speed: 1, ends: s.now.Add(8 * time.Second)}
 	}
 }
 
@@ -130,8 +130,10 @@
 	harmless, slowed := 0, 0
 	for i := range 120 {
 		// Numbers of jobs alternate, so that the image follows from the number.
-		s.submit(map[bool]string{true: "harmful", false: "harmless"}[s.next%2 == 1], 1)
-		s.submit(map[bool]string{true: "harmful", false: "harmless"}[s.next%2 == 1], 1)
+		if i%4 == 0 {
+			s.submit("harmless", 1)
+			s.submit("harmful", 1)
+		}
 		s.step()
 		if i < 40 {
 			continue
