Let the incarnation of a host grow although its clock jumps back

Cause: an incarnation is the time of the start. Change: a host that runs jobs reads its last registration first, for half a second at most.

--- a/daemon/jobhost.go
+++ b/daemon/jobhost.go
@@ -42,6 +42,8 @@
 	jobSyncGap = 80 * time.Millisecond
 	// jobDurableWait is how long a submission waits for the store and for an owner of its cell.
 	jobDurableWait = 1500 * time.Millisecond
+	// incarnationWait bounds the read of the last incarnation at the start.
+	incarnationWait = 500 * time.Millisecond
 	// jobStallLimit is how long a commit may fail before new jobs are refused at once: a hundred times what the store
 	// takes for an answer.
 	jobStallLimit = 400 * time.Millisecond
@@ -136,7 +138,7 @@
 	s.Cells = s.CellCount()
 	h := &JobHost{
 		settings: s, ports: p, log: log,
-		self:    ident.Instance{Host: s.HostID, Incarnation: ident.Incarnation(time.Now().UnixNano())},
+		self:    ident.Instance{Host: s.HostID, Incarnation: nextIncarnation(s, p, log)},
 		cellMap: cellmap.New(s.Cells, s.regions()),
 		metrics: p.Metrics,
 		pool:    peergrpc.NewPool(insecure.NewCredentials()),
@@ -146,6 +148,18 @@
 	return h, h.listen()
 }
 
+// nextIncarnation reads the last incarnation of the host, because the clock may have jumped back since. It does not wait
+// long for the store: without an answer the host starts by the time alone.
+func nextIncarnation(s JobSettings, p JobPorts, log *logrus.Entry) ident.Incarnation {
+	ctx, cancel := context.WithTimeout(context.Background(), incarnationWait)
+	defer cancel()
+	next, err := cluster.NextIncarnation(ctx, p.Store, clusterrecord.JSON{}, s.HostID, time.Now())
+	if err != nil {
+		log.WithError(err).Warn("the last incarnation of this host is not known: it starts by its clock")
+	}
+	return next
+}
+
 // regions lists the regions in a fixed order, so that every host numbers the cells alike.
 func (s JobSettings) regions() []ident.DataCentre {
 	return slices.Compact(slices.Sorted(maps.Values(s.Regions)))
--- /dev/null
+++ b/relay/cluster/incarnation.go
@@ -0,0 +1,26 @@
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/bulrushrelay/bulrushrelay/core/ident"
+	"github.com/bulrushrelay/bulrushrelay/core/store"
+)
+
+// NextIncarnation returns the incarnation of a process of a host that starts at now: the time, or one above that of the
+// last process that registered, if the clock has jumped back since. After an error it is the time, and a registration that
+// finds a higher one is refused.
+func NextIncarnation(ctx context.Context, s store.Store, codec Codec, host ident.HostID, now time.Time) (ident.Incarnation, error) {
+	next := ident.Incarnation(now.UnixNano())
+	e, ok, err := s.Get(ctx, rosterPrefix+string(host))
+	if err != nil || !ok {
+		return next, err
+	}
+	last, err := codec.DecodeMember(e.Value)
+	if err != nil {
+		return next, fmt.Errorf("registration of %s: %w", host, err)
+	}
+	return max(next, last.Instance.Incarnation+1), nil
+}
