--- a/core/lifecycle/worker.go
+++ b/core/lifecycle/worker.go
@@ -8,7 +8,6 @@
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/placement"
 	"github.com/bulrushrelay/bulrushrelay/core/resource"
-	"github.com/bulrushrelay/bulrushrelay/core/table"
 )
 
 type worker struct {
@@ -330,92 +329,6 @@
 	return eff
 }
 
-func (c *Cell) takeReport(now time.Time, w *worker, seq uint64, incarnation string, r Report, eff *Effects) {
-	w.contactAt = now
-	w.incarnation = incarnation
-	c.takeToken(now, w, r)
-	if size := w.size(r.Capacity); w.silent || w.capacity != size {
-		w.silent = false
-		w.capacity = size
-		c.putWorker(w, eff)
-		c.reviveImpossible(now)
-	}
-	for _, e := range r.Ended {
-		c.attemptEnded(now, w, e, eff)
-	}
-	c.compareActive(now, w, seq, r.Active, eff)
-}
-
-// compareActive stops what should not run, and finds attempts that are gone without a result.
-func (c *Cell) compareActive(now time.Time, w *worker, seq uint64, active []Active, eff *Effects) {
-	seen := make(map[Run]struct{}, len(active))
-	var stops []Run
-	var observed []placement.Observation
-	for _, a := range active {
-		seen[a.Run] = struct{}{}
-		t := w.runs[a.Task]
-		switch {
-		case t == nil || t.run.Attempt != a.Attempt:
-			stops = append(stops, a.Run)
-			continue
-		case t.run.phase == phaseStopping && !t.run.stopping && now.Sub(t.run.stoppedAt) >= c.policy.StopRepeat:
-			t.run.stopping = true
-			stops = append(stops, a.Run)
-		}
-		c.repeatThrottle(t, eff)
-		observed = c.observe(now, t, a, observed, eff)
-	}
-	for _, t := range w.sortedRuns() {
-		r := t.run
-		if _, ok := seen[r.Run]; ok || r.confirmedSeq >= seq {
-			continue
-		}
-		switch {
-		case r.phase == phaseActive || r.phase == phaseEvicting:
-			c.lose(now, t, eff)
-		case r.phase == phaseStopping && !r.stopping && now.Sub(r.stoppedAt) >= c.policy.StopRepeat:
-			r.stopping = true
-			stops = append(stops, r.Run)
-		}
-	}
-	if len(stops) > 0 {
-		eff.do(StopTasks{Worker: w.member.ID, Runs: stops})
-	}
-	if len(observed) > 0 {
-		eff.do(Observe{Observations: observed})
-	}
-}
-
-// observe takes over what a report says of a running attempt, and asks for a checkpoint if the last one is old.
-func (c *Cell) observe(now time.Time, t *task, a Active, obs []placement.Observation, eff *Effects) []placement.Observation {
-	if a.Checkpoint.ID != "" && a.Checkpoint.ID != t.checkpoint.ID {
-		t.checkpoint = Checkpoint{ID: a.Checkpoint.ID, At: now}
-		eff.log(CheckpointSaved{Run: a.Run, Checkpoint: t.checkpoint})
-		eff.do(NoteCheckpoint{Task: a.Task, At: now})
-	}
-	r := t.run
-	saved := latest(latest(r.startedAt, r.saveAt), t.checkpoint.At)
-	asks := c.policy.CheckpointInterval > 0 && t.job.spec.Kind == table.Batch
-	if asks && r.phase == phaseActive && now.Sub(saved) >= c.policy.CheckpointInterval {
-		r.saveAt = now
-		eff.do(CheckpointTask{Run: r.Run, Worker: r.worker})
-	}
-	switch target := t.group.TailTarget; {
-	case target > 0 && a.Measure > 0:
-		tail := a.Measure / float64(target.Milliseconds())
-		return append(obs, placement.Observation{Task: a.Task, Tail: tail, At: now.Add(-a.MeasuredAge)})
-	case t.group.Constraints.Filler:
-		used := resource.Vector{MilliCPU: int64(a.Measure)}
-		return append(obs, placement.Observation{Task: a.Task, Usage: used, At: now.Add(-a.MeasuredAge)})
-	}
-	if a.Usage.IsZero() && a.Slowdown == 0 {
-		return obs
-	}
-	return append(obs, placement.Observation{
-		Task: a.Task, Usage: a.Usage, Slowdown: a.Slowdown, At: now.Add(-a.MeasuredAge),
-	})
-}
-
 // sortedWorkers lists the workers by id. The list does not change while a caller goes through it. It is kept, because
 // each event of the cell needs it.
 func (c *Cell) sortedWorkers() []*worker {
--- /dev/null
+++ b/core/ownership/config.go
@@ -0,0 +1,84 @@
+package ownership
+
+import (
+	"time"
+
+	"github.com/bulrushrelay/bulrushrelay/core/ident"
+)
+
+// Config holds the identity of a host, the fixed set of cells and the times of the ownership rules.
+type Config struct {
+	Self       ident.Instance
+	DataCentre ident.DataCentre
+	Cells      []Cell
+	// TTL is the time to live of the lease; the authority is Full until TTL - Margin after the start of a renewal.
+	TTL    time.Duration
+	Margin time.Duration
+	// ReportFresh is how long a report of another member counts.
+	ReportFresh time.Duration
+	// ContactWait is how long a member that regains store contact claims no cell of an owner that may still run, so
+	// that the owner can renew its lease first.
+	ContactWait time.Duration
+	// ContactBreak is the time without an answer from the store after which contact counts as lost.
+	ContactBreak time.Duration
+	// AckWait is how long an established member must have known a new member.
+	AckWait time.Duration
+	// SettleWait is how long a claim of a cell whose owner may still run gives no authority: longer than ReportFresh,
+	// so that no report made before the claim's answer still counts for that owner.
+	SettleWait time.Duration
+	// StartWait is how long a host that has just started claims nothing, so that hosts started together share.
+	StartWait time.Duration
+	// RankStep is how long each less preferred member waits for the more preferred ones to claim a free cell.
+	RankStep time.Duration
+	// HandOverAfter is how long a more preferred member must have been seen before it is handed a cell.
+	HandOverAfter time.Duration
+	// GoneAfter is how long a member may be without a leased record, while this host hears from the store, before it
+	// counts as stopped; 0 if only proof counts. An owner must have ended all its work by then.
+	GoneAfter time.Duration
+	// MaxDeadline is the longest time for which a request holds a target slot.
+	MaxDeadline time.Duration
+}
+
+// DefaultConfig returns the times of the design page. The caller sets the identity, cells and MaxDeadline.
+func DefaultConfig() Config {
+	return Config{
+		TTL:           9 * time.Second,
+		Margin:        time.Second,
+		ReportFresh:   time.Second,
+		ContactWait:   10 * time.Second,
+		ContactBreak:  4 * time.Second,
+		AckWait:       10 * time.Second,
+		SettleWait:    1500 * time.Millisecond,
+		StartWait:     2 * time.Second,
+		RankStep:      3 * time.Second,
+		HandOverAfter: 5 * time.Second,
+		MaxDeadline:   30 * time.Second,
+	}
+}
+
+// ConfigFor returns the times for a lease with the given time to live, where workers and the store fence each order of
+// an owner by its epoch. They keep the order of those of DefaultConfig: a report counts for less than the lease, a claim
+// settles for longer than a report counts, and a host that returns waits for longer than both.
+func ConfigFor(ttl time.Duration) Config {
+	fresh := max(ttl/4, minReportFresh)
+	return Config{
+		TTL:           ttl,
+		Margin:        ttl / 9,
+		ReportFresh:   fresh,
+		ContactWait:   ttl + fresh,
+		ContactBreak:  ttl / 2,
+		AckWait:       ttl + fresh,
+		SettleWait:    fresh + fresh/4,
+		StartWait:     ttl / 10,
+		RankStep:      ttl / 4,
+		HandOverAfter: handOverTTLs * ttl,
+		GoneAfter:     2 * ttl,
+	}
+}
+
+// handOverTTLs is how many lives of a lease a host must have been back before a cell is handed to it only because it ranks
+// higher: a hand-over interrupts the work of a cell, and a rolling stop would cause one for each host.
+const handOverTTLs = 100
+
+// minReportFresh leaves a member asked every half second time to answer.
+const minReportFresh = 700 * time.Millisecond
