Encode the task groups of a job in one place

Cause: the cell log and the calls between hosts each had their own messages and code for the same groups, needs and constraints, and two switches in core/lifecycle gave up the place of an ended task. Change: the peer's JobSpec carries cell.v1.TaskGroup, whose field numbers are those of the message it replaces; adapter/internal/jobgroup encodes it for both; Cell.giveUpPlace holds the switch.

--- a/adapter/cellpb/records.go
+++ b/adapter/cellpb/records.go
@@ -3,14 +3,12 @@
 
 import (
 	"fmt"
-	"math"
 	"time"
 
+	"github.com/bulrushrelay/bulrushrelay/adapter/internal/jobgroup"
 	cellv1 "github.com/bulrushrelay/bulrushrelay/api/cell/v1"
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
-	"github.com/bulrushrelay/bulrushrelay/core/placement"
-	"github.com/bulrushrelay/bulrushrelay/core/resource"
 	"github.com/bulrushrelay/bulrushrelay/core/table"
 )
 
@@ -113,14 +111,6 @@
 	return time.Time{}
 }
 
-// maxMs is the longest duration in milliseconds that time.Duration holds.
-const maxMs = math.MaxInt64 / int64(time.Millisecond)
-
-// durationIn keeps a value that is too large from overflowing into another one.
-func durationIn(ms int64) time.Duration {
-	return time.Duration(min(max(ms, -maxMs), maxMs)) * time.Millisecond
-}
-
 func jobOut(j ident.JobID) *cellv1.JobID {
 	return &cellv1.JobID{Cell: uint32(j.Cell), Epoch: uint64(j.Epoch), Seq: j.Seq}
 }
@@ -164,84 +154,20 @@
 }
 
 func specOut(s lifecycle.JobSpec) *cellv1.JobSpec {
-	out := &cellv1.JobSpec{
+	return &cellv1.JobSpec{
 		Name: s.Name, Class: string(s.Class), Tenant: string(s.Tenant), Kind: string(s.Kind), Token: s.Token,
 		Number: s.Number, Pool: s.Pool, FailFast: s.FailFast,
 		Stretch: s.Stretch, GraceMs: s.Grace.Milliseconds(),
+		Groups: jobgroup.ToMessages(s.Groups),
 	}
-	for _, g := range s.Groups {
-		out.Groups = append(out.Groups, &cellv1.TaskGroup{
-			Count: uint32(g.Count),
-			Need: &cellv1.Vector{
-				MilliCpu: g.Need.MilliCPU, MemoryMb: g.Need.MemoryMB, Accelerators: g.Need.Accelerators,
-			},
-			RunTimeMs:   g.RunTime.Milliseconds(),
-			Command:     g.Command,
-			After:       groupsOut(g.After),
-			Lasting:     g.Lasting,
-			Volatile:    g.Volatile,
-			Constraints: constraintsOut(g.Constraints),
-
-			TailTargetMs: g.TailTarget.Milliseconds(),
-		})
-	}
-	return out
 }
 
 func specIn(s *cellv1.JobSpec) lifecycle.JobSpec {
-	out := lifecycle.JobSpec{
+	return lifecycle.JobSpec{
 		Name: s.GetName(), Class: ident.ClassName(s.GetClass()), Tenant: ident.TenantName(s.GetTenant()),
 		Kind: table.Kind(s.GetKind()), Token: s.GetToken(),
 		Number: s.GetNumber(), Pool: s.GetPool(), FailFast: s.GetFailFast(),
-		Stretch: s.GetStretch(), Grace: durationIn(s.GetGraceMs()),
-	}
-	for _, g := range s.GetGroups() {
-		out.Groups = append(out.Groups, lifecycle.TaskGroup{
-			Count: int(g.GetCount()),
-			Need: resource.Vector{
-				MilliCPU: g.GetNeed().GetMilliCpu(), MemoryMB: g.GetNeed().GetMemoryMb(),
-				Accelerators: g.GetNeed().GetAccelerators(),
-			},
-			RunTime:     durationIn(g.GetRunTimeMs()),
-			Command:     g.GetCommand(),
-			After:       groupsIn(g.GetAfter()),
-			Lasting:     g.GetLasting(),
-			Volatile:    g.GetVolatile(),
-			Constraints: constraintsIn(g.GetConstraints()),
-			TailTarget:  durationIn(g.GetTailTargetMs()),
-		})
-	}
-	return out
-}
-
-func groupsOut(groups []int) []uint32 {
-	var out []uint32
-	for _, g := range groups {
-		out = append(out, uint32(g))
-	}
-	return out
-}
-
-func groupsIn(groups []uint32) []int {
-	var in []int
-	for _, g := range groups {
-		in = append(in, int(g))
-	}
-	return in
-}
-
-func constraintsOut(c placement.Constraints) *cellv1.Constraints {
-	if c == (placement.Constraints{}) {
-		return nil
-	}
-	return &cellv1.Constraints{
-		Label: c.Label, Rack: string(c.Rack), MaxPerWorker: uint32(max(c.MaxPerWorker, 0)), Serving: c.Serving, Filler: c.Filler, Image: c.Image,
-	}
-}
-
-func constraintsIn(c *cellv1.Constraints) placement.Constraints {
-	return placement.Constraints{
-		Label: c.GetLabel(), Rack: ident.Rack(c.GetRack()), MaxPerWorker: int(c.GetMaxPerWorker()),
-		Serving: c.GetServing(), Filler: c.GetFiller(), Image: c.GetImage(),
+		Stretch: s.GetStretch(), Grace: jobgroup.Duration(s.GetGraceMs()),
+		Groups: jobgroup.FromMessages(s.GetGroups()),
 	}
 }
--- /dev/null
+++ b/adapter/internal/jobgroup/jobgroup.go
@@ -0,0 +1,90 @@
+// Package jobgroup encodes the task groups of a job. The cell log, the snapshots and the calls between hosts share the
+// encoding.
+package jobgroup
+
+import (
+	"math"
+	"time"
+
+	cellv1 "github.com/bulrushrelay/bulrushrelay/api/cell/v1"
+	"github.com/bulrushrelay/bulrushrelay/core/ident"
+	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
+	"github.com/bulrushrelay/bulrushrelay/core/placement"
+	"github.com/bulrushrelay/bulrushrelay/core/resource"
+)
+
+// maxMs bounds durations, so that a wrong one does not overflow when it is read.
+const maxMs = math.MaxInt64 / int64(time.Millisecond)
+
+// ToMessages encodes groups. A negative count becomes 0, which no cell takes.
+func ToMessages(groups []lifecycle.TaskGroup) []*cellv1.TaskGroup {
+	var out []*cellv1.TaskGroup
+	for _, g := range groups {
+		out = append(out, &cellv1.TaskGroup{
+			Count: uint32(max(g.Count, 0)),
+			Need: &cellv1.Vector{
+				MilliCpu: g.Need.MilliCPU, MemoryMb: g.Need.MemoryMB, Accelerators: g.Need.Accelerators,
+			},
+			RunTimeMs:    g.RunTime.Milliseconds(),
+			Command:      g.Command,
+			After:        convert[uint32](g.After),
+			Lasting:      g.Lasting,
+			Volatile:     g.Volatile,
+			Constraints:  constraintsOut(g.Constraints),
+			TailTargetMs: g.TailTarget.Milliseconds(),
+		})
+	}
+	return out
+}
+
+// FromMessages decodes groups. It checks nothing but the range of durations; the cell checks the job.
+func FromMessages(groups []*cellv1.TaskGroup) []lifecycle.TaskGroup {
+	var in []lifecycle.TaskGroup
+	for _, g := range groups {
+		in = append(in, lifecycle.TaskGroup{
+			Count: int(g.GetCount()),
+			Need: resource.Vector{
+				MilliCPU: g.GetNeed().GetMilliCpu(), MemoryMB: g.GetNeed().GetMemoryMb(),
+				Accelerators: g.GetNeed().GetAccelerators(),
+			},
+			RunTime:     Duration(g.GetRunTimeMs()),
+			Command:     g.GetCommand(),
+			After:       convert[int](g.GetAfter()),
+			Lasting:     g.GetLasting(),
+			Volatile:    g.GetVolatile(),
+			Constraints: constraintsIn(g.GetConstraints()),
+			TailTarget:  Duration(g.GetTailTargetMs()),
+		})
+	}
+	return in
+}
+
+// Duration reads milliseconds; what time.Duration cannot hold becomes its longest whole number of them.
+func Duration(ms int64) time.Duration {
+	return time.Duration(min(max(ms, -maxMs), maxMs)) * time.Millisecond
+}
+
+func convert[To, From int | uint32](numbers []From) []To {
+	var out []To
+	for _, n := range numbers {
+		out = append(out, To(n))
+	}
+	return out
+}
+
+func constraintsOut(c placement.Constraints) *cellv1.Constraints {
+	if c == (placement.Constraints{}) {
+		return nil
+	}
+	return &cellv1.Constraints{
+		Label: c.Label, Rack: string(c.Rack), MaxPerWorker: uint32(max(c.MaxPerWorker, 0)), Serving: c.Serving,
+		Filler: c.Filler, Image: c.Image,
+	}
+}
+
+func constraintsIn(c *cellv1.Constraints) placement.Constraints {
+	return placement.Constraints{
+		Label: c.GetLabel(), Rack: ident.Rack(c.GetRack()), MaxPerWorker: int(c.GetMaxPerWorker()),
+		Serving: c.GetServing(), Filler: c.GetFiller(), Image: c.GetImage(),
+	}
+}
--- a/adapter/peergrpc/fuzz_test.go
+++ b/adapter/peergrpc/fuzz_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
+	cellv1 "github.com/bulrushrelay/bulrushrelay/api/cell/v1"
 	peerv1 "github.com/bulrushrelay/bulrushrelay/api/peer/v1"
 	"github.com/bulrushrelay/bulrushrelay/core/admission"
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
@@ -158,7 +159,7 @@
 func FuzzJobs(f *testing.F) {
 	for _, b := range wire(f,
 		&peerv1.SubmitJobRequest{Cell: 1, Spec: jobSpecOut(jobView.Spec)}, &peerv1.GetJobReply{Job: jobViewOut(jobView)},
-		&peerv1.SubmitJobRequest{Spec: &peerv1.JobSpec{Groups: []*peerv1.JobTaskGroup{{Count: math.MaxUint32, RunTimeMs: math.MinInt64}}}},
+		&peerv1.SubmitJobRequest{Spec: &peerv1.JobSpec{Groups: []*cellv1.TaskGroup{{Count: math.MaxUint32, RunTimeMs: math.MinInt64}}}},
 		&peerv1.GetJobRequest{Job: "1-2-3", WaitMs: math.MaxInt64}, &peerv1.ListJobsRequest{After: "x"}, &peerv1.CancelJobRequest{Job: "1-2"},
 	) {
 		f.Add(b)
--- a/adapter/peergrpc/jobmessages.go
+++ b/adapter/peergrpc/jobmessages.go
@@ -4,11 +4,10 @@
 	"fmt"
 	"time"
 
+	"github.com/bulrushrelay/bulrushrelay/adapter/internal/jobgroup"
 	peerv1 "github.com/bulrushrelay/bulrushrelay/api/peer/v1"
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
-	"github.com/bulrushrelay/bulrushrelay/core/placement"
-	"github.com/bulrushrelay/bulrushrelay/core/resource"
 	"github.com/bulrushrelay/bulrushrelay/core/table"
 	"github.com/bulrushrelay/bulrushrelay/core/verdict"
 )
@@ -31,54 +30,22 @@
 }
 
 func jobSpecOut(s lifecycle.JobSpec) *peerv1.JobSpec {
-	out := &peerv1.JobSpec{
+	return &peerv1.JobSpec{
 		Name: s.Name, Class: string(s.Class), Token: s.Token, Tenant: string(s.Tenant), Kind: string(s.Kind),
 		Number: s.Number, Pool: s.Pool, FailFast: s.FailFast,
 		Stretch: s.Stretch, GraceMs: s.Grace.Milliseconds(),
+		Groups: jobgroup.ToMessages(s.Groups),
 	}
-	for _, g := range s.Groups {
-		out.Groups = append(out.Groups, &peerv1.JobTaskGroup{
-			Count: uint32(max(g.Count, 0)),
-			Need: &peerv1.ResourceVector{
-				MilliCpu: g.Need.MilliCPU, MemoryMb: g.Need.MemoryMB, Accelerators: g.Need.Accelerators,
-			},
-			RunTimeMs:   g.RunTime.Milliseconds(),
-			Command:     g.Command,
-			After:       groupsOut(g.After),
-			Lasting:     g.Lasting,
-			Volatile:    g.Volatile,
-			Constraints: constraintsOut(g.Constraints),
-
-			TailTargetMs: g.TailTarget.Milliseconds(),
-		})
-	}
-	return out
 }
 
 func jobSpecIn(s *peerv1.JobSpec) lifecycle.JobSpec {
-	out := lifecycle.JobSpec{
+	return lifecycle.JobSpec{
 		Name: s.GetName(), Class: ident.ClassName(s.GetClass()), Token: s.GetToken(),
 		Tenant: ident.TenantName(s.GetTenant()), Kind: table.Kind(s.GetKind()),
 		Number: s.GetNumber(), Pool: s.GetPool(), FailFast: s.GetFailFast(),
 		Stretch: s.GetStretch(), Grace: fromAgeMs(s.GetGraceMs()),
+		Groups: jobgroup.FromMessages(s.GetGroups()),
 	}
-	for _, g := range s.GetGroups() {
-		out.Groups = append(out.Groups, lifecycle.TaskGroup{
-			Count: int(g.GetCount()),
-			Need: resource.Vector{
-				MilliCPU: g.GetNeed().GetMilliCpu(), MemoryMB: g.GetNeed().GetMemoryMb(),
-				Accelerators: g.GetNeed().GetAccelerators(),
-			},
-			RunTime:     fromAgeMs(g.GetRunTimeMs()),
-			Command:     g.GetCommand(),
-			After:       groupsIn(g.GetAfter()),
-			Lasting:     g.GetLasting(),
-			Volatile:    g.GetVolatile(),
-			Constraints: constraintsIn(g.GetConstraints()),
-			TailTarget:  fromAgeMs(g.GetTailTargetMs()),
-		})
-	}
-	return out
 }
 
 func unixMs(t time.Time) int64 {
@@ -169,35 +136,3 @@
 		Evictions: int(t.GetEvictions()), Failures: int(t.GetFailures()), Why: t.GetWhy(),
 	}, nil
 }
-
-func groupsOut(groups []int) []uint32 {
-	var out []uint32
-	for _, g := range groups {
-		out = append(out, uint32(g))
-	}
-	return out
-}
-
-func groupsIn(groups []uint32) []int {
-	var in []int
-	for _, g := range groups {
-		in = append(in, int(g))
-	}
-	return in
-}
-
-func constraintsOut(c placement.Constraints) *peerv1.JobConstraints {
-	if c == (placement.Constraints{}) {
-		return nil
-	}
-	return &peerv1.JobConstraints{
-		Label: c.Label, Rack: string(c.Rack), MaxPerWorker: uint32(max(c.MaxPerWorker, 0)), Serving: c.Serving, Filler: c.Filler, Image: c.Image,
-	}
-}
-
-func constraintsIn(c *peerv1.JobConstraints) placement.Constraints {
-	return placement.Constraints{
-		Label: c.GetLabel(), Rack: ident.Rack(c.GetRack()), MaxPerWorker: int(c.GetMaxPerWorker()),
-		Serving: c.GetServing(), Filler: c.GetFiller(), Image: c.GetImage(),
-	}
-}
--- a/core/lifecycle/failure.go
+++ b/core/lifecycle/failure.go
@@ -79,14 +79,7 @@
 		return
 	}
 	delete(c.held, t.id)
-	switch {
-	case t.run == nil:
-		eff.do(Dequeue{Tasks: []ident.TaskID{t.id}})
-	case t.run.phase == phaseLogging:
-		c.endRun(now, t, eff)
-	default:
-		c.stopRun(t, eff)
-	}
+	c.giveUpPlace(now, t, eff)
 }
 
 // noteFailure counts a failed attempt and settles the task if it was the last one allowed.
--- a/core/lifecycle/late.go
+++ b/core/lifecycle/late.go
@@ -32,6 +32,12 @@
 	delete(c.held, t.id)
 	t.maySent = true
 	t.next = max(t.next, e.Attempt+1)
+	c.giveUpPlace(now, t, eff)
+	c.completed(now, w, t, e, eff)
+}
+
+// giveUpPlace takes a task that has ended without its present attempt out of the queue, or ends that attempt.
+func (c *Cell) giveUpPlace(now time.Time, t *task, eff *Effects) {
 	switch {
 	case t.run == nil:
 		eff.do(Dequeue{Tasks: []ident.TaskID{t.id}})
@@ -40,7 +46,6 @@
 	default:
 		c.stopRun(t, eff)
 	}
-	c.completed(now, w, t, e, eff)
 }
 
 func (c *Cell) cancelOrRequeue(now time.Time, t *task, eff *Effects) {
