--- a/adapter/operatorhttp/input.go
+++ b/adapter/operatorhttp/input.go
@@ -1,6 +1,7 @@
 package operatorhttp
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"io"
@@ -23,20 +24,39 @@
 
 // readRows reads the table in the body, as CSV or JSON ({"rows": [...]}), with every fault.
 func readRows(c echo.Context) ([]table.Row, error) {
-	mediaType, _, err := mime.ParseMediaType(c.Request().Header.Get(echo.HeaderContentType))
+	return decodeRows(c.Request().Header.Get(echo.HeaderContentType), c.Request().Body)
+}
+
+func decodeRows(contentType string, body io.Reader) ([]table.Row, error) {
+	mediaType, _, err := mime.ParseMediaType(contentType)
 	if err != nil {
 		return nil, invalid("Content-Type: %s", err)
 	}
 	switch mediaType {
 	case typeCSV:
-		return readCSV(c.Request().Body)
+		return readCSV(body)
 	case typeJSON:
-		return readJSON(c.Request().Body)
+		return readJSON(body)
 	default:
 		return nil, invalid("Content-Type %.80q is neither %s nor %s", mediaType, typeCSV, typeJSON)
 	}
 }
 
+// Validate lists the faults of a table without a relay. It has no warnings: they depend on the fleet.
+func Validate(body Body) (Validation, error) {
+	return validationOf(decodeRows(body.Type, bytes.NewReader(body.Data)))
+}
+
+// validationOf turns the faults of a table into an answer, and leaves every other error as it is.
+func validationOf(rows []table.Row, err error) (Validation, error) {
+	v := Validation{Rows: len(rows), Faults: []Fault{}, Warnings: []Warning{}}
+	if faults := faultsOf(err); len(faults) > 0 {
+		v.Faults = faults
+		return v, nil
+	}
+	return v, err
+}
+
 func readCSV(body io.Reader) ([]table.Row, error) {
 	rows, err := tablecsv.Decode(body)
 	var faults tablecsv.Faults
--- a/adapter/operatorhttp/read.go
+++ b/adapter/operatorhttp/read.go
@@ -101,13 +101,14 @@
 // postValidate reports every fault and warning of the table in the body. A table with faults is a successful answer.
 func (h *Handler) postValidate(c echo.Context) error {
 	rows, err := readRows(c)
-	if faults := faultsOf(err); len(faults) > 0 {
-		return c.JSON(http.StatusOK, Validation{Faults: faults, Warnings: []Warning{}})
-	}
+	v, err := validationOf(rows, err)
 	if err != nil {
 		return err
 	}
-	return c.JSON(http.StatusOK, Validation{Rows: len(rows), Faults: []Fault{}, Warnings: h.warnings(rows)})
+	if len(v.Faults) == 0 {
+		v.Warnings = h.warnings(rows)
+	}
+	return c.JSON(http.StatusOK, v)
 }
 
 func (h *Handler) warnings(rows []table.Row) []Warning {
--- a/cmd/relayctl/connect.go
+++ b/cmd/relayctl/connect.go
@@ -62,8 +62,8 @@
 	if d := c.Duration(flagTimeout); d < minTimeout || d > maxTimeout {
 		faults = append(faults, fmt.Errorf("timeout %s: want %s to %s", d, minTimeout, maxTimeout))
 	}
-	if o := c.String(flagOutput); o != outputText && o != outputJSON {
-		faults = append(faults, fmt.Errorf("output %q: want %s or %s", o, outputText, outputJSON))
+	if err := checkOutput(c); err != nil {
+		faults = append(faults, err)
 	}
 	if len(faults) > 0 {
 		return nil, exitWith(exitUsage, "settings:\n%w", errors.Join(faults...))
@@ -73,6 +73,25 @@
 	}, nil
 }
 
+// connectIfNamed returns no client if the settings name neither a relay host nor a token.
+func connectIfNamed(c *cli.Command) (*operatorhttp.Client, error) {
+	named := c.IsSet(flagURL) && c.String(flagURL) != ""
+	if named || c.String(flagToken) != "" {
+		return connect(c)
+	}
+	if err := checkOutput(c); err != nil {
+		return nil, exitWith(exitUsage, "settings:\n%w", err)
+	}
+	return nil, nil
+}
+
+func checkOutput(c *cli.Command) error {
+	if o := c.String(flagOutput); o != outputText && o != outputJSON {
+		return fmt.Errorf("output %q: want %s or %s", o, outputText, outputJSON)
+	}
+	return nil
+}
+
 // arguments checks the number of arguments of a command.
 func arguments(c *cli.Command, least, most int) error {
 	if n := c.NArg(); n < least || n > most {
