--- a/adapter/decisionlog/journal.go
+++ b/adapter/decisionlog/journal.go
@@ -46,10 +46,15 @@
 	now := time.Now()
 	allowed, dropped := j.admit(e, now)
 	if len(dropped) > 0 {
-		j.log.WithField("event", "lines_dropped").WithFields(dropped).Warn("lines of the decision log were dropped")
+		j.log.WithField("event", string(jobs.EventLinesDropped)).WithFields(dropped).Warn("lines of the decision log were dropped")
 	}
 	if allowed {
-		j.log.WithFields(logrus.Fields(f)).WithField("event", string(e)).Info(string(e))
+		line := make(logrus.Fields, len(f)+1)
+		for name, value := range f {
+			line[string(name)] = value
+		}
+		line["event"] = string(e)
+		j.log.WithFields(line).Info(string(e))
 	}
 }
 
--- a/adapter/decisionlog/log_test.go
+++ b/adapter/decisionlog/log_test.go
@@ -53,16 +53,16 @@
 	j := NewJournal(log)
 	j.reportedAt = time.Now()
 	for range 10 * linesBurst {
-		j.Note(jobs.EventTaskSlowed, jobs.Fields{"task": "t"})
+		j.Note(jobs.EventTaskSlowed, jobs.Fields{jobs.FieldTask: "t"})
 	}
-	j.Note(jobs.EventJobRefused, jobs.Fields{"job": "a", "reason": "full"})
+	j.Note(jobs.EventJobRefused, jobs.Fields{jobs.FieldJob: "a", jobs.FieldReason: "full"})
 	written := strings.Count(out.String(), `"event":"task_slowed"`)
 	require.GreaterOrEqual(t, written, linesBurst)
 	require.Less(t, written, 10*linesBurst)
 	require.Contains(t, out.String(), `"event":"job_refused"`)
 	j.reportedAt = time.Time{}
 	out.Reset()
-	j.Note(jobs.EventJobRefused, jobs.Fields{"job": "b"})
+	j.Note(jobs.EventJobRefused, jobs.Fields{jobs.FieldJob: "b"})
 	first, _, _ := strings.Cut(out.String(), "\n")
 	var report map[string]any
 	require.NoError(t, json.Unmarshal([]byte(first), &report))
@@ -76,9 +76,13 @@
 	log := logrus.New()
 	log.SetOutput(s)
 	log.SetFormatter(&logrus.JSONFormatter{})
-	entry := log.WithFields(logrus.Fields{"host": "a1", "data_centre": "north"})
-	fields := jobs.Fields{"task": "5c0e7a21d94b36f8.0.17", "attempt": 1, "worker": "w1", "class": "etl", "cell": 0, "epoch": 7}
+	j := NewJournal(log.WithFields(logrus.Fields{"host": "a1", "data_centre": "north"}))
+	fields := jobs.Fields{
+		jobs.FieldTask: "5c0e7a21d94b36f8.0.17", jobs.FieldAttempt: 1, jobs.FieldWorker: "w1", jobs.FieldClass: "etl",
+		jobs.FieldCell: 0, jobs.FieldEpoch: 7,
+	}
 	for b.Loop() {
-		entry.WithFields(logrus.Fields(fields)).WithField("event", "task_started").Info("task_started")
+		j.kinds = make(map[jobs.EventName]*kind) // A new bound for each line, so that none is dropped.
+		j.Note(jobs.EventTaskStarted, fields)
 	}
 }
--- a/cmd/relayd/main.go
+++ b/cmd/relayd/main.go
@@ -15,6 +15,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/bulrushrelay/bulrushrelay/daemon"
+	"github.com/bulrushrelay/bulrushrelay/relay/jobs"
 )
 
 const (
@@ -46,6 +47,14 @@
 				fmt.Print(daemon.Reference())
 				return nil
 			},
+		}, {
+			Name:   "events-reference",
+			Usage:  "print the reference of the decision log as Markdown",
+			Hidden: true,
+			Action: func(context.Context, *cli.Command) error {
+				fmt.Println(jobs.EventReference())
+				return nil
+			},
 		}},
 		Action: func(ctx context.Context, _ *cli.Command) error {
 			if err := settings.Validate(); err != nil {
--- a/daemon/dependency.go
+++ b/daemon/dependency.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/bulrushrelay/bulrushrelay/relay/jobs"
 )
 
 // lostAfter calls in a row that fail, a dependency counts as lost: one or two can be a connection that was closed.
@@ -33,12 +35,16 @@
 	if !changed {
 		return
 	}
-	line := d.log.WithFields(logrus.Fields{"dependency": d.name, "failures": failures})
+	line := d.log.WithFields(logrus.Fields{string(jobs.FieldDependency): d.name, string(jobs.FieldFailures): failures})
 	if lost {
-		line.WithFields(logrus.Fields{"event": "dependency_lost", "reason": reason}).Warn("a dependency is lost")
+		line.WithFields(logrus.Fields{
+			"event": string(jobs.EventDependencyLost), string(jobs.FieldReason): reason,
+		}).Warn("a dependency is lost")
 		return
 	}
-	line.WithFields(logrus.Fields{"event": "dependency_regained", "lost_ms": since.Milliseconds()}).Info("a dependency is back")
+	line.WithFields(logrus.Fields{
+		"event": string(jobs.EventDependencyRegained), string(jobs.FieldLostMs): since.Milliseconds(),
+	}).Info("a dependency is back")
 }
 
 func (d *Dependency) take(ok bool, now time.Time) (changed, lost bool, failures int, since time.Duration) {
--- a/relay/jobs/api.go
+++ b/relay/jobs/api.go
@@ -23,8 +23,8 @@
 	if err != nil {
 		e := verdict.From(err)
 		o.note(EventJobRefused, Fields{
-			"job": jobField(ident.ChosenJobID(cell, spec.Number)), "class": spec.Class, "verdict": e.Verdict.String(),
-			"code": string(e.Code), "reason": err.Error(), "authority": o.authority().String(), "table": o.tableRevision(),
+			FieldJob: jobField(ident.ChosenJobID(cell, spec.Number)), FieldClass: spec.Class, FieldVerdict: e.Verdict.String(),
+			FieldCode: string(e.Code), FieldReason: err.Error(), FieldAuthority: o.authority().String(), FieldTable: o.tableRevision(),
 		})
 	}
 	switch {
--- a/relay/jobs/calls.go
+++ b/relay/jobs/calls.go
@@ -143,7 +143,7 @@
 			cancel()
 			if c.Outcome == lifecycle.Applied {
 				o.note(EventWorkerClaimed, Fields{
-					"worker": m.ID, "life": c.Incarnation, "running": len(c.Report.Active), "ended": len(c.Report.Ended),
+					FieldWorker: m.ID, FieldLife: c.Incarnation, FieldRunning: len(c.Report.Active), FieldEnded: len(c.Report.Ended),
 				})
 				return o.call(ctx, func() { o.apply(o.cell.Claimed(o.now(), m.ID, c.Incarnation, c.Report)) })
 			}
@@ -289,7 +289,7 @@
 	case lifecycle.Refused:
 		o.stats.Refused.Add(1)
 		o.note(EventStartRefused, Fields{
-			"task": taskField(c.Task), "attempt": c.Attempt, "worker": m.ID, "reason": a.Reason.String(),
+			FieldTask: taskField(c.Task), FieldAttempt: c.Attempt, FieldWorker: m.ID, FieldReason: a.Reason.String(),
 		})
 	default:
 		o.stats.Unknown.Add(1)
--- a/relay/jobs/events.go
+++ b/relay/jobs/events.go
@@ -8,28 +8,8 @@
 	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
 )
 
-// EventName names a kind of line in the decision log.
-type EventName string
-
-// The events. Each touches a call or a job, or changes what an owner believes of a worker. docs/OPERATIONS.md lists their fields.
-const (
-	EventCallRefused   EventName = "call_refused"
-	EventJobAccepted   EventName = "job_accepted"
-	EventJobRefused    EventName = "job_refused"
-	EventJobCancelled  EventName = "job_cancelled"
-	EventJobFinished   EventName = "job_finished"
-	EventTaskStarted   EventName = "task_started"
-	EventStartRefused  EventName = "task_start_refused"
-	EventTaskEnded     EventName = "task_ended"
-	EventTaskMoved     EventName = "task_moved"
-	EventTaskStopped   EventName = "task_stopped"
-	EventTaskSlowed    EventName = "task_slowed"
-	EventWorkerClaimed EventName = "worker_claimed"
-	EventWorkerLost    EventName = "worker_lost"
-)
-
 // Fields are the inputs and the outcome of a decision.
-type Fields map[string]any
+type Fields map[FieldName]any
 
 // Journal takes the decisions of owners. Note must not block: it runs in the loop of the owner.
 type Journal interface {
@@ -54,7 +34,7 @@
 }
 
 func (o *owner) note(e EventName, f Fields) {
-	f["cell"], f["epoch"] = o.cellID, o.epoch
+	f[FieldCell], f[FieldEpoch] = o.cellID, o.epoch
 	o.cfg.Journal.Note(e, f)
 }
 
@@ -63,23 +43,23 @@
 	switch c := command.(type) {
 	case lifecycle.StartTask:
 		o.note(EventTaskStarted, Fields{
-			"task": taskField(c.Task), "attempt": c.Attempt, "worker": c.Worker, "class": c.Class, "resumes": c.Checkpoint != "",
-			"lease_token": c.Token, "table": o.tableRevision(),
+			FieldTask: taskField(c.Task), FieldAttempt: c.Attempt, FieldWorker: c.Worker, FieldClass: c.Class, FieldResumes: c.Checkpoint != "",
+			FieldLeaseToken: c.Token, FieldTable: o.tableRevision(),
 		})
 	case lifecycle.StopTasks:
 		for _, r := range c.Runs {
-			o.note(EventTaskStopped, Fields{"task": taskField(r.Task), "attempt": r.Attempt, "worker": c.Worker})
+			o.note(EventTaskStopped, Fields{FieldTask: taskField(r.Task), FieldAttempt: r.Attempt, FieldWorker: c.Worker})
 		}
 	case lifecycle.CheckpointTask:
 		if c.Stop {
-			o.note(EventTaskMoved, Fields{"task": taskField(c.Task), "attempt": c.Attempt, "worker": c.Worker})
+			o.note(EventTaskMoved, Fields{FieldTask: taskField(c.Task), FieldAttempt: c.Attempt, FieldWorker: c.Worker})
 		}
 	case lifecycle.ThrottleTask:
 		if c.Fraction == 0 || c.Fraction == 1 {
-			o.note(EventTaskSlowed, Fields{"task": taskField(c.Task), "attempt": c.Attempt, "worker": c.Worker, "fraction": c.Fraction})
+			o.note(EventTaskSlowed, Fields{FieldTask: taskField(c.Task), FieldAttempt: c.Attempt, FieldWorker: c.Worker, FieldFraction: c.Fraction})
 		}
 	case lifecycle.DropWorker:
-		o.note(EventWorkerLost, Fields{"worker": c.Worker, "reason": "its leases have lapsed without an answer"})
+		o.note(EventWorkerLost, Fields{FieldWorker: c.Worker, FieldReason: "its leases have lapsed without an answer"})
 	}
 }
 
@@ -88,19 +68,19 @@
 	switch r := record.(type) {
 	case lifecycle.JobAccepted:
 		o.note(EventJobAccepted, Fields{
-			"job": jobField(r.Job), "class": r.Spec.Class, "tasks": r.Spec.Tasks(), "durable_ms": now.Sub(r.At).Milliseconds(),
-			"table": o.tableRevision(),
+			FieldJob: jobField(r.Job), FieldClass: r.Spec.Class, FieldTasks: r.Spec.Tasks(), FieldDurableMs: now.Sub(r.At).Milliseconds(),
+			FieldTable: o.tableRevision(),
 		})
 	case lifecycle.JobCancelled:
-		o.note(EventJobCancelled, Fields{"job": jobField(r.Job), "durable_ms": now.Sub(r.At).Milliseconds()})
+		o.note(EventJobCancelled, Fields{FieldJob: jobField(r.Job), FieldDurableMs: now.Sub(r.At).Milliseconds()})
 	case lifecycle.TaskDone:
 		o.note(EventTaskEnded, Fields{
-			"task": taskField(r.Task), "attempt": r.Attempt, "end": "done", "durable_ms": now.Sub(r.At).Milliseconds(),
+			FieldTask: taskField(r.Task), FieldAttempt: r.Attempt, FieldEnd: "done", FieldDurableMs: now.Sub(r.At).Milliseconds(),
 		})
 	case lifecycle.TaskFailed:
 		o.note(EventTaskEnded, Fields{
-			"task": taskField(r.Task), "attempt": r.Attempt, "end": "failed", "worker": r.Worker, "last": r.Final,
-			"reason": r.Message, "durable_ms": now.Sub(r.At).Milliseconds(),
+			FieldTask: taskField(r.Task), FieldAttempt: r.Attempt, FieldEnd: "failed", FieldWorker: r.Worker, FieldLast: r.Final,
+			FieldReason: r.Message, FieldDurableMs: now.Sub(r.At).Milliseconds(),
 		})
 	}
 }
@@ -116,8 +96,8 @@
 		took := v.FinishedAt.Sub(v.AcceptedAt)
 		objective := v.Spec.Objective(longest)
 		o.note(EventJobFinished, Fields{
-			"job": jobField(id), "class": v.Spec.Class, "state": v.State.String(), "took_ms": took.Milliseconds(),
-			"objective_ms": objective.Milliseconds(), "late": objective > 0 && took > objective,
+			FieldJob: jobField(id), FieldClass: v.Spec.Class, FieldState: v.State.String(), FieldTookMs: took.Milliseconds(),
+			FieldObjectiveMs: objective.Milliseconds(), FieldLate: objective > 0 && took > objective,
 		})
 		o.cfg.Latency(v.Spec.Class, took)
 	}
--- a/relay/jobs/world_test.go
+++ b/relay/jobs/world_test.go
@@ -113,6 +113,7 @@
 	logger.SetOutput(io.Discard)
 	h.cfg = jobs.Config{
 		Store: wrap(h, w.engine.Client(h.name)), Codec: cellpb.Codec{}, Workers: h.link, Grants: h, Logger: logger,
+		Journal: listedOnly{w.t},
 		NewPlanner: func(ident.CellID, *table.Table) placement.Planner {
 			return placement.NewCell(1, placement.Options{Cell: cell})
 		},
