Probe a quarantined worker beside the lasting tasks that it has

Cause: a probe was sent only to a worker without tasks. One with a task that lasts has none of those moments, and stayed in quarantine until it was drained. Change: tasks that last do not count; a lasting task still is no probe beside others. Result: TestQuarantinedWorkerIsProbedBesideLastingTasks fails before (no start) and passes now.

--- a/core/placement/filter_test.go
+++ b/core/placement/filter_test.go
@@ -66,6 +66,34 @@
 	require.Len(t, c.Plan(epoch, 10).Starts, 2)
 }
 
+// Guards against a worker that stays in quarantine for ever because a task that lasts runs on it, and against a probe
+// that never ends.
+func TestQuarantinedWorkerIsProbedBesideLastingTasks(t *testing.T) {
+	c := placement.NewCell(1, placement.Options{})
+	set := func(quarantined, probe bool) {
+		c.UpsertWorker(placement.Worker{ID: "wA", Rack: "a", Capacity: vec(16_000, 16_000, 0), Quarantined: quarantined, Probe: probe})
+	}
+	lasting := func(seq int) placement.Pending {
+		p := pendingTask(seq, "etl", vec(1000, 1000, 0))
+		p.Lasting = true
+		return p
+	}
+	set(false, false)
+	c.Submit([]placement.Pending{lasting(1), lasting(2)})
+	require.Len(t, c.Plan(epoch, 10).Starts, 2)
+	set(true, false)
+	c.Submit([]placement.Pending{pendingTask(3, "etl", vec(1000, 1000, 0)), pendingTask(4, "etl", vec(1000, 1000, 0))})
+	require.Empty(t, c.Plan(epoch, 10).Starts)
+	set(true, true)
+	c.Submit([]placement.Pending{lasting(5)})
+	starts := c.Plan(epoch, 10).Starts
+	require.Len(t, starts, 1)
+	require.NotEqual(t, lasting(5).Task, starts[0].Task, "a probe that never ends")
+	require.Empty(t, c.Plan(epoch, 10).Starts, "second probe at the same time")
+	c.Release(starts[0].Task)
+	require.Len(t, c.Plan(epoch, 10).Starts, 1)
+}
+
 // Guards against a fleet limit that the cells together exceed or do not use: their parts must add up to it.
 func TestLimitsAreDividedOverCells(t *testing.T) {
 	total, held := 0, int64(0)
--- a/core/placement/framework.go
+++ b/core/placement/framework.go
@@ -21,6 +21,8 @@
 	Available() resource.Vector
 	// Tasks counts the tasks that are booked or wait for the worker.
 	Tasks() int
+	// Ending counts those of them that do not last.
+	Ending() int
 	// Rack is the number of the rack in the cell.
 	Rack() int
 	// Loads lists the booked processors by class.
@@ -55,6 +57,7 @@
 	// Booking is what the task will have booked.
 	Booking     resource.Vector
 	Avoid       []ident.WorkerID
+	Lasting     bool
 	Pool        string
 	Constraints Constraints
 	// Wish is what a filler would use if it could, in thousandths of a processor.
--- a/core/placement/node.go
+++ b/core/placement/node.go
@@ -28,10 +28,10 @@
 	held, claimed resource.Vector
 	// loads is the booked processors by class.
 	loads []ClassLoad
-	// serving and fillers count the tasks of these kinds that are booked or claimed.
-	serving, fillers int
-	fillerCPU        int64
-	servingCPU       int64
+	// serving, fillers and lasting count the tasks of these kinds that are booked or claimed.
+	serving, fillers, lasting int
+	fillerCPU                 int64
+	servingCPU                int64
 	// pressed marks a worker in Cell.pressed.
 	pressed bool
 	// stalled is set when evicted tasks were not released in time, and cleared by the next release. No task is evicted
@@ -75,6 +75,9 @@
 // Tasks returns the number of tasks that are booked or wait for the worker.
 func (n *node) Tasks() int { return len(n.tasks) + len(n.claims) }
 
+// Ending implements NodeInfo.
+func (n *node) Ending() int { return n.Tasks() - n.lasting }
+
 // Rack returns the number of the rack.
 func (n *node) Rack() int { return n.rack }
 
@@ -83,7 +86,7 @@
 	if !n.known || n.worker.Leaving {
 		return false
 	}
-	return !n.worker.Quarantined || (n.worker.Probe && n.Tasks() == 0)
+	return !n.worker.Quarantined || (n.worker.Probe && n.Ending() == 0)
 }
 
 // reclaimable returns what is free or held by batch tasks, less what is already claimed.
@@ -123,6 +126,9 @@
 }
 
 func (n *node) countKinds(t *task, by int) {
+	if t.lasting {
+		n.lasting += by
+	}
 	if t.constraints.Serving {
 		n.serving += by
 		n.servingCPU += int64(by) * t.declared.MilliCPU
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -291,7 +291,8 @@
 func (r *round) request(t *task) Request {
 	return Request{
 		Task: t.id, Class: t.class.index, Urgent: t.class.urgent, Booking: t.want, Avoid: t.avoid,
-		Pool: t.pool, Constraints: t.constraints, Wish: t.wish,
+		Lasting: t.lasting,
+		Pool:    t.pool, Constraints: t.constraints, Wish: t.wish,
 		image:    t.image,
 		MostTail: r.mostTail(t),
 	}
