Note the beginning and the end of a quarantine

Cause: a quarantine changes what an owner believes of a worker, and left no line. Change: worker_quarantined and worker_trusted in the decision log. Result: TestWorkerThatFailsEverything sees one of each; it fails without them.

--- a/relay/jobs/eventlist.go
+++ b/relay/jobs/eventlist.go
@@ -23,6 +23,8 @@
 	EventTaskSlowed         EventName = "task_slowed"
 	EventWorkerClaimed      EventName = "worker_claimed"
 	EventWorkerLost         EventName = "worker_lost"
+	EventQuarantined        EventName = "worker_quarantined"
+	EventTrusted            EventName = "worker_trusted"
 	EventDependencyLost     EventName = "dependency_lost"
 	EventDependencyRegained EventName = "dependency_regained"
 	EventLinesDropped       EventName = "lines_dropped"
@@ -112,6 +114,8 @@
 			FieldCell, FieldEpoch, FieldWorker, FieldLife, FieldRunning, FieldEnded,
 		}},
 		{EventWorkerLost, "the owner counts on a worker no longer", []FieldName{FieldCell, FieldEpoch, FieldWorker, FieldReason}},
+		{EventQuarantined, "a worker fails what it starts, and gets probes only", []FieldName{FieldCell, FieldEpoch, FieldWorker}},
+		{EventTrusted, "a quarantine has ended", []FieldName{FieldCell, FieldEpoch, FieldWorker}},
 		{EventDependencyLost, "several calls in a row to a dependency failed", []FieldName{
 			FieldDependency, FieldFailures, FieldReason,
 		}},
--- a/relay/jobs/eventlist_test.go
+++ b/relay/jobs/eventlist_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -28,12 +29,28 @@
 }
 
 // listedOnly is the journal of the worlds: the test fails with a line that the list of events does not have.
-type listedOnly struct{ t *testing.T }
+type listedOnly struct {
+	t *testing.T
 
-func (l listedOnly) Note(e jobs.EventName, f jobs.Fields) {
+	// mu guards counts: owners note beside each other.
+	mu     sync.Mutex
+	counts map[jobs.EventName]int
+}
+
+func (l *listedOnly) Note(e jobs.EventName, f jobs.Fields) {
 	if fault := lineFault(e, f); fault != "" {
 		l.t.Error(fault)
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.counts[e]++
+}
+
+// count returns how many lines of a kind were noted.
+func (l *listedOnly) count(e jobs.EventName) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.counts[e]
 }
 
 // Guards against a check of lines that takes anything.
--- a/relay/jobs/events.go
+++ b/relay/jobs/events.go
@@ -58,11 +58,31 @@
 		if c.Fraction == 0 || c.Fraction == 1 {
 			o.note(EventTaskSlowed, Fields{FieldTask: taskField(c.Task), FieldAttempt: c.Attempt, FieldWorker: c.Worker, FieldFraction: c.Fraction})
 		}
+	case lifecycle.PutWorker:
+		o.noteQuarantine(c.Worker.ID, c.Worker.Quarantined)
 	case lifecycle.DropWorker:
+		delete(o.quarantined, c.Worker)
 		o.note(EventWorkerLost, Fields{FieldWorker: c.Worker, FieldReason: "its leases have lapsed without an answer"})
 	}
 }
 
+// noteQuarantine notes the beginning and the end of a quarantine.
+func (o *owner) noteQuarantine(id ident.WorkerID, now bool) {
+	if _, before := o.quarantined[id]; before == now {
+		return
+	}
+	if !now {
+		delete(o.quarantined, id)
+		o.note(EventTrusted, Fields{FieldWorker: id})
+		return
+	}
+	if o.quarantined == nil {
+		o.quarantined = make(map[ident.WorkerID]struct{})
+	}
+	o.quarantined[id] = struct{}{}
+	o.note(EventQuarantined, Fields{FieldWorker: id})
+}
+
 // noteRecord notes the records that are durable now.
 func (o *owner) noteRecord(record lifecycle.Record, now time.Time) {
 	switch r := record.(type) {
--- a/relay/jobs/failure_test.go
+++ b/relay/jobs/failure_test.go
@@ -235,6 +235,13 @@
 			}
 		}
 		require.Less(t, failed, 12, "a quarantined worker gets single probes only")
+		require.Equal(t, 1, w.notes.count(jobs.EventQuarantined))
+		require.Zero(t, w.notes.count(jobs.EventTrusted))
+		w.fleet["w0"].SetFault(worker.Fault{})
+		for tries := 0; tries < 100 && w.notes.count(jobs.EventTrusted) == 0; tries++ {
+			h.finished(10*time.Minute, h.submit(spec("batch", 12, "work=2s")))
+		}
+		require.Equal(t, 1, w.notes.count(jobs.EventTrusted))
 	})
 }
 
--- a/relay/jobs/owner.go
+++ b/relay/jobs/owner.go
@@ -68,6 +68,8 @@
 	confirmed  bool
 	shareShift uint8
 	isQuiet    bool
+	// quarantined holds the workers whose quarantine is noted.
+	quarantined map[ident.WorkerID]struct{}
 }
 
 // post runs f in the loop; false if the owner has stopped.
--- a/relay/jobs/world_test.go
+++ b/relay/jobs/world_test.go
@@ -44,6 +44,7 @@
 	rec    *worker.Recorder
 	fleet  worker.Fleet
 	hosts  []*host
+	notes  *listedOnly
 	// hidden names a worker that the host list does not show yet.
 	hidden ident.WorkerID
 }
@@ -82,6 +83,7 @@
 
 func newWorld(t *testing.T, workers int) *world {
 	w := &world{t: t, engine: kv.New(kv.Config{}), rec: worker.NewRecorder(), fleet: worker.Fleet{}}
+	w.notes = &listedOnly{t: t, counts: make(map[jobs.EventName]int)}
 	for i := range workers {
 		id := ident.WorkerID(fmt.Sprintf("w%d", i))
 		w.fleet[id] = worker.New(worker.Config{
@@ -113,7 +115,7 @@
 	logger.SetOutput(io.Discard)
 	h.cfg = jobs.Config{
 		Store: wrap(h, w.engine.Client(h.name)), Codec: cellpb.Codec{}, Workers: h.link, Grants: h, Logger: logger,
-		Journal: listedOnly{w.t},
+		Journal: w.notes,
 		NewPlanner: func(ident.CellID, *table.Table) placement.Planner {
 			return placement.NewCell(1, placement.Options{Cell: cell})
 		},
