--- a/core/lifecycle/command.go
+++ b/core/lifecycle/command.go
@@ -24,7 +24,11 @@
 	// Restore books a task that runs already.
 	Restore struct{ Running placement.Running }
 	// PutWorker adds or updates a worker in the planner.
-	PutWorker struct{ Worker placement.Worker }
+	PutWorker struct {
+		Worker placement.Worker
+		// Silent tells a worker that does not answer from one that fails what it starts; both are quarantined.
+		Silent bool
+	}
 	// DropWorker removes a worker from the planner.
 	DropWorker struct{ Worker ident.WorkerID }
 	// Observe passes measurements on.
--- a/core/lifecycle/worker.go
+++ b/core/lifecycle/worker.go
@@ -171,7 +171,7 @@
 	}
 	added := !w.put
 	w.put = true
-	eff.do(PutWorker{Worker: placement.Worker{
+	eff.do(PutWorker{Silent: w.silent, Worker: placement.Worker{
 		ID:          w.member.ID,
 		Rack:        w.member.Rack,
 		Pool:        w.member.Pool,
--- a/relay/jobs/eventlist.go
+++ b/relay/jobs/eventlist.go
@@ -114,7 +114,7 @@
 			FieldCell, FieldEpoch, FieldWorker, FieldLife, FieldRunning, FieldEnded,
 		}},
 		{EventWorkerLost, "the owner counts on a worker no longer", []FieldName{FieldCell, FieldEpoch, FieldWorker, FieldReason}},
-		{EventQuarantined, "a worker fails what it starts, and gets probes only", []FieldName{FieldCell, FieldEpoch, FieldWorker}},
+		{EventQuarantined, "a worker gets no tasks, or probes only", []FieldName{FieldCell, FieldEpoch, FieldWorker, FieldReason}},
 		{EventTrusted, "a quarantine has ended", []FieldName{FieldCell, FieldEpoch, FieldWorker}},
 		{EventDependencyLost, "several calls in a row to a dependency failed", []FieldName{
 			FieldDependency, FieldFailures, FieldReason,
--- a/relay/jobs/events.go
+++ b/relay/jobs/events.go
@@ -59,7 +59,7 @@
 			o.note(EventTaskSlowed, Fields{FieldTask: taskField(c.Task), FieldAttempt: c.Attempt, FieldWorker: c.Worker, FieldFraction: c.Fraction})
 		}
 	case lifecycle.PutWorker:
-		o.noteQuarantine(c.Worker.ID, c.Worker.Quarantined)
+		o.noteQuarantine(c)
 	case lifecycle.DropWorker:
 		delete(o.quarantined, c.Worker)
 		o.note(EventWorkerLost, Fields{FieldWorker: c.Worker, FieldReason: "its leases have lapsed without an answer"})
@@ -67,11 +67,12 @@
 }
 
 // noteQuarantine notes the beginning and the end of a quarantine.
-func (o *owner) noteQuarantine(id ident.WorkerID, now bool) {
-	if _, before := o.quarantined[id]; before == now {
+func (o *owner) noteQuarantine(c lifecycle.PutWorker) {
+	id := c.Worker.ID
+	if _, before := o.quarantined[id]; before == c.Worker.Quarantined {
 		return
 	}
-	if !now {
+	if !c.Worker.Quarantined {
 		delete(o.quarantined, id)
 		o.note(EventTrusted, Fields{FieldWorker: id})
 		return
@@ -80,7 +81,11 @@
 		o.quarantined = make(map[ident.WorkerID]struct{})
 	}
 	o.quarantined[id] = struct{}{}
-	o.note(EventQuarantined, Fields{FieldWorker: id})
+	reason := "it fails what it starts"
+	if c.Silent {
+		reason = "it does not answer"
+	}
+	o.note(EventQuarantined, Fields{FieldWorker: id, FieldReason: reason})
 }
 
 // noteRecord notes the records that are durable now.
