Do not call a hand-over clean while the owner recovers

Result: TestHandOverDuringRecoveryFreesNothing and TestDrainDuringRecoveryFreesNothing fail before (tasks ran on two workers at once) and pass now.

--- a/core/lifecycle/groups_test.go
+++ b/core/lifecycle/groups_test.go
@@ -283,6 +283,31 @@
 	require.Equal(t, []ident.TaskID{left.Task}, next.queuedWith())
 }
 
+// Guards against a task that runs twice because an owner that had not heard of all workers drained: it does not know what
+// runs there, so that its hand-over frees nothing.
+func TestHandOverDuringRecoveryFreesNothing(t *testing.T) {
+	first := newFixture(t, 1, "v", "w")
+	id := first.submit(1)
+	runs := first.running(taskOf(id, 0, 0), "w")
+	second := &fixture{t: t, c: NewCell(1, 2, first.c.table), now: first.now}
+	second.c.SetAuthority(second.now, true, true)
+	for _, r := range first.log {
+		second.c.Replay(r)
+	}
+	second.apply(second.c.Recover(second.now, false, []Member{{ID: "v"}, {ID: "w"}}))
+	second.claim("v", Report{})
+	require.True(t, second.c.Recovering())
+	handOver := second.c.Snapshot(second.now, true)
+	third := &fixture{t: t, c: NewCell(1, 3, first.c.table), now: first.now}
+	third.c.SetAuthority(third.now, true, true)
+	third.c.RestoreSnapshot(handOver)
+	third.apply(third.c.Recover(third.now, handOver.Clean, []Member{{ID: "v"}, {ID: "w"}}))
+	require.Empty(t, third.queuedWith())
+	third.claim("v", Report{})
+	third.claim("w", Report{Active: []Active{{Run: runs}}})
+	require.Empty(t, third.queuedWith(), "the attempt is taken over")
+}
+
 // Guards against a task that runs twice because a snapshot from before its present attempt named another worker.
 func TestOlderSnapshotFreesNothing(t *testing.T) {
 	f := newFixture(t, 1, "v", "w")
--- a/core/lifecycle/record.go
+++ b/core/lifecycle/record.go
@@ -94,7 +94,7 @@
 // Snapshot is the durable state of a cell.
 type Snapshot struct {
 	Epoch ident.Epoch
-	// Clean is set in the last snapshot of an owner that drained.
+	// Clean is set in the last snapshot of an owner that drained and had heard of all workers.
 	Clean   bool
 	Workers []WorkerAdded
 	Jobs    []JobSnapshot
--- a/core/lifecycle/restore.go
+++ b/core/lifecycle/restore.go
@@ -324,12 +324,12 @@
 }
 
 // Snapshot returns the durable state. It may already hold effects of records that are not in the log yet; replaying
-// those changes nothing. clean marks the last snapshot of an owner that drained.
+// those changes nothing. clean marks the last snapshot of an owner that drained; it counts only if the owner knew what runs.
 func (c *Cell) Snapshot(now time.Time, clean bool) Snapshot {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.forget(now)
-	s := Snapshot{Epoch: c.epoch, Clean: clean}
+	s := Snapshot{Epoch: c.epoch, Clean: clean && !c.recovering}
 	for id, address := range c.logged {
 		s.Workers = append(s.Workers, WorkerAdded{Worker: id, Address: address})
 	}
--- a/relay/jobs/failure_test.go
+++ b/relay/jobs/failure_test.go
@@ -378,6 +378,31 @@
 	})
 }
 
+// Guards against tasks that run twice because an owner handed its cell over before it had heard of all workers.
+func TestDrainDuringRecoveryFreesNothing(t *testing.T) {
+	scenario(t, 3, func(w *world, h *host) {
+		id := h.submit(spec("batch", 10, "work=60s"))
+		time.Sleep(2 * time.Second)
+		running := w.fleet["w0"].Running()
+		require.Positive(t, running)
+		w.kill(h)
+		second := w.host()
+		second.link.Cut("w0", true)
+		w.own(second)
+		time.Sleep(time.Second)
+		require.True(t, second.svc.Recovering(cell))
+		require.NoError(t, second.svc.Drain(bg, cell))
+		third := w.host()
+		third.link.Cut("w0", true)
+		w.own(third)
+		time.Sleep(2 * time.Second)
+		require.Equal(t, running, w.fleet["w0"].Running(), "the attempts whose leases the first owner renewed")
+		third.link.Cut("w0", false)
+		third.finished(10*time.Minute, id)
+		w.verify(third, id)
+	})
+}
+
 // Guards against a log that grows without bound, and against a state that is lost in its truncation.
 func TestSnapshotTruncatesLog(t *testing.T) {
 	scenario(t, 2, func(w *world, h *host) {
--- a/relay/jobs/service.go
+++ b/relay/jobs/service.go
@@ -245,6 +245,10 @@
 	if err != nil {
 		return err
 	}
+	if !snapshot.Clean {
+		// The log holds all that this owner knows, and its present snapshot may have the name that this one would get.
+		return nil
+	}
 	if err := o.log.putSnapshot(ctx, snapshot); err != nil {
 		return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeUnavailable, "drain cell %d: snapshot", cell)
 	}
