Let the two kinds of host share health, logger and cells

Cause: JobHost and the platform's command had their own copies of the phase, the middleware that closes connections, the logger and the list of cells. Change: they use health, NewLogger and ownedCells; JobHost.owned serves both loops over owned cells; the settings file is looked at once a tick.

--- a/cmd/relayd/platform.go
+++ b/cmd/relayd/platform.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"os"
 	"os/signal"
@@ -60,7 +59,9 @@
 func runPlatform(ctx context.Context, path string, s platform.Settings, cells int) error {
 	sink := decisionlog.NewSink(os.Stdout)
 	defer sink.Close()
-	log := platformLogger(s, sink)
+	log := daemon.NewLogger(daemon.Settings{
+		HostID: string(s.Host), DataCentre: string(s.DataCentre), LogFormat: "json", LogLevel: "info",
+	}, sink)
 	journal := decisionlog.NewJournal(log)
 	client := platform.NewClient()
 	defer client.Close()
@@ -117,13 +118,6 @@
 	}
 }
 
-func platformLogger(s platform.Settings, out io.Writer) *logrus.Entry {
-	logger := logrus.New()
-	logger.SetOutput(out)
-	logger.SetFormatter(&logrus.JSONFormatter{})
-	return logger.WithFields(logrus.Fields{"host": s.Host, "data_centre": s.DataCentre})
-}
-
 // followSettings reads the settings file again after SIGHUP and when it has changed. What a running host uses of it is
 // its identity, its addresses and the bounds of the platform, so that a change of one of them takes a restart.
 func followSettings(ctx context.Context, path string, inUse platform.Settings, log *logrus.Entry) {
@@ -134,16 +128,19 @@
 	defer tick.Stop()
 	changedAt := modified(path)
 	for {
+		asked := false
 		select {
 		case <-hup:
+			asked = true
 		case <-tick.C:
-			if at := modified(path); at.Equal(changedAt) {
-				continue
-			}
 		case <-ctx.Done():
 			return
 		}
-		changedAt = modified(path)
+		at := modified(path)
+		if !asked && at.Equal(changedAt) {
+			continue
+		}
+		changedAt = at
 		next, err := platform.ReadSettings(path)
 		switch {
 		case err != nil:
--- a/daemon/health.go
+++ b/daemon/health.go
@@ -45,6 +45,10 @@
 	h.phase.Store(int32(p))
 }
 
+func (h *health) is(p phase) bool {
+	return phase(h.phase.Load()) == p
+}
+
 type healthReply struct {
 	State  string `json:"state"`
 	Reason string `json:"reason,omitempty"`
@@ -64,7 +68,7 @@
 		OwnedCells:    view.ownedCells,
 		Members:       view.members,
 	}
-	if phase(h.phase.Load()) == phaseReady {
+	if h.is(phaseReady) {
 		reply.Reason = view.notReady
 	}
 	return reply
@@ -90,7 +94,7 @@
 // one would be lost with it, and the caller could not know whether it ran.
 func (h *health) closeConnections(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
-		if phase(h.phase.Load()) == phaseDraining {
+		if h.is(phaseDraining) {
 			c.Response().Header().Set(echo.HeaderConnection, "close")
 		}
 		return next(c)
--- a/daemon/host.go
+++ b/daemon/host.go
@@ -283,13 +283,19 @@
 	c.Self = h.self
 	c.DataCentre = h.centre
 	c.MaxDeadline = h.settings.LongestRequest
-	for i := range h.settings.Cells {
-		id := ident.CellID(i)
-		c.Cells = append(c.Cells, ownership.Cell{ID: id, DataCentre: h.cellMap.DataCentre(id)})
-	}
+	c.Cells = ownedCells(h.cellMap)
 	return c
 }
 
+// ownedCells lists the cells of a deployment with the data centres that are preferred for their owners.
+func ownedCells(m cellmap.Map) []ownership.Cell {
+	var cells []ownership.Cell
+	for _, id := range CellIDs(m.Cells()) {
+		cells = append(cells, ownership.Cell{ID: id, DataCentre: m.DataCentre(id)})
+	}
+	return cells
+}
+
 func (h *Host) newPlanner(id ident.CellID, t *table.Table) placement.Planner {
 	options := placement.Options{}
 	options.Cell = id
--- a/daemon/jobhost.go
+++ b/daemon/jobhost.go
@@ -5,10 +5,10 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
-	"github.com/labstack/echo/v4"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
@@ -85,7 +85,7 @@
 	jobs    *jobs.Service
 	fleet   *fleet
 
-	phase    atomic.Int32
+	health   health
 	hasTable atomic.Bool
 
 	callers, status, counters *httpServer
@@ -123,10 +123,7 @@
 	codec := clusterrecord.JSON{}
 	owning := ownership.ConfigFor(h.settings.leaseTime())
 	owning.Self, owning.DataCentre = h.self, h.settings.Regions[h.settings.DataCentre]
-	for i := range h.settings.Cells {
-		id := ident.CellID(i)
-		owning.Cells = append(owning.Cells, ownership.Cell{ID: id, DataCentre: h.cellMap.DataCentre(id)})
-	}
+	owning.Cells = ownedCells(h.cellMap)
 	h.members = &members{self: h.self, cells: h.cellMap, store: h.ports.Store, codec: codec}
 	h.cluster = cluster.New(cluster.Config{
 		Ownership:   owning,
@@ -193,7 +190,7 @@
 		*s.server = newHTTPServer(l, newHTTPLimits(s.connections, longestOperation), nil)
 	}
 	router := jobs.NewRouter(h.jobs, numberedCells{h.settings.Cells, h.members}, peergrpc.NewJobsClient(h.pool))
-	h.callers.echo.Use(h.closeConnections)
+	h.callers.echo.Use(h.health.closeConnections)
 	h.ports.Callers(h.callers.echo, router)
 	h.ports.Status(h.status.echo, h.ready)
 	telemetry.Register(h.counters.echo, h.metrics)
@@ -220,18 +217,9 @@
 	return address, owner == d.members.self, ok
 }
 
-func (h *JobHost) closeConnections(next echo.HandlerFunc) echo.HandlerFunc {
-	return func(c echo.Context) error {
-		if phase(h.phase.Load()) == phaseDraining {
-			c.Response().Header().Set(echo.HeaderConnection, "close")
-		}
-		return next(c)
-	}
-}
-
 // ready reports whether the host takes callers: it has a table, knows an owner, and does not stop.
 func (h *JobHost) ready() bool {
-	if phase(h.phase.Load()) != phaseReady || !h.hasTable.Load() {
+	if !h.health.is(phaseReady) || !h.hasTable.Load() {
 		return false
 	}
 	for _, id := range CellIDs(h.settings.Cells) {
@@ -267,7 +255,7 @@
 			return nil
 		})
 	}
-	h.phase.Store(int32(phaseReady))
+	h.health.set(phaseReady)
 	h.log.WithField("instance", h.self.String()).Info("host started")
 	select {
 	case <-ctx.Done():
@@ -288,14 +276,19 @@
 // workersPause returns how late changes of the workers may be known: an owner must place nothing on a worker that leaves,
 // the others need only know whom to claim when they become owners.
 func (h *JobHost) workersPause() time.Duration {
-	for _, id := range CellIDs(h.settings.Cells) {
-		if h.cluster.Grant(id).Authority != ownership.None {
-			return ownerWorkersPause
-		}
+	if len(h.owned()) > 0 {
+		return ownerWorkersPause
 	}
 	return otherWorkersPause
 }
 
+// owned lists the cells in which this host has a grant.
+func (h *JobHost) owned() []ident.CellID {
+	return slices.DeleteFunc(CellIDs(h.settings.Cells), func(id ident.CellID) bool {
+		return h.cluster.Grant(id).Authority == ownership.None
+	})
+}
+
 // takeWorkers divides the workers over the cells.
 func (h *JobHost) takeWorkers(list []lifecycle.Member) {
 	next := &hosts{workers: make(map[ident.CellID][]lifecycle.Member)}
@@ -317,10 +310,8 @@
 // publish gossips the cells of this host and copies the counters of the services into the metrics.
 func (h *JobHost) publish() {
 	var local cluster.Local
-	for _, id := range CellIDs(h.settings.Cells) {
-		if h.cluster.Grant(id).Authority != ownership.None {
-			local.Loads = append(local.Loads, membership.Load{Cell: id})
-		}
+	for _, id := range h.owned() {
+		local.Loads = append(local.Loads, membership.Load{Cell: id})
 	}
 	h.cluster.SetLocal(local)
 	exportCluster(h.metrics, h.cluster, h.settings.Cells)
@@ -348,7 +339,7 @@
 
 // drain stops the host as planned: it reports that it stops, hands its cells over, and finishes the calls of callers.
 func (h *JobHost) drain() error {
-	h.phase.Store(int32(phaseDraining))
+	h.health.set(phaseDraining)
 	h.log.Info("drain started")
 	ctx, cancel := context.WithTimeout(context.Background(), max(h.settings.Grace-stopReserve, stopReserve))
 	defer cancel()
