Name the repeated stop and the lapse of a lease in lifecycle

Change: Cell.repeatStop and Policy.lapse. Result: tests of core/lifecycle pass; nothing behaves otherwise.

--- a/core/lifecycle/policy.go
+++ b/core/lifecycle/policy.go
@@ -31,6 +31,11 @@
 	}
 }
 
+// lapse is how long after the token of its last renewal a task may run, by the clock of the owner.
+func (p Policy) lapse() time.Duration {
+	return p.LeaseDuration + p.LeaseMargin
+}
+
 // SetPolicy replaces the policy. It is called before the cell is used.
 func (c *Cell) SetPolicy(p Policy) {
 	c.mu.Lock()
--- a/core/lifecycle/report.go
+++ b/core/lifecycle/report.go
@@ -36,8 +36,7 @@
 		case t == nil || t.run.Attempt != a.Attempt:
 			stops = append(stops, a.Run)
 			continue
-		case t.run.phase == phaseStopping && !t.run.stopping && now.Sub(t.run.stoppedAt) >= c.policy.StopRepeat:
-			t.run.stopping = true
+		case c.repeatStop(now, t.run):
 			stops = append(stops, a.Run)
 		}
 		c.repeatThrottle(t, eff)
@@ -51,8 +50,7 @@
 		switch {
 		case r.phase == phaseActive || r.phase == phaseEvicting:
 			c.lose(now, t, eff)
-		case r.phase == phaseStopping && !r.stopping && now.Sub(r.stoppedAt) >= c.policy.StopRepeat:
-			r.stopping = true
+		case c.repeatStop(now, r):
 			stops = append(stops, r.Run)
 		}
 	}
@@ -64,6 +62,15 @@
 	}
 }
 
+// repeatStop reports whether a stop is to be sent again, because the last one was answered a while ago.
+func (c *Cell) repeatStop(now time.Time, r *run) bool {
+	if r.phase != phaseStopping || r.stopping || now.Sub(r.stoppedAt) < c.policy.StopRepeat {
+		return false
+	}
+	r.stopping = true
+	return true
+}
+
 // observe takes over what a report says of a running attempt, and asks for a checkpoint if the last one is old.
 func (c *Cell) observe(now time.Time, t *task, a Active, obs []placement.Observation, eff *Effects) []placement.Observation {
 	if a.Checkpoint.ID != "" && a.Checkpoint.ID != t.checkpoint.ID {
--- a/core/lifecycle/restore.go
+++ b/core/lifecycle/restore.go
@@ -288,7 +288,7 @@
 	if !c.recovering || c.doubt {
 		return
 	}
-	lapsed := !c.recoverFrom.IsZero() && !now.Before(c.recoverFrom.Add(c.policy.LeaseDuration+c.policy.LeaseMargin))
+	lapsed := !c.recoverFrom.IsZero() && !now.Before(c.recoverFrom.Add(c.policy.lapse()))
 	for _, w := range c.workers {
 		if !w.claimed && !lapsed {
 			return
--- a/core/lifecycle/tick.go
+++ b/core/lifecycle/tick.go
@@ -133,7 +133,7 @@
 		earliest(t.run.startedAt.Add(logWait))
 	}
 	if c.recovering && !c.recoverFrom.IsZero() && !c.doubt {
-		earliest(c.recoverFrom.Add(c.policy.LeaseDuration + c.policy.LeaseMargin))
+		earliest(c.recoverFrom.Add(c.policy.lapse()))
 	}
 	return next
 }
--- a/core/lifecycle/worker.go
+++ b/core/lifecycle/worker.go
@@ -43,7 +43,7 @@
 }
 
 func (c *Cell) lapseAt(w *worker) time.Time {
-	return w.sentTokenAt.Add(c.policy.LeaseDuration + c.policy.LeaseMargin)
+	return w.sentTokenAt.Add(c.policy.lapse())
 }
 
 // size returns what the worker holds: what the list says, or else what the worker reports. A worker that reports nothing
