Choose the cell of a number and of a token by one function

Cause: CellOfNumber repeated the loop of cellOfToken. Change: highest takes the score of a cell; the scores are as before. Result: tests of relay/jobs pass.

--- a/relay/jobs/router.go
+++ b/relay/jobs/router.go
@@ -128,16 +128,12 @@
 
 // CellOfNumber returns the cell of a job whose number its caller chose, which is the same at every host.
 func CellOfNumber(cells []ident.CellID, number uint64) ident.CellID {
-	best, bestScore := cells[0], uint64(0)
-	for _, cell := range cells {
+	return highest(cells, func(cell ident.CellID) uint64 {
 		var key [12]byte
 		binary.BigEndian.PutUint64(key[:], number)
 		binary.BigEndian.PutUint32(key[8:], uint32(cell))
-		if score := xxhash.Sum64(key[:]); score > bestScore || score == bestScore && cell < best {
-			best, bestScore = cell, score
-		}
-	}
-	return best
+		return xxhash.Sum64(key[:])
+	})
 }
 
 // JobOfNumber returns the id of a job whose number its caller chose.
@@ -171,11 +167,19 @@
 	return r.peer.Waiting(ctx, address, cell)
 }
 
-// cellOfToken uses rendezvous hashing, so that the order in which the cells are given does not matter.
+// cellOfToken returns the cell of the jobs with a client token.
 func cellOfToken(cells []ident.CellID, token string) ident.CellID {
+	return highest(cells, func(cell ident.CellID) uint64 {
+		return xxhash.Sum64String(token + "/" + ident.JobID{Cell: cell}.String())
+	})
+}
+
+// highest returns the cell with the highest score (rendezvous hashing), so that the order in which the cells are given
+// does not matter.
+func highest(cells []ident.CellID, scoreOf func(ident.CellID) uint64) ident.CellID {
 	best, bestScore := cells[0], uint64(0)
 	for _, cell := range cells {
-		score := xxhash.Sum64String(token + "/" + ident.JobID{Cell: cell}.String())
+		score := scoreOf(cell)
 		if score > bestScore || score == bestScore && cell < best {
 			best, bestScore = cell, score
 		}
