--- a/adapter/jobhttp/messages.go
+++ b/adapter/jobhttp/messages.go
@@ -107,12 +107,17 @@
 	maxAmount     = 1 << 40
 )
 
+// inRange reports whether milliseconds are a duration of at least 0.
+func inRange(ms int64) bool {
+	return ms >= 0 && ms <= int64(math.MaxInt64/time.Millisecond)
+}
+
 func (s Submission) spec(token string) (lifecycle.JobSpec, error) {
 	spec := lifecycle.JobSpec{
 		Name: s.Name, Class: ident.ClassName(s.Class), Token: token, Pool: s.Pool, FailFast: s.FailFast,
 		Stretch: s.Stretch, Grace: time.Duration(s.GraceMS) * time.Millisecond,
 	}
-	if s.GraceMS < 0 || s.GraceMS > int64(math.MaxInt64/time.Millisecond) {
+	if !inRange(s.GraceMS) {
 		return spec, invalid("grace_ms is out of range")
 	}
 	if s.Number != "" {
@@ -129,10 +134,10 @@
 		if g.MemoryMB > maxAmount || g.Accelerators > maxAmount {
 			return spec, invalid("group %d: amounts: want at most %d", i, int64(maxAmount))
 		}
-		if g.TailTargetMS < 0 || g.TailTargetMS > int64(math.MaxInt64/time.Millisecond) {
+		if !inRange(g.TailTargetMS) {
 			return spec, invalid("group %d: tail_target_ms is out of range", i)
 		}
-		if g.RunTimeMS < 0 || g.RunTimeMS > int64(math.MaxInt64/time.Millisecond) {
+		if !inRange(g.RunTimeMS) {
 			return spec, invalid("group %d: run_time_ms is out of range", i)
 		}
 		spec.Groups = append(spec.Groups, lifecycle.TaskGroup{
