Count a lost owner as stopped when its lease has ended

The successor held them for the lease of a worker, counted from the moment at which the lost owner was known to have stopped: 2 TTL after its lease ended, because an owner in doubt renewed tasks for one TTL more, counted from when it noticed. An owner that woke from a pause noticed late, so that 2 TTL did not cover it.

Change: the grant tells since when it is in doubt. Renewals end with the lease of the owner, whenever it notices, and a member without a lease counts as stopped after the margin for clock rates. After contact to the store was lost, the wait for the lease of others comes first, because reports that nobody had the store may count until then. The check that GoneAfter is two TTL is replaced by checks of what it stands on: renewals that end with the lease, and ContactWait above the life of reports.

--- a/core/ownership/absence_test.go
+++ b/core/ownership/absence_test.go
@@ -12,14 +12,17 @@
 // Guards against times that contradict each other for some time to live: a claim that settles before a report of an owner
 // has expired, or a host that presumes another stopped while that one may still renew.
 func TestConfigForKeepsTheOrderOfTimes(t *testing.T) {
-	for _, ttl := range []time.Duration{3 * time.Second, 5 * time.Second, 9 * time.Second, 30 * time.Second} {
+	for _, ttl := range []time.Duration{2 * time.Second, 3 * time.Second, 5 * time.Second, 9 * time.Second, 30 * time.Second} {
 		c := ConfigFor(ttl)
 		require.Less(t, c.Margin, c.TTL)
 		require.Less(t, c.ReportFresh, c.TTL)
 		require.Greater(t, c.SettleWait, c.ReportFresh)
 		require.GreaterOrEqual(t, c.ContactWait, c.TTL+c.ReportFresh)
 		require.GreaterOrEqual(t, c.AckWait, c.TTL)
-		require.GreaterOrEqual(t, c.GoneAfter, 2*c.TTL)
+		require.Positive(t, c.DoubtLimit)
+		require.LessOrEqual(t, c.DoubtLimit, c.Margin, "renewals end with the lease")
+		require.Positive(t, c.GoneAfter, "clocks differ in rate")
+		require.GreaterOrEqual(t, c.ContactWait, c.ReportFresh+c.DoubtLimit, "reports of an outage may count after its end")
 		require.Less(t, c.ContactBreak, c.TTL)
 	}
 }
@@ -27,33 +30,64 @@
 // Guards against cells that nobody may claim because a host was removed for good, and against a host that counts as
 // stopped while it holds a lease, or while this host cannot know.
 func TestHostWithoutLeaseCountsAsStopped(t *testing.T) {
-	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	c := ConfigFor(3 * time.Second)
-	c.Self = ident.Instance{Host: "a", Incarnation: 1}
-	other := ident.Instance{Host: "b", Incarnation: 1}
-	m := New(c, now)
-	wait := func(d time.Duration, contact bool) {
-		for end := now.Add(d); now.Before(end); {
-			now = now.Add(100 * time.Millisecond)
-			if contact {
-				m.Contact(now)
-			}
-			m.Step(now)
+	a := newAbsence(t)
+	a.wait(10*time.Second, true)
+	a.requireGone(false, "it holds a lease")
+	a.m.SetMembers(nil, a.now)
+	a.wait(10*time.Second, false)
+	a.requireGone(false, "this host has not heard of the store")
+	a.wait(a.cfg.ContactWait+a.cfg.GoneAfter-200*time.Millisecond, true)
+	a.requireGone(false, "it may have renewed on the strength of reports that nobody had the store")
+	a.wait(500*time.Millisecond, true)
+	a.requireGone(true, "")
+	a.m.SetMembers([]Member{{Instance: a.other}}, a.now)
+	a.requireGone(false, "it holds a lease again")
+	require.Contains(t, a.m.Known(), a.other)
+}
+
+// Guards against tasks of lost workers that wait, after the loss of their owner too, for longer than the lease of the
+// owner and those on the workers last: while this host hears from the store, an owner whose lease has ended renews nothing.
+func TestHostWhoseLeaseEndsCountsAsStoppedAtOnce(t *testing.T) {
+	a := newAbsence(t)
+	a.wait(10*time.Second, true)
+	a.m.SetMembers(nil, a.now)
+	a.wait(a.cfg.TTL/4, true)
+	a.requireGone(true, "")
+}
+
+// absence is a host that hears of another one.
+type absence struct {
+	t     *testing.T
+	cfg   Config
+	m     *Machine
+	now   time.Time
+	other ident.Instance
+}
+
+func newAbsence(t *testing.T) *absence {
+	a := &absence{
+		t: t, cfg: ConfigFor(3 * time.Second), now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
+		other: ident.Instance{Host: "b", Incarnation: 1},
+	}
+	a.cfg.Self = ident.Instance{Host: "a", Incarnation: 1}
+	a.m = New(a.cfg, a.now)
+	a.m.Contact(a.now)
+	a.m.Learn(a.other)
+	a.m.SetMembers([]Member{{Instance: a.other}}, a.now)
+	return a
+}
+
+func (a *absence) wait(d time.Duration, contact bool) {
+	for end := a.now.Add(d); a.now.Before(end); {
+		a.now = a.now.Add(100 * time.Millisecond)
+		if contact {
+			a.m.Contact(a.now)
 		}
+		a.m.Step(a.now)
 	}
-	m.Contact(now)
-	m.Learn(other)
-	m.SetMembers([]Member{{Instance: other}}, now)
-	wait(10*time.Second, true)
-	require.False(t, m.Ended().Gone(other), "it holds a lease")
-	m.SetMembers(nil, now)
-	wait(10*time.Second, false)
-	require.False(t, m.Ended().Gone(other), "this host has not heard of the store")
-	wait(c.GoneAfter-time.Second, true)
-	require.False(t, m.Ended().Gone(other))
-	wait(1500*time.Millisecond, true)
-	require.True(t, m.Ended().Gone(other))
-	m.SetMembers([]Member{{Instance: other}}, now)
-	require.False(t, m.Ended().Gone(other), "it holds a lease again")
-	require.Contains(t, m.Known(), other)
+}
+
+func (a *absence) requireGone(gone bool, why string) {
+	a.t.Helper()
+	require.Equal(a.t, gone, a.m.Ended().Gone(a.other), why)
 }
--- a/core/ownership/config.go
+++ b/core/ownership/config.go
@@ -32,8 +32,11 @@
 	RankStep time.Duration
 	// HandOverAfter is how long a more preferred member must have been seen before it is handed a cell.
 	HandOverAfter time.Duration
-	// GoneAfter is how long a member may be without a leased record, while this host hears from the store, before it
-	// counts as stopped; 0 if only proof counts. An owner must have ended all its work by then.
+	// DoubtLimit is how long an owner renews the leases of tasks after its authority stopped being Full; 0 means without
+	// end.
+	DoubtLimit time.Duration
+	// GoneAfter is how long a member may be without a leased record before it counts as stopped; 0 if only proof counts.
+	// This host must have heard from the store for ContactWait before. An owner must have ended all its work by then.
 	GoneAfter time.Duration
 	// MaxDeadline is the longest time for which a request holds a target slot.
 	MaxDeadline time.Duration
@@ -58,12 +61,14 @@
 
 // ConfigFor returns the times for a lease with the given time to live, where workers and the store fence each order of
 // an owner by its epoch. They keep the order of those of DefaultConfig: a report counts for less than the lease, a claim
-// settles for longer than a report counts, and a host that returns waits for longer than both.
+// settles for longer than a report counts, and a host that returns waits for longer than both. Renewals of tasks end with
+// the lease of their owner, so that a member without one has stopped, but for clocks that run at other rates.
 func ConfigFor(ttl time.Duration) Config {
 	fresh := max(ttl/4, minReportFresh)
+	margin := ttl / 9
 	return Config{
 		TTL:           ttl,
-		Margin:        ttl / 9,
+		Margin:        margin,
 		ReportFresh:   fresh,
 		ContactWait:   ttl + fresh,
 		ContactBreak:  ttl / 2,
@@ -72,7 +77,8 @@
 		StartWait:     ttl / 10,
 		RankStep:      ttl / 4,
 		HandOverAfter: handOverTTLs * ttl,
-		GoneAfter:     2 * ttl,
+		DoubtLimit:    margin,
+		GoneAfter:     margin,
 	}
 }
 
--- a/core/ownership/grant.go
+++ b/core/ownership/grant.go
@@ -40,6 +40,14 @@
 	ShareShift uint8
 	// SlotsFrom is when target slots may be used, because a silent predecessor may still fill them until then.
 	SlotsFrom time.Time
+	// DoubtSince is when the authority became InDoubt; zero if it is not, or if the lease of the host was lost.
+	DoubtSince time.Time
+}
+
+// SameRight reports whether two grants allow the same; since when one is in doubt makes no difference.
+func (g Grant) SameRight(other Grant) bool {
+	g.DoubtSince = other.DoubtSince
+	return g == other
 }
 
 // Part returns this grant's part of a total, rounded down; 0 before SlotsFrom and without authority.
--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -281,6 +281,7 @@
 	g := Grant{Cell: h.Cell, Epoch: h.Epoch, Authority: Full, ShareShift: h.Shift, SlotsFrom: h.SlotsFrom}
 	if !now.Before(h.FullUntil) {
 		g.Authority = InDoubt
+		g.DoubtSince = h.FullUntil
 		g.ShareShift = halved(h.Shift)
 	}
 	return g
--- a/core/ownership/peers.go
+++ b/core/ownership/peers.go
@@ -241,7 +241,8 @@
 }
 
 // presumeStopped counts members without a lease as stopped after GoneAfter. Time without contact to the store does not
-// count, because the host does not know then what is leased.
+// count, because the host does not know then what is leased; nor does the time after it in which a member may renew its
+// lease, or act on reports that nobody reached the store.
 func (m *Machine) presumeStopped(now time.Time) {
 	if m.cfg.GoneAfter == 0 || !m.InContact(now) {
 		return
@@ -251,10 +252,10 @@
 			continue
 		}
 		since := p.unleased
-		if m.contactSince.After(since) {
-			since = m.contactSince
+		if settled := m.contactSince.Add(m.cfg.ContactWait); settled.After(since) {
+			since = settled
 		}
-		if now.Sub(since) >= m.cfg.GoneAfter {
+		if !m.lastContact.Before(since.Add(m.cfg.GoneAfter)) {
 			m.presumed[i] = struct{}{}
 			m.Stopped(i, m.cfg.MaxDeadline, now)
 		}
--- a/daemon/jobhost.go
+++ b/daemon/jobhost.go
@@ -148,7 +148,7 @@
 		SyncWait:       jobSyncWait,
 		SyncGap:        jobSyncGap,
 		DurableWait:    jobDurableWait,
-		DoubtLimit:     h.settings.leaseTime(),
+		DoubtLimit:     owning.DoubtLimit,
 		StallLimit:     jobStallLimit,
 		Cells:          h.settings.Cells,
 		Logger:         h.log.Logger,
--- a/relay/cluster/snapshot.go
+++ b/relay/cluster/snapshot.go
@@ -144,7 +144,7 @@
 			if !ok {
 				was = ownership.Grant{Cell: c.ID}
 			}
-			if grant == was {
+			if grant.SameRight(was) {
 				continue
 			}
 			old[c.ID] = grant
--- a/relay/jobs/calls.go
+++ b/relay/jobs/calls.go
@@ -108,16 +108,12 @@
 // mayRenew reports whether leases may be renewed: always under full authority, and for a bounded time in doubt, so that
 // a successor knows when the tasks of a worker that it cannot reach have ended.
 func (o *owner) mayRenew() bool {
-	switch o.authority() {
+	g := o.grant()
+	switch g.Authority {
 	case ownership.Full:
-		o.doubtSince.Store(0)
 		return true
 	case ownership.InDoubt:
-		now := o.now().UnixNano()
-		if o.doubtSince.CompareAndSwap(0, now) || o.cfg.DoubtLimit == 0 {
-			return true
-		}
-		return now-o.doubtSince.Load() < int64(o.cfg.DoubtLimit)
+		return o.cfg.DoubtLimit == 0 || o.now().Before(g.DoubtSince.Add(o.cfg.DoubtLimit))
 	default:
 		return false
 	}
--- a/relay/jobs/failure_test.go
+++ b/relay/jobs/failure_test.go
@@ -110,6 +110,22 @@
 	})
 }
 
+// Guards against an owner that wakes from a pause and goes on renewing for as long again as an owner in doubt may: its
+// successor counts from the end of its lease.
+func TestOwnerWokenInDoubtRenewsNothing(t *testing.T) {
+	scenario(t, 1, func(w *world, h *host) {
+		h = w.withDoubtLimit(h, 5*time.Second)
+		h.submit(spec("batch", 4, "work=60s"))
+		time.Sleep(5 * time.Second)
+		require.Equal(t, 4, w.fleet["w0"].Running())
+		h.setGrant(func(g *ownership.Grant) {
+			g.Authority, g.ShareShift, g.DoubtSince = ownership.InDoubt, 1, time.Now().Add(-6*time.Second)
+		})
+		time.Sleep(lifecycle.DefaultPolicy().LeaseDuration + time.Second)
+		require.Zero(t, w.fleet["w0"].Running(), "nothing was renewed after the limit")
+	})
+}
+
 // Guards against running work that stops in a store outage, and against a false verdict for a job submitted in it.
 func TestStoreDownForLong(t *testing.T) {
 	scenario(t, 2, func(w *world, h *host) {
--- a/relay/jobs/owner.go
+++ b/relay/jobs/owner.go
@@ -43,10 +43,8 @@
 	mailbox chan func()
 	wg      sync.WaitGroup
 	// gone is set once the store or a worker proved that another owner has the cell.
-	gone atomic.Bool
-	// doubtSince is when the authority became doubtful, in nanoseconds since 1970; 0 while it is full.
-	doubtSince atomic.Int64
-	draining   atomic.Bool
+	gone     atomic.Bool
+	draining atomic.Bool
 	// ended is closed when the loop has performed its last event.
 	ended chan struct{}
 	// quiet is closed once a draining owner has no call to a worker in progress.
@@ -175,11 +173,16 @@
 // authority reads the present grant. Full authority is needed to start or move tasks. While a successor may exist,
 // running tasks are renewed only.
 func (o *owner) authority() ownership.Authority {
+	return o.grant().Authority
+}
+
+// grant reads the present grant; one of another epoch is none.
+func (o *owner) grant() ownership.Grant {
 	g := o.cfg.Grants.Grant(o.cellID)
 	if g.Epoch != o.epoch || o.gone.Load() {
-		return ownership.None
+		return ownership.Grant{Cell: o.cellID}
 	}
-	return g.Authority
+	return g
 }
 
 // predecessorStopped reports whether the predecessor is known to have stopped. An owner takes its whole share only
--- a/relay/jobs/world_test.go
+++ b/relay/jobs/world_test.go
@@ -75,6 +75,16 @@
 	return jobs.New(cfg, testTable)
 }
 
+// withDoubtLimit gives the cell of a host to one that renews for a bounded time while its authority is in doubt.
+func (w *world) withDoubtLimit(h *host, limit time.Duration) *host {
+	w.kill(h)
+	next := w.host()
+	next.cfg.DoubtLimit = limit
+	next.svc = jobs.New(next.cfg, testTable)
+	w.own(next)
+	return next
+}
+
 func (h *host) setGrant(f func(g *ownership.Grant)) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
