Leave workers without serving tasks to the fillers that need them

Cause: two of nine filler images multiply the tails of every serving image on both sites. They fit only on the five to seven workers without serving tasks, which fillers that disturb nothing took first, because the most processors are left there.

Change: a worker without serving tasks costs a filler the more, the less it disturbs the image that it disturbs the most.

Test that failed first: TestNoisyFillersHaveWorkersToThemselves.

--- a/core/placement/framework.go
+++ b/core/placement/framework.go
@@ -66,6 +66,8 @@
 	image int
 	// MostTail is how long a tail of a serving task a filler may be expected to cause, as a part of the target.
 	MostTail float64
+	// noise is how much a filler disturbs the image that it disturbs the most, from 0 to 1.
+	noise float64
 }
 
 // Filter rules workers out.
--- a/core/placement/options.go
+++ b/core/placement/options.go
@@ -34,6 +34,9 @@
 	mostMissed = 4096
 	// tailWeight makes a filler avoid workers where it is expected to bring a serving task near its target.
 	tailWeight = 4
+	// quietWeight keeps fillers away from workers without serving tasks, unless they disturb wherever there are some. It is
+	// more than all that the processors left differ by.
+	quietWeight = 3
 	// servingWeight is as much as the other scores together: what fillers cost a serving task depends on what both run.
 	servingWeight = 3.5
 
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -290,13 +290,17 @@
 }
 
 func (r *round) request(t *task) Request {
-	return Request{
+	req := Request{
 		Task: t.id, Class: t.class.index, Urgent: t.class.urgent, Booking: t.want, Avoid: t.avoid,
 		Lasting: t.lasting,
 		Pool:    t.pool, Constraints: t.constraints, Wish: t.wish,
 		image:    t.image,
 		MostTail: r.mostTail(t),
 	}
+	if t.constraints.Filler {
+		req.noise = r.noise(t)
+	}
+	return req
 }
 
 // sample fills slots with workers of an index that can hold need, from a random one on. It returns the work done.
@@ -350,7 +354,11 @@
 // score returns the weighted sum of the scores.
 func (c *Cell) score(req *Request, n *node) float64 {
 	if req.Constraints.Filler {
-		return fillerScore{}.Score(c.spread, req, n) - tailWeight*max(0, c.tailBeside(req, n)-calmTail)
+		score := fillerScore{}.Score(c.spread, req, n) - tailWeight*max(0, c.tailBeside(req, n)-calmTail)
+		if n.serving == 0 {
+			score -= quietWeight * (1 - req.noise)
+		}
+		return score
 	}
 	sum := 0.0
 	if req.Constraints.Serving {
--- a/core/placement/tails.go
+++ b/core/placement/tails.go
@@ -155,6 +155,17 @@
 	return mean * milliCPU / partUnit
 }
 
+// noise tells how much a filler disturbs the image that it disturbs the most: 0 for not at all, 1 if its tail is
+// multiplied by e or more.
+func (c *Cell) noise(t *task) float64 {
+	most := 0.0
+	for serving := range c.quiet {
+		mean, _ := c.opts.Tails.Expect(serving, t.image)
+		most = max(most, mean*float64(t.wish)/partUnit)
+	}
+	return min(most, 1)
+}
+
 // ahead returns the logarithm of the factor by which the tail of a serving task is expected to grow beyond its last
 // measurement, by what the fillers beside it have not shown yet.
 func (c *Cell) ahead(serving *task) float64 {
--- a/core/placement/tails_test.go
+++ b/core/placement/tails_test.go
@@ -182,6 +182,57 @@
 	}
 }
 
+// Guards against fillers that disturb no serving task and take the workers without any, so that those which disturb all find
+// none: the load pattern is a burst of fillers on a fleet of which serving tasks have booked the most.
+func TestNoisyFillersHaveWorkersToThemselves(t *testing.T) {
+	const workers = 6
+	tails := placement.NewEstimatorWith(0.1, 0.25)
+	c := placement.NewCell(1, placement.Options{Candidates: 64, Tails: tails})
+	for i := range workers {
+		c.UpsertWorker(placement.Worker{ID: workerID(i), Rack: ident.Rack(fmt.Sprint("r", i/2)), Capacity: vec(64_000, 64_000, 0)})
+	}
+	const images = 3
+	var serving []ident.TaskID
+	for i := range 3 * images {
+		p := pendingTask(1+i, "web", vec(20_000, 1000, 0))
+		p.Lasting = true
+		p.Constraints = placement.Constraints{Serving: true, Image: fmt.Sprint("serve", i/3)}
+		c.Submit([]placement.Pending{p})
+		serving = append(serving, p.Task)
+	}
+	c.Plan(epoch, 100)
+	shared := map[ident.WorkerID]bool{}
+	for _, id := range serving {
+		shared[c.WorkerOf(id)] = true
+	}
+	require.Less(t, len(shared), workers)
+	// Images are numbered in the order of their first use.
+	noisy, calm := images, images+1
+	for range 50 {
+		for i := range images {
+			tails.Learn(i, []placement.Load{{Class: noisy, Part: 0.8}}, 1+1.5*0.8, 0.03)
+			tails.Learn(i, []placement.Load{{Class: calm, Part: 0.8}}, 1, 0.03)
+		}
+	}
+	place := func(seq int, image string) (beside int) {
+		for i := range 4 {
+			p := pendingTask(seq+i, "etl", vec(fillerCPU, 1000, 0))
+			p.Constraints = placement.Constraints{Filler: true, Image: image}
+			c.Submit([]placement.Pending{p})
+		}
+		starts := c.Plan(epoch.Add(time.Second), 100).Starts
+		require.Len(t, starts, 4, image)
+		for _, s := range starts {
+			if shared[s.Worker] {
+				beside++
+			}
+		}
+		return beside
+	}
+	require.Zero(t, place(100, "noisy"))
+	require.Equal(t, 4, place(200, "calm"))
+}
+
 // Guards against constraints that placement forgets: pool, label, the limit of a worker, and the rack of the data.
 func TestConstraints(t *testing.T) {
 	c := placement.NewCell(1, placement.Options{Candidates: 64})
