Pass on what an owner has learnt about images

Cause: a new owner knows no pair of images and starts fillers where they do harm.

Change: an owner writes what its planner has learnt, under its ownership and at most every 4 s; its successor takes that over before the first task. What cannot be read or makes no sense is logged or left out, and learnt anew. Images are passed on by name, so that their numbers may differ. The codec, the store key and the interface of planners that learn are the product's own.

--- a/adapter/cellpb/codec.go
+++ b/adapter/cellpb/codec.go
@@ -8,6 +8,7 @@
 	cellv1 "github.com/bulrushrelay/bulrushrelay/api/cell/v1"
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
+	"github.com/bulrushrelay/bulrushrelay/core/placement"
 	"github.com/bulrushrelay/bulrushrelay/relay/jobs"
 )
 
@@ -192,3 +193,35 @@
 	}
 	return all
 }
+
+// EncodeLearnt returns the value of the key of what an owner has learnt.
+func (Codec) EncodeLearnt(l placement.Learnt) ([]byte, error) {
+	out := &cellv1.Learnt{}
+	for _, im := range l.Images {
+		out.Images = append(out.Images, &cellv1.LearntImage{Name: im.Name, Quiet: im.Quiet})
+	}
+	for _, p := range l.Pairs {
+		out.Pairs = append(out.Pairs, &cellv1.LearntPair{
+			Serving: uint32(p.Serving), Filler: uint32(p.Filler), Mean: p.Mean, Variance: p.Variance,
+		})
+	}
+	return proto.MarshalOptions{Deterministic: true}.Marshal(out)
+}
+
+// DecodeLearnt decodes what an owner has learnt.
+func (Codec) DecodeLearnt(value []byte) (placement.Learnt, error) {
+	var in cellv1.Learnt
+	if err := proto.Unmarshal(value, &in); err != nil {
+		return placement.Learnt{}, fmt.Errorf("learnt estimates: %w", err)
+	}
+	var l placement.Learnt
+	for _, im := range in.GetImages() {
+		l.Images = append(l.Images, placement.ImageLearnt{Name: im.GetName(), Quiet: im.GetQuiet()})
+	}
+	for _, p := range in.GetPairs() {
+		l.Pairs = append(l.Pairs, placement.PairLearnt{
+			Serving: int(p.GetServing()), Filler: int(p.GetFiller()), Mean: p.GetMean(), Variance: p.GetVariance(),
+		})
+	}
+	return l, nil
+}
--- a/adapter/cellpb/codec_test.go
+++ b/adapter/cellpb/codec_test.go
@@ -116,3 +116,18 @@
 		require.Equal(t, records, got)
 	})
 }
+
+// Guards against estimates that come back as others, or a broken value that passes.
+func TestLearntRoundTrip(t *testing.T) {
+	want := placement.Learnt{
+		Images: []placement.ImageLearnt{{Name: "web", Quiet: 0.4}, {Name: "etl", Quiet: 0.35}},
+		Pairs:  []placement.PairLearnt{{Serving: 0, Filler: 1, Mean: 1.2, Variance: 0.01}},
+	}
+	value, err := Codec{}.EncodeLearnt(want)
+	require.NoError(t, err)
+	got, err := Codec{}.DecodeLearnt(value)
+	require.NoError(t, err)
+	require.Equal(t, want, got)
+	_, err = Codec{}.DecodeLearnt([]byte{0xff})
+	require.Error(t, err)
+}
--- a/relay/jobs/failure_test.go
+++ b/relay/jobs/failure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,6 +11,8 @@
 
 	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
 	"github.com/bulrushrelay/bulrushrelay/core/ownership"
+	"github.com/bulrushrelay/bulrushrelay/core/placement"
+	"github.com/bulrushrelay/bulrushrelay/core/store"
 	"github.com/bulrushrelay/bulrushrelay/core/verdict"
 	"github.com/bulrushrelay/bulrushrelay/relay/jobs"
 	"github.com/bulrushrelay/bulrushrelay/standin/kv"
@@ -126,6 +129,35 @@
 	})
 }
 
+// Guards against an owner that starts fillers where its predecessor knew them to do harm, and against one that cannot start
+// because what was learnt is unreadable.
+func TestSuccessorKnowsWhatWasLearnt(t *testing.T) {
+	for _, broken := range []bool{false, true} {
+		scenario(t, 1, func(w *world, h *host) {
+			w.kill(h)
+			first, tails := w.learningHost()
+			w.own(first)
+			s := spec("batch", 1, "work=60s")
+			s.Groups[0].Constraints.Image = "etl"
+			first.submit(s)
+			time.Sleep(time.Second)
+			tails.Learn(0, []placement.Load{{Class: 0, Part: 0.8}}, 1.8, 0.03)
+			want, _ := tails.Expect(0, 0)
+			time.Sleep(5 * time.Second)
+			w.kill(first)
+			if broken {
+				_, err := w.engine.Txn(bg, nil, []store.Op{{Key: fmt.Sprintf("/cell/%d/learnt", cell), Value: []byte{0xff}}})
+				require.NoError(t, err)
+				want = 0.1
+			}
+			next, recalled := w.learningHost()
+			w.own(next)
+			got, _ := recalled.Expect(0, 0)
+			require.InDelta(t, want, got, 1e-6)
+		})
+	}
+}
+
 // Guards against running work that stops in a store outage, and against a false verdict for a job submitted in it.
 func TestStoreDownForLong(t *testing.T) {
 	scenario(t, 2, func(w *world, h *host) {
--- a/relay/jobs/owner.go
+++ b/relay/jobs/owner.go
@@ -52,6 +52,9 @@
 
 	watch watchers
 
+	// learnt is what is stored of what the planner has learnt. It belongs to recall and then to keepLearnt.
+	learnt []byte
+
 	// The fields below belong to the loop.
 	conns     map[ident.WorkerID]*conn
 	accepting map[ident.JobID]*item
--- a/relay/jobs/ports.go
+++ b/relay/jobs/ports.go
@@ -43,6 +43,8 @@
 	// EncodeSnapshot returns parts of at most maxBytes each.
 	EncodeSnapshot(s lifecycle.Snapshot, maxBytes int) ([][]byte, error)
 	DecodeSnapshot(parts [][]byte) (lifecycle.Snapshot, error)
+	EncodeLearnt(l placement.Learnt) ([]byte, error)
+	DecodeLearnt(value []byte) (placement.Learnt, error)
 }
 
 // Claim is the answer of a worker to a claim or a sync.
@@ -98,5 +100,11 @@
 	SetPart(cells int, shareShift uint8)
 }
 
+// LearningPlanner is a planner that learns what the next owner of the cell needs too.
+type LearningPlanner interface {
+	Learnt() placement.Learnt
+	Recall(l placement.Learnt)
+}
+
 // NewPlanner makes the planner of one cell with a table in force.
 type NewPlanner func(cell ident.CellID, t *table.Table) placement.Planner
--- a/relay/jobs/service.go
+++ b/relay/jobs/service.go
@@ -144,6 +144,7 @@
 		return verdict.Wrap(err, verdict.NotRun, verdict.CodeUnavailable, "acquire cell %d", g.Cell)
 	}
 	o := s.newOwner(g, h)
+	o.recall(ctx)
 	o.cell.RestoreSnapshot(h.snapshot)
 	for _, r := range h.records {
 		o.cell.Replay(r)
@@ -153,8 +154,12 @@
 	// What the predecessor did is no change.
 	o.cell.TakeChanged()
 	o.checkAuthority()
-	o.wg.Add(2)
+	o.wg.Add(3)
 	go o.loop()
+	go func() {
+		defer o.wg.Done()
+		o.keepLearnt(o.ctx)
+	}()
 	go func() {
 		defer o.wg.Done()
 		o.log.run(o.ctx)
--- a/relay/jobs/world_test.go
+++ b/relay/jobs/world_test.go
@@ -75,6 +75,17 @@
 	return jobs.New(cfg, testTable)
 }
 
+// learningHost returns a host and the estimates of its planner.
+func (w *world) learningHost() (*host, *placement.Estimator) {
+	h := w.host()
+	tails := placement.NewEstimatorWith(0.1, 0.25)
+	h.cfg.NewPlanner = func(ident.CellID, *table.Table) placement.Planner {
+		return placement.NewCell(1, placement.Options{Cell: cell, Tails: tails})
+	}
+	h.svc = jobs.New(h.cfg, testTable)
+	return h, tails
+}
+
 // withDoubtLimit gives the cell of a host to one that renews for a bounded time while its authority is in doubt.
 func (w *world) withDoubtLimit(h *host, limit time.Duration) *host {
 	w.kill(h)
