Start fillers where they are known to do harm as a last resort only

Cause: a filler that had found no worker for 9 s started anywhere.

Change: a filler that has waited for the usual time may start where the tail is expected to stay below the target, before where it stays below 1.5 times the target; it starts anywhere after a minute, before after 9 s, so that each job is done in the end.

Test that failed first: TestKnownHarmIsNotDoneForTheSakeOfLateFillers.

--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -255,7 +255,7 @@
 	switch waits := r.now.since(t.queuedAt); {
 	case waits < r.opts.FillerPatience:
 		return nearTail
-	case waits < impatience*r.opts.FillerPatience:
+	case waits < lastResort:
 		return impatientTail
 	default:
 		return math.Inf(1)
--- a/core/placement/tails.go
+++ b/core/placement/tails.go
@@ -16,9 +16,10 @@
 	goalTail = 0.75
 	// speedTail is what speeding up keeps to.
 	speedTail = 0.85
-	// impatientTail is what fillers may cause that have waited in vain, for impatience times that long.
-	impatientTail = 1.5
-	impatience    = 3
+	// impatientTail is what fillers may cause that have waited in vain for Options.FillerPatience. After lastResort they
+	// start wherever there is room; by then a job is of no use to most callers, but each is to be done in the end.
+	impatientTail = 1.0
+	lastResort    = time.Minute
 	// worstTail bounds what is expected, so that scores stay comparable.
 	worstTail = 4
 	// firstQuiet is the usual tail without fillers of an image not yet seen, and quietRate how fast it is learnt.
--- a/core/placement/tails_test.go
+++ b/core/placement/tails_test.go
@@ -276,6 +276,32 @@
 	}
 }
 
+// Guards against fillers that start where they are known to do harm because they have waited for some seconds: they stand
+// still there a second later, and their jobs are no nearer to their end. The load pattern is a peak in which serving tasks are
+// on every worker. In the end they start nevertheless, so that every job gets done.
+func TestKnownHarmIsNotDoneForTheSakeOfLateFillers(t *testing.T) {
+	tails := placement.NewEstimatorWith(0.1, 0.25)
+	c := placement.NewCell(1, placement.Options{Candidates: 64, Tails: tails})
+	c.UpsertWorker(placement.Worker{ID: workerID(0), Rack: "r", Capacity: vec(64_000, 64_000, 0)})
+	c.Submit([]placement.Pending{servingTask(1)})
+	require.Len(t, c.Plan(epoch, 10).Starts, 1)
+	for range 20 {
+		tails.Learn(0, []placement.Load{{Class: 1, Part: 0.8}}, 1+1.5*0.8, 0.03)
+	}
+	p := pendingTask(10, "etl", vec(fillerCPU, 1000, 0))
+	p.Constraints = placement.Constraints{Filler: true, Image: "harmful"}
+	c.Submit([]placement.Pending{p})
+	started := time.Duration(0)
+	for now := epoch; now.Sub(epoch) < 2*time.Minute && started == 0; now = now.Add(500 * time.Millisecond) {
+		c.Observe([]placement.Observation{{Task: servingTask(1).Task, Tail: 0.5, At: now}})
+		if len(c.Plan(now, 10).Starts) > 0 {
+			started = now.Sub(epoch)
+		}
+	}
+	require.Greater(t, started, 30*time.Second)
+	require.Less(t, started, 90*time.Second)
+}
+
 // Guards against fillers that disturb no serving task and take the workers without any, so that those which disturb all find
 // none: the load pattern is a burst of fillers on a fleet of which serving tasks have booked the most.
 func TestNoisyFillersHaveWorkersToThemselves(t *testing.T) {
