Move fillers that stand still

Change: a filler that has stood still for 3 s is stopped with its checkpoint if there is a worker where it is expected to disturb none, at most three times a task; four are tried in one Plan.

Test that failed first: TestFillersThatStandStillAreMoved, which also holds that nothing is stopped without another place, or moved to and fro.

--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -17,6 +17,8 @@
 	work, vain int
 	// blocked counts the queues left out.
 	blocked int
+	// moves counts the fillers that were tried to be moved.
+	moves int
 	// stuckTries counts the urgent tasks for which no room could be made.
 	stuckTries int
 	// mostServed is the largest weighted share of a batch class at the start of the Plan.
--- a/core/placement/tails.go
+++ b/core/placement/tails.go
@@ -64,6 +64,11 @@
 	harmlessLimit = 2200 * time.Millisecond
 	// metTail is below 1 because measurements are rough: a target counts as missed until a tail is below it.
 	metTail = 0.9
+	// stuckAfter is how long a filler may stand still before it is moved: longer than a tail takes to fall once the cause
+	// has gone. mostMoves bounds how often a task is moved, and triedMoves how many are tried in one Plan.
+	stuckAfter = 3 * time.Second
+	mostMoves  = 3
+	triedMoves = 4
 	// leastChange is the smallest change of a speed that is worth a call. Below leastPace fillers stand still.
 	leastChange = 0.25
 	leastPace   = 0.1
@@ -307,6 +312,27 @@
 	if worst != nil && worst.tail >= calmTail && worst.tail < 1 {
 		r.speedUpHarmless(n)
 	}
+	r.moveStuck(n)
+}
+
+// moveStuck stops fillers that have stood still for long, if there is a worker where they are expected to disturb none.
+func (r *round) moveStuck(n *node) {
+	for _, f := range n.tasks {
+		stuck := f.constraints.Filler && f.state == running && f.pace == 0 && f.paceKnown && r.now.since(f.pacedAt) >= stuckAfter
+		if !stuck || f.evictions >= mostMoves {
+			continue
+		}
+		if r.moves++; r.moves > triedMoves {
+			return
+		}
+		r.sample(&r.free, f.want)
+		req := r.request(f)
+		req.MostTail = calmTail
+		r.admit(&req)
+		if to := r.best(&req); to != nil && to != n {
+			r.evict(f, f)
+		}
+	}
 }
 
 // noteOver notes since when the worst tail of a worker may have been over the target: since the last report in which it
--- a/core/placement/tails_test.go
+++ b/core/placement/tails_test.go
@@ -276,6 +276,49 @@
 	}
 }
 
+// Guards against fillers that stand still to the end of the day beside a serving task whose tail has other causes, such as a
+// slow worker, while there is room where they would disturb none; and against ones that are moved to and fro, or stopped
+// without another place.
+func TestFillersThatStandStillAreMoved(t *testing.T) {
+	for _, elsewhere := range []bool{false, true} {
+		c := placement.NewCell(1, placement.Options{Candidates: 64})
+		add := func(i int) {
+			c.UpsertWorker(placement.Worker{ID: workerID(i), Rack: "r", Capacity: vec(64_000, 64_000, 0)})
+		}
+		add(0)
+		c.Submit([]placement.Pending{servingTask(1)})
+		p := pendingTask(10, "etl", vec(fillerCPU, 1000, 0))
+		p.Constraints = placement.Constraints{Filler: true, Image: "etl"}
+		c.Submit([]placement.Pending{p})
+		require.Len(t, c.Plan(epoch, 10).Starts, 2)
+		if elsewhere {
+			add(1)
+		}
+		moved := 0
+		for now := epoch; now.Sub(epoch) < time.Minute; now = now.Add(250 * time.Millisecond) {
+			c.Observe([]placement.Observation{{Task: servingTask(1).Task, Tail: 20, At: now}})
+			plan := c.Plan(now, 10)
+			for _, e := range plan.Evictions {
+				require.GreaterOrEqual(t, now.Sub(epoch), 3*time.Second)
+				moved++
+				p.Attempt++
+				p.Evictions++
+				c.Submit([]placement.Pending{p})
+				c.Release(e.Task)
+			}
+			for _, s := range plan.Starts {
+				require.Equal(t, workerID(1), s.Worker)
+			}
+		}
+		if elsewhere {
+			require.Equal(t, 1, moved)
+			require.Equal(t, workerID(1), c.WorkerOf(p.Task))
+		} else {
+			require.Zero(t, moved)
+		}
+	}
+}
+
 // Guards against fillers that start where they are known to do harm because they have waited for some seconds: they stand
 // still there a second later, and their jobs are no nearer to their end. The load pattern is a peak in which serving tasks are
 // on every worker. In the end they start nevertheless, so that every job gets done.
