--- a/core/placement/learnt_test.go
+++ b/core/placement/learnt_test.go
@@ -45,9 +45,12 @@
 	c.Recall(placement.Learnt{
 		Images: []placement.ImageLearnt{{Name: "web", Quiet: math.NaN()}, {Name: "etl", Quiet: -1}},
 		Pairs: []placement.PairLearnt{
-			{Serving: 0, Filler: 7, Mean: 1, Variance: 0.1}, {Serving: -1, Filler: 0, Mean: 1, Variance: 0.1},
-			{Serving: 0, Filler: 1, Mean: math.Inf(1), Variance: 0.1}, {Serving: 0, Filler: 1, Mean: 1, Variance: 0},
-			{Serving: 1, Filler: 0, Mean: -1, Variance: 0.1}, {Serving: 1, Filler: 0, Mean: 1, Variance: math.NaN()},
+			{Serving: 0, Filler: 7, Mean: 1, Variance: 0.1},
+			{Serving: -1, Filler: 0, Mean: 1, Variance: 0.1},
+			{Serving: 0, Filler: 1, Mean: math.Inf(1), Variance: 0.1},
+			{Serving: 0, Filler: 1, Mean: 1, Variance: 0},
+			{Serving: 1, Filler: 0, Mean: -1, Variance: 0.1},
+			{Serving: 1, Filler: 0, Mean: 1, Variance: math.NaN()},
 		},
 	})
 	for _, pair := range [][2]int{{0, 1}, {1, 0}} {
