Compute the lengthening of a tail in one place, and filter cheaply first

Candidates for a filler pass the cheap filters before the tails beside it are worked out. The image that speedUp copied from its filler, and the buffer that filling never got, are gone. Tests that wrote out a filler, a round of measurements, or a host with other settings share one function for each. No decision and no assertion changes.

--- a/core/placement/pacing.go
+++ b/core/placement/pacing.go
@@ -142,7 +142,7 @@
 		case f.settling(r.now):
 			showing = showing || f.unsettled(r.now)
 		case f.pace > 0:
-			if factor := r.lengthening(s, f.image, float64(f.using)); factor >= leastShare {
+			if factor := r.lengthening(s.image, f.image, float64(f.using)); factor >= leastShare {
 				shares = append(shares, share{f, factor})
 			} else {
 				others = append(others, f)
@@ -177,7 +177,6 @@
 func (r *round) speedUp(n *node) {
 	type slowed struct {
 		filler *task
-		image  int
 		factor float64
 	}
 	var serving []*task
@@ -193,9 +192,9 @@
 		if !f.constraints.Filler || f.pace == 1 && f.paceKnown || f.settling(r.now) {
 			continue
 		}
-		sl := slowed{filler: f, image: f.image}
+		sl := slowed{filler: f}
 		for _, s := range serving {
-			sl.factor = max(sl.factor, r.lengthening(s, sl.image, float64(f.wish)))
+			sl.factor = max(sl.factor, r.lengthening(s.image, f.image, float64(f.wish)))
 		}
 		list = append(list, sl)
 	}
@@ -203,7 +202,7 @@
 	for _, sl := range list {
 		more := sl.filler.limit(r.now) - sl.filler.pace
 		for i, s := range serving {
-			if full := r.lengthening(s, sl.image, float64(sl.filler.wish)); full*more > room[i] {
+			if full := r.lengthening(s.image, sl.filler.image, float64(sl.filler.wish)); full*more > room[i] {
 				more = max(0, room[i]/full)
 			}
 		}
@@ -211,7 +210,7 @@
 			continue
 		}
 		for i, s := range serving {
-			room[i] -= more * r.lengthening(s, sl.image, float64(sl.filler.wish))
+			room[i] -= more * r.lengthening(s.image, sl.filler.image, float64(sl.filler.wish))
 		}
 		r.setPace(sl.filler, min(1, sl.filler.pace+more))
 	}
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -320,10 +320,10 @@
 	c.candidates = c.candidates[:0]
 	for _, slot := range c.slots {
 		n := c.nodes[slot]
-		if req.Constraints.Filler && c.tailBeside(req, n) > req.MostTail {
+		if !passes(c.required, c.spread, req, n) {
 			continue
 		}
-		if passes(c.required, c.spread, req, n) {
+		if !req.Constraints.Filler || c.tailBeside(req, n) <= req.MostTail {
 			c.candidates = append(c.candidates, n)
 		}
 	}
--- a/core/placement/tails.go
+++ b/core/placement/tails.go
@@ -85,8 +85,7 @@
 }
 
 // filling returns the use of the fillers on a worker by image.
-func (n *node) filling(into []use) (uses []use, total float64) {
-	uses = into[:0]
+func (n *node) filling() (uses []use, total float64) {
 	for _, f := range n.tasks {
 		if !f.constraints.Filler || f.using == 0 {
 			continue
@@ -106,7 +105,7 @@
 // do, but slowly. What the tail has grown by since the last measurement is therefore put down to the fillers that have
 // come or sped up since. Decreases teach little, because a tail falls slowly.
 func (c *Cell) learnTail(t *task) {
-	uses, total := t.node.filling(nil)
+	uses, total := t.node.filling()
 	was, before, at := t.usesBefore, t.tailBefore, t.beforeAt
 	t.usesBefore, t.tailBefore, t.beforeAt = uses, t.tail, t.tailAt
 	if total < quietUse && len(was) == 0 {
@@ -146,10 +145,10 @@
 	return slices.ContainsFunc(n.tasks, func(f *task) bool { return f.constraints.Filler && f.unsettled(at) })
 }
 
-// lengthening returns the expected logarithm of the factor by which a filler image lengthens the tail of a serving task,
+// lengthening returns the expected logarithm of the factor by which a filler image lengthens the tails of a serving image,
 // for a use in thousandths of a processor. Fillers multiply a tail: three together harm far more than one three times.
-func (c *Cell) lengthening(serving *task, filler int, milliCPU float64) float64 {
-	mean, _ := c.opts.Tails.Expect(serving.image, filler)
+func (c *Cell) lengthening(serving, filler int, milliCPU float64) float64 {
+	mean, _ := c.opts.Tails.Expect(serving, filler)
 	return mean * milliCPU / partUnit
 }
 
@@ -182,7 +181,7 @@
 	sum := 0.0
 	for _, f := range serving.node.tasks {
 		if f.constraints.Filler {
-			sum += c.lengthening(serving, f.image, f.unseen(c.now))
+			sum += c.lengthening(serving.image, f.image, f.unseen(c.now))
 		}
 	}
 	return sum
@@ -220,8 +219,8 @@
 // harmless reports whether a filler image is known to hardly lengthen the tail of a serving image, for a use in thousandths
 // of a processor.
 func (c *Cell) harmless(serving, filler int, milliCPU int64) bool {
-	mean, deviation := c.opts.Tails.Expect(serving, filler)
-	return deviation <= knownDeviation && mean*float64(milliCPU)/partUnit < harmlessShare
+	_, deviation := c.opts.Tails.Expect(serving, filler)
+	return deviation <= knownDeviation && c.lengthening(serving, filler, float64(milliCPU)) < harmlessShare
 }
 
 // harmlessTo reports whether a filler is harmless to every serving task on its worker.
@@ -240,11 +239,9 @@
 		longest = 0
 	}
 	for _, e := range c.expect(n) {
-		if c.harmless(e.image, req.image, req.Wish) {
-			continue
+		if !c.harmless(e.image, req.image, req.Wish) {
+			longest = max(longest, e.tail+c.lengthening(e.image, req.image, float64(req.Wish)))
 		}
-		mean, _ := c.opts.Tails.Expect(e.image, req.image)
-		longest = max(longest, e.tail+mean*float64(req.Wish)/partUnit)
 	}
 	return min(math.Exp(longest), worstTail)
 }
--- a/core/placement/tails_test.go
+++ b/core/placement/tails_test.go
@@ -44,6 +44,25 @@
 	return p
 }
 
+func fillerTask(seq int, image string) placement.Pending {
+	p := pendingTask(seq, "etl", vec(fillerCPU, 1000, 0))
+	p.Constraints = placement.Constraints{Filler: true, Image: image}
+	return p
+}
+
+// measure reports the tail of serving task 1 and the fillers at their speeds, lets the planner decide, and takes over what it
+// decides on the speeds.
+func measure(c *placement.Cell, now time.Time, tail float64, speed map[ident.TaskID]float64) {
+	obs := []placement.Observation{{Task: servingTask(1).Task, Tail: tail, At: now}}
+	for id, f := range speed {
+		obs = append(obs, placement.Observation{Task: id, Usage: vec(int64(f*fillerCPU), 0, 0), At: now})
+	}
+	c.Observe(obs)
+	for _, th := range c.Plan(now, 10).Throttles {
+		speed[th.Task] = th.Fraction
+	}
+}
+
 func newColocation(t *testing.T, workers int) *colocation {
 	s := &colocation{t: t, c: cellOf(workers, vec(64_000, 64_000, 0)), workers: workers, now: epoch, fillers: map[ident.TaskID]*running{}, next: 1000, over: map[int]int{}}
 	for i := range workers {
@@ -56,9 +75,7 @@
 func (s *colocation) submit(image string, n int) {
 	for range n {
 		s.next++
-		p := pendingTask(s.next, "etl", vec(fillerCPU, 1000, 0))
-		p.Constraints = placement.Constraints{Filler: true, Image: image}
-		s.c.Submit([]placement.Pending{p})
+		s.c.Submit([]placement.Pending{fillerTask(s.next, image)})
 	}
 }
 
@@ -158,9 +175,7 @@
 	c := cellOf(1, vec(64_000, 64_000, 0))
 	c.Submit([]placement.Pending{servingTask(1)})
 	for i := range 3 {
-		p := pendingTask(10+i, "etl", vec(fillerCPU, 1000, 0))
-		p.Constraints = placement.Constraints{Filler: true, Image: fmt.Sprint("image", i)}
-		c.Submit([]placement.Pending{p})
+		c.Submit([]placement.Pending{fillerTask(10+i, fmt.Sprint("image", i))})
 	}
 	require.Len(t, c.Plan(epoch, 10).Starts, 4)
 	speed := map[ident.TaskID]float64{}
@@ -168,14 +183,7 @@
 		speed[pendingTask(10+i, "etl", vec(1, 1, 0)).Task] = 1
 	}
 	for now := epoch; now.Sub(epoch) < 2500*time.Millisecond; now = now.Add(250 * time.Millisecond) {
-		obs := []placement.Observation{{Task: servingTask(1).Task, Tail: 3, At: now}}
-		for id, f := range speed {
-			obs = append(obs, placement.Observation{Task: id, Usage: vec(int64(f*fillerCPU), 0, 0), At: now})
-		}
-		c.Observe(obs)
-		for _, th := range c.Plan(now, 10).Throttles {
-			speed[th.Task] = th.Fraction
-		}
+		measure(c, now, 3, speed)
 	}
 	for id, f := range speed {
 		require.Zero(t, f, id)
@@ -191,8 +199,7 @@
 	c.Submit([]placement.Pending{servingTask(1)})
 	c.Plan(epoch, 10)
 	submit := func(seq int, image string) ident.TaskID {
-		p := pendingTask(seq, "etl", vec(fillerCPU, 1000, 0))
-		p.Constraints = placement.Constraints{Filler: true, Image: image}
+		p := fillerTask(seq, image)
 		c.Submit([]placement.Pending{p})
 		return p.Task
 	}
@@ -204,14 +211,7 @@
 	}
 	speed := map[ident.TaskID]float64{harmful: 1, harmless: 1}
 	for now := epoch; now.Sub(epoch) < 1250*time.Millisecond; now = now.Add(250 * time.Millisecond) {
-		obs := []placement.Observation{{Task: servingTask(1).Task, Tail: 2, At: now}}
-		for id, f := range speed {
-			obs = append(obs, placement.Observation{Task: id, Usage: vec(int64(f*fillerCPU), 0, 0), At: now})
-		}
-		c.Observe(obs)
-		for _, th := range c.Plan(now, 10).Throttles {
-			speed[th.Task] = th.Fraction
-		}
+		measure(c, now, 2, speed)
 	}
 	require.Zero(t, speed[harmful])
 	require.Equal(t, 1.0, speed[harmless])
@@ -237,12 +237,7 @@
 			c := placement.NewCell(1, placement.Options{Candidates: 64, Tails: tails})
 			c.UpsertWorker(placement.Worker{ID: workerID(0), Rack: "r", Capacity: vec(64_000, 64_000, 0)})
 			c.Submit([]placement.Pending{servingTask(1)})
-			filler := func(seq int) placement.Pending {
-				p := pendingTask(seq, "etl", vec(fillerCPU, 1000, 0))
-				p.Constraints = placement.Constraints{Filler: true, Image: "harmless"}
-				return p
-			}
-			c.Submit([]placement.Pending{filler(10)})
+			c.Submit([]placement.Pending{fillerTask(10, "harmless")})
 			require.Len(t, c.Plan(epoch, 10).Starts, 2)
 			for range 50 {
 				tails.Learn(0, []placement.Load{{Class: 1, Part: 0.8}}, 1, 0.03)
@@ -259,7 +254,7 @@
 				}
 				c.Observe([]placement.Observation{
 					{Task: servingTask(1).Task, Tail: tail, At: now},
-					{Task: filler(10).Task, Usage: vec(fillerCPU, 0, 0), At: now},
+					{Task: fillerTask(10, "harmless").Task, Usage: vec(fillerCPU, 0, 0), At: now},
 				})
 				for _, th := range c.Plan(now, 10).Throttles {
 					if th.Fraction == 0 {
@@ -270,7 +265,7 @@
 			require.GreaterOrEqual(t, stopped, time.Duration(0))
 			// The target may have been missed from the moment of the last report in which it was met.
 			require.LessOrEqual(t, stopped+shows, bound, "reports each %s, %v", every, rough)
-			c.Submit([]placement.Pending{filler(11)})
+			c.Submit([]placement.Pending{fillerTask(11, "harmless")})
 			require.Empty(t, c.Plan(epoch.Add(stopped), 10).Starts)
 		}
 	}
@@ -287,8 +282,7 @@
 		}
 		add(0)
 		c.Submit([]placement.Pending{servingTask(1)})
-		p := pendingTask(10, "etl", vec(fillerCPU, 1000, 0))
-		p.Constraints = placement.Constraints{Filler: true, Image: "etl"}
+		p := fillerTask(10, "etl")
 		c.Submit([]placement.Pending{p})
 		require.Len(t, c.Plan(epoch, 10).Starts, 2)
 		if elsewhere {
@@ -331,9 +325,7 @@
 	for range 20 {
 		tails.Learn(0, []placement.Load{{Class: 1, Part: 0.8}}, 1+1.5*0.8, 0.03)
 	}
-	p := pendingTask(10, "etl", vec(fillerCPU, 1000, 0))
-	p.Constraints = placement.Constraints{Filler: true, Image: "harmful"}
-	c.Submit([]placement.Pending{p})
+	c.Submit([]placement.Pending{fillerTask(10, "harmful")})
 	started := time.Duration(0)
 	for now := epoch; now.Sub(epoch) < 2*time.Minute && started == 0; now = now.Add(500 * time.Millisecond) {
 		c.Observe([]placement.Observation{{Task: servingTask(1).Task, Tail: 0.5, At: now}})
@@ -379,9 +371,7 @@
 	}
 	place := func(seq int, image string) (beside int) {
 		for i := range 4 {
-			p := pendingTask(seq+i, "etl", vec(fillerCPU, 1000, 0))
-			p.Constraints = placement.Constraints{Filler: true, Image: image}
-			c.Submit([]placement.Pending{p})
+			c.Submit([]placement.Pending{fillerTask(seq+i, image)})
 		}
 		starts := c.Plan(epoch.Add(time.Second), 100).Starts
 		require.Len(t, starts, 4, image)
--- a/relay/jobs/world_test.go
+++ b/relay/jobs/world_test.go
@@ -77,21 +77,18 @@
 
 // learningHost returns a host and the estimates of its planner.
 func (w *world) learningHost() (*host, *placement.Estimator) {
-	h := w.host()
 	tails := placement.NewEstimatorWith(0.1, 0.25)
-	h.cfg.NewPlanner = func(ident.CellID, *table.Table) placement.Planner {
-		return placement.NewCell(1, placement.Options{Cell: cell, Tails: tails})
-	}
-	h.svc = jobs.New(h.cfg, testTable)
-	return h, tails
+	return w.hostWith(func(cfg *jobs.Config) {
+		cfg.NewPlanner = func(ident.CellID, *table.Table) placement.Planner {
+			return placement.NewCell(1, placement.Options{Cell: cell, Tails: tails})
+		}
+	}), tails
 }
 
 // withDoubtLimit gives the cell of a host to one that renews for a bounded time while its authority is in doubt.
 func (w *world) withDoubtLimit(h *host, limit time.Duration) *host {
 	w.kill(h)
-	next := w.host()
-	next.cfg.DoubtLimit = limit
-	next.svc = jobs.New(next.cfg, testTable)
+	next := w.hostWith(func(cfg *jobs.Config) { cfg.DoubtLimit = limit })
 	w.own(next)
 	return next
 }
@@ -129,6 +126,14 @@
 	return w.hostOn(func(_ *host, s jobs.Store) jobs.Store { return s })
 }
 
+// hostWith returns a new host with other settings.
+func (w *world) hostWith(change func(cfg *jobs.Config)) *host {
+	h := w.host()
+	change(&h.cfg)
+	h.svc = jobs.New(h.cfg, testTable)
+	return h
+}
+
 // hostOn returns a new host whose store is wrapped.
 func (w *world) hostOn(wrap func(h *host, s jobs.Store) jobs.Store) *host {
 	h := &host{w: w, name: fmt.Sprintf("h%d", len(w.hosts)), link: worker.NewLink(w.fleet)}
