Prefer hosts with more processor time as owners of cells

The owner of the region's one cell was chosen by hashing alone.

A host states its processor time in its member record. The rank of owners puts stronger hosts first; those within a factor of two are equal and ordered by hashing as before. A weak host that has claimed a cell hands it over to a stronger one that has been seen for two leases; between equal hosts a cell still stays where it is.

--- a/adapter/clusterrecord/codec.go
+++ b/adapter/clusterrecord/codec.go
@@ -22,6 +22,7 @@
 	Incarnation ident.Incarnation `json:"incarnation"`
 	DataCentre  ident.DataCentre  `json:"data_centre"`
 	Address     string            `json:"address"`
+	MilliCPU    int64             `json:"milli_cpu,omitempty"`
 }
 
 type owner struct {
@@ -49,7 +50,7 @@
 
 // EncodeMember returns the value of a member record.
 func (JSON) EncodeMember(m cluster.MemberRecord) []byte {
-	return encode(member{m.Instance.Host, m.Instance.Incarnation, m.DataCentre, m.Address})
+	return encode(member{m.Instance.Host, m.Instance.Incarnation, m.DataCentre, m.Address, m.MilliCPU})
 }
 
 // DecodeMember returns the member record of a value.
@@ -62,7 +63,7 @@
 		return cluster.MemberRecord{}, errNoHost
 	}
 	i := ident.Instance{Host: m.Host, Incarnation: m.Incarnation}
-	return cluster.MemberRecord{Instance: i, DataCentre: m.DataCentre, Address: m.Address}, nil
+	return cluster.MemberRecord{Instance: i, DataCentre: m.DataCentre, Address: m.Address, MilliCPU: m.MilliCPU}, nil
 }
 
 // EncodeOwner returns the value of an ownership record.
--- a/adapter/clusterrecord/codec_test.go
+++ b/adapter/clusterrecord/codec_test.go
@@ -13,7 +13,7 @@
 // Guards against records that change on a round trip through the store.
 func TestRoundTrip(t *testing.T) {
 	i := ident.Instance{Host: "a", Incarnation: 1764846927000123456}
-	m := cluster.MemberRecord{Instance: i, DataCentre: "nelson", Address: "10.0.0.1:7000"}
+	m := cluster.MemberRecord{Instance: i, DataCentre: "nelson", Address: "10.0.0.1:7000", MilliCPU: 192}
 	gotMember, err := JSON{}.DecodeMember(JSON{}.EncodeMember(m))
 	require.NoError(t, err)
 	require.Equal(t, m, gotMember)
--- a/core/ownership/config.go
+++ b/core/ownership/config.go
@@ -32,6 +32,8 @@
 	RankStep time.Duration
 	// HandOverAfter is how long a more preferred member must have been seen before it is handed a cell.
 	HandOverAfter time.Duration
+	// RelieveAfter is HandOverAfter for a member that is stronger than this host, which may be too weak for the cell.
+	RelieveAfter time.Duration
 	// DoubtLimit is how long an owner renews the leases of tasks after its authority stopped being Full; 0 means without
 	// end.
 	DoubtLimit time.Duration
@@ -58,6 +60,7 @@
 		StartWait:     2 * time.Second,
 		RankStep:      3 * time.Second,
 		HandOverAfter: 5 * time.Second,
+		RelieveAfter:  5 * time.Second,
 		MaxDeadline:   30 * time.Second,
 	}
 }
@@ -80,6 +83,7 @@
 		StartWait:     ttl / 10,
 		RankStep:      ttl / 12,
 		HandOverAfter: handOverTTLs * ttl,
+		RelieveAfter:  relieveTTLs * ttl,
 		DoubtLimit:    margin,
 		GoneAfter:     margin,
 
@@ -91,5 +95,9 @@
 // higher: a hand-over interrupts the work of a cell, and a rolling stop would cause one for each host.
 const handOverTTLs = 100
 
+// relieveTTLs is the same for a host that is stronger than the owner. It outlasts the restart of a host that owned the
+// cell before, so that a rolling stop of the strong hosts does not move the cell twice for each.
+const relieveTTLs = 2
+
 // minReportFresh leaves a member asked every half second time to answer.
 const minReportFresh = 700 * time.Millisecond
--- a/core/ownership/rank.go
+++ b/core/ownership/rank.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"math/bits"
 	"slices"
 	"strconv"
 
@@ -19,11 +20,20 @@
 type Member struct {
 	Instance   ident.Instance
 	DataCentre ident.DataCentre
-	Leaving    bool
+	// MilliCPU is the processor time that the host may use, in thousandths of a core; 0 if it does not say.
+	MilliCPU int64
+	Leaving  bool
+}
+
+// strength groups hosts by their processor time: those within a factor of two of each other are equal, so that cells
+// spread over them.
+func (m Member) strength() int {
+	return bits.Len64(uint64(max(m.MilliCPU, 0)))
 }
 
 // Rank orders the members that may own the cell, most preferred first: members of the cell's data centre before all
-// others, each group by rendezvous hashing, so that a change of one member moves only that member's cells.
+// others, then stronger hosts before weaker ones, and equal ones by rendezvous hashing, so that a change of one member
+// moves only that member's cells.
 func Rank(c Cell, members []Member) []Member {
 	ranked := make([]Member, 0, len(members))
 	for _, m := range members {
@@ -41,6 +51,9 @@
 			}
 			return 1
 		}
+		if sa, sb := a.strength(), b.strength(); sa != sb {
+			return sb - sa
+		}
 		if sa, sb := score(a), score(b); sa != sb {
 			if sa > sb {
 				return -1
--- a/core/ownership/step.go
+++ b/core/ownership/step.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"slices"
 	"time"
 
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
@@ -251,7 +252,20 @@
 	if len(ranked) == 0 || ranked[0].Instance == m.cfg.Self {
 		return false
 	}
-	return !now.Before(m.firstSeen[ranked[0].Instance].Add(m.cfg.HandOverAfter))
+	after := m.cfg.HandOverAfter
+	if ranked[0].strength() > m.self().strength() {
+		after = m.cfg.RelieveAfter
+	}
+	return !now.Before(m.firstSeen[ranked[0].Instance].Add(after))
+}
+
+// self returns the member record of this host.
+func (m *Machine) self() Member {
+	i := slices.IndexFunc(m.members, func(member Member) bool { return member.Instance == m.cfg.Self })
+	if i < 0 {
+		return Member{Instance: m.cfg.Self, DataCentre: m.cfg.DataCentre}
+	}
+	return m.members[i]
 }
 
 // Drained says that nothing runs in the cell any more under the given epoch, so that it can be released.
--- a/daemon/jobhost.go
+++ b/daemon/jobhost.go
@@ -128,6 +128,7 @@
 	h.cluster = cluster.New(cluster.Config{
 		Ownership:   owning,
 		PeerAddress: h.settings.PeerAddress,
+		MilliCPU:    h.settings.MilliCPU,
 		Store:       h.ports.Store,
 		Transport:   peergrpc.NewGossipClient(h.self, h.pool),
 		Codec:       codec,
--- a/daemon/jobsettings.go
+++ b/daemon/jobsettings.go
@@ -35,6 +35,8 @@
 	StoreWrites   float64
 	// Grace is the time from the request to stop until the process is killed.
 	Grace time.Duration
+	// MilliCPU is the processor time of the host in thousandths of a core; 0 if it is not known.
+	MilliCPU int64
 }
 
 // JobPorts connects a JobHost to the platform.
--- a/relay/cluster/ports.go
+++ b/relay/cluster/ports.go
@@ -36,6 +36,8 @@
 	Instance   ident.Instance
 	DataCentre ident.DataCentre
 	Address    string
+	// MilliCPU is the processor time that the host may use, in thousandths of a core; 0 if it does not say.
+	MilliCPU int64
 }
 
 // Codec turns the records in the store into values and back. Decoding reports malformed values as errors.
--- a/relay/cluster/service.go
+++ b/relay/cluster/service.go
@@ -48,6 +48,8 @@
 	// PeerAddress and CallerAddress are where other members and callers reach this host.
 	PeerAddress   string
 	CallerAddress string
+	// MilliCPU is the processor time that this host may use, in thousandths of a core; 0 if it is not known.
+	MilliCPU int64
 	// Seeds are peer addresses to join through, beside the members in the store.
 	Seeds     []string
 	Store     store.Store
--- a/relay/cluster/shards.go
+++ b/relay/cluster/shards.go
@@ -74,7 +74,9 @@
 func (o *ownershipShard) setMembers(now time.Time) {
 	members := make([]ownership.Member, 0, len(o.leased))
 	for _, r := range o.leased {
-		members = append(members, ownership.Member{Instance: r.Instance, DataCentre: r.DataCentre, Leaving: o.leaving[r.Instance]})
+		members = append(members, ownership.Member{
+			Instance: r.Instance, DataCentre: r.DataCentre, MilliCPU: r.MilliCPU, Leaving: o.leaving[r.Instance],
+		})
 	}
 	o.machine.SetMembers(members, now)
 }
--- a/relay/cluster/store.go
+++ b/relay/cluster/store.go
@@ -96,7 +96,7 @@
 func (s *Service) register(ctx context.Context, lease store.LeaseID) error {
 	self := s.cfg.Ownership.Self
 	record := s.cfg.Codec.EncodeMember(MemberRecord{
-		Instance: self, DataCentre: s.cfg.Ownership.DataCentre, Address: s.cfg.PeerAddress,
+		Instance: self, DataCentre: s.cfg.Ownership.DataCentre, Address: s.cfg.PeerAddress, MilliCPU: s.cfg.MilliCPU,
 	})
 	ops := []store.Op{{Key: MemberPrefix + string(self.Host), Value: record, Lease: lease}}
 	var compares []store.Compare
