Hand a busy cell over without waiting for a moment without ends

A planned stop of the owner of 350 workers took 3.1 s until the cell had its next owner. Meanwhile no job was accepted: callers got 397 answers of 504, and 147 of 1,042 jobs were never accepted. The draining owner waited until no record was queued, but each report of a worker made new ones, so that it went on until most tasks had ended.

Once the records queued so far are durable, which shows that the store answers, a draining owner takes no further reports. Workers keep the ends until the next owner has them.

relay/jobs TestBusyCellIsHandedOverSoon failed before (flush the log: context deadline exceeded).

--- /dev/null
+++ b/relay/jobs/flush.go
@@ -0,0 +1,50 @@
+package jobs
+
+import "context"
+
+// empty reports whether every record is durable.
+func (l *cellLog) empty() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.queue) == 0 && !l.busy
+}
+
+// settle waits until the records that were queued before the call are durable or withdrawn, or the writer has ended.
+func (l *cellLog) settle(ctx context.Context) error {
+	l.mu.Lock()
+	last := l.last
+	l.mu.Unlock()
+	if last == nil {
+		return nil
+	}
+	l.writeNow()
+	select {
+	case <-last.done:
+		return nil
+	case <-l.ended:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// flush waits until every queued record is durable.
+func (l *cellLog) flush(ctx context.Context) error {
+	l.mu.Lock()
+	if len(l.queue) == 0 && !l.busy {
+		l.mu.Unlock()
+		return nil
+	}
+	if l.idle == nil {
+		l.idle = make(chan struct{})
+	}
+	idle := l.idle
+	l.mu.Unlock()
+	l.writeNow()
+	select {
+	case <-idle:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/relay/jobs/log.go
+++ b/relay/jobs/log.go
@@ -64,6 +64,8 @@
 	mu    sync.Mutex
 	queue []*item
 	bytes int
+	// last is the record that was queued last.
+	last *item
 	// failingSince is when the commit in progress failed first; zero if the last one succeeded.
 	failingSince time.Time
 	// busy is set while the writer has a batch that is not resolved.
@@ -111,6 +113,7 @@
 	for _, it := range items {
 		l.queue = append(l.queue, it)
 		l.bytes += it.size
+		l.last = it
 	}
 	shareWait := l.shareWait(records)
 	if shareWait > 0 {
@@ -230,34 +233,6 @@
 	l.dropAbandoned()
 }
 
-// empty reports whether every record is durable.
-func (l *cellLog) empty() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.queue) == 0 && !l.busy
-}
-
-// flush waits until every queued record is durable.
-func (l *cellLog) flush(ctx context.Context) error {
-	l.mu.Lock()
-	if len(l.queue) == 0 && !l.busy {
-		l.mu.Unlock()
-		return nil
-	}
-	if l.idle == nil {
-		l.idle = make(chan struct{})
-	}
-	idle := l.idle
-	l.mu.Unlock()
-	l.writeNow()
-	select {
-	case <-idle:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // run writes until ctx ends or the owner is replaced.
 func (l *cellLog) run(ctx context.Context) {
 	defer close(l.ended)
--- a/relay/jobs/service.go
+++ b/relay/jobs/service.go
@@ -260,12 +260,20 @@
 	return nil
 }
 
-// finish ends the loop and the log writer at a moment when every record is durable, and returns the state then.
+// finish ends the loop and the log writer at a moment when every record is durable, and returns the state then. Once
+// the store has answered, no report of a worker is taken any more: the ends in it would make records without end, and
+// the worker keeps them for the next owner.
 func (o *owner) finish(ctx context.Context) (lifecycle.Snapshot, error) {
 	var (
 		snapshot lifecycle.Snapshot
 		taken    bool
 	)
+	if err := o.log.settle(ctx); err != nil {
+		return snapshot, verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeDeadline, "drain cell %d: records", o.cellID)
+	}
+	if !o.call(ctx, o.stopConns) {
+		return snapshot, errStopped(o.cellID)
+	}
 	for !taken {
 		if err := o.log.flush(ctx); err != nil {
 			return snapshot, verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeDeadline, "drain cell %d: flush the log", o.cellID)
