End the calls of callers on time while cells are handed over slowly

A host that was told to stop first handed its cells over and only then closed its port of callers.

The port of callers is closed once the balancer has had its notice, beside the hand-over; the calls in progress keep the rest of the time.

TestSlowHandOverDoesNotKeepCallersOpen does not end with the former order, because the port is closed only after leave.

--- a/daemon/jobhost.go
+++ b/daemon/jobhost.go
@@ -338,6 +338,19 @@
 	}
 }
 
+// leaveAndClose hands the cells over by leave and ends the calls of callers by shutdown once notice is over, also if the
+// cells are handed over slowly: a call that is taken shortly before the process ends would be cut off unanswered.
+func leaveAndClose(ctx context.Context, notice <-chan time.Time, leave, shutdown func(context.Context) error) error {
+	left := make(chan error, 1)
+	go func() { left <- leave(ctx) }()
+	select {
+	case <-notice:
+	case <-ctx.Done():
+	}
+	err := shutdown(ctx)
+	return errors.Join(err, <-left)
+}
+
 // drain stops the host as planned: it reports that it stops, hands its cells over, and finishes the calls of callers.
 func (h *JobHost) drain() error {
 	h.health.set(phaseDraining)
@@ -346,12 +359,7 @@
 	defer cancel()
 	notice := time.NewTimer(unhealthyNotice)
 	defer notice.Stop()
-	err := h.cluster.Leave(ctx)
-	select {
-	case <-notice.C:
-	case <-ctx.Done():
-	}
-	err = errors.Join(err, h.callers.shutdown(ctx))
+	err := leaveAndClose(ctx, notice.C, h.cluster.Leave, h.callers.shutdown)
 	h.peers.Stop()
 	for _, s := range []*httpServer{h.callers, h.status, h.counters} {
 		_ = s.server.Close()
