Place restarts of lasting tasks before new starts

Cause: a lasting task that had failed waited in the queue of its class like a new start. Its class already holds the largest share, so that the queues of all other classes went first and took the room that it had left and all that became free later. Where urgent tasks held that room no worker was reserved either, because the index of reclaimable room counts what urgent tasks have as kept for ever; and displacing others was refused wherever they held a smaller share.

Change: a lasting task whose attempt is above 1 is a restart. Restarts are in a list of their own that each Plan serves before the queues. A restart that fits nowhere evicts batch tasks that do not last, whatever the shares, or else reserves a worker at once, where urgent tasks count as ending. The bounds of ordinary reservations and of the work on the queues are unchanged. What lasting batch tasks hold no longer counts as reclaimable.

Tests, before the change (8 workers of 64 cores, 4 lasting tasks of 13 cores on each, 20 urgent and 20 batch tasks submitted each 100 ms, priorities 0, 0 and 2): TestFailedLastingTaskStartsAgainInAFlood/batch, /fillers: not started after 1 m, the room was its own (bound: next Plan) TestLastingTasksOfALostWorkerStartAgainInAFlood/batch, /fillers: not started after 1 m (bound 6 s) TestLastingTaskGetsWhatUrgentTasksLeave: not started after 1 m (bound 6 s) TestRestartDisplacesOrdinaryBatchTasksOnly: nothing was evicted All pass now. The generated model submits lasting tasks and restarts too, and checks that none gives way.

--- a/core/placement/claims.go
+++ b/core/placement/claims.go
@@ -44,11 +44,15 @@
 
 // startElsewhere starts a reserved task on another worker that can hold it now.
 func (r *round) startElsewhere(cl *claim) bool {
-	if cl.urgent || cl.complete() || r.full() {
+	t := cl.task
+	if cl.urgent && !t.restarts() || cl.complete() || r.full() {
 		return false
 	}
-	t := cl.task
+	vain := r.vain
 	n := r.choose(t)
+	if t.restarts() {
+		r.vain = vain
+	}
 	if n == nil {
 		return false
 	}
@@ -83,6 +87,11 @@
 		return false
 	}
 	r.sample(&r.reclaimable, t.want)
+	return r.reserveSampled(t, func(v *task) bool { return !v.class.urgent && !v.lasting })
+}
+
+// reserveSampled claims the sampled worker on which a task is expected to fit first, if the tasks for which ends holds do.
+func (r *round) reserveSampled(t *task, ends func(*task) bool) bool {
 	req := r.request(t)
 	r.admit(&req)
 	var (
@@ -90,10 +99,10 @@
 		soonest time.Duration
 	)
 	for _, n := range r.candidates {
-		if len(n.claims) > 0 || n.worker.Quarantined {
+		if len(n.claims) > 0 && !t.restarts() || n.worker.Quarantined {
 			continue
 		}
-		wait := n.expectedWait(t.want, r.now)
+		wait := n.expectedWait(t.want, r.now, ends)
 		if best == nil || wait < soonest {
 			best, soonest = n, wait
 		}
@@ -111,7 +120,7 @@
 func (r *round) mayReserve(class *class) bool {
 	n := 0
 	for _, cl := range r.Cell.claims {
-		if cl.task == nil || cl.urgent {
+		if cl.task == nil || cl.urgent || cl.task.restarts() {
 			continue
 		}
 		n++
@@ -122,16 +131,17 @@
 	return n < min(maxReservations, max(1, len(r.nodes)/reservedPart))
 }
 
-// expectedWait estimates from the declared run times when need will be free on the worker.
-func (n *node) expectedWait(need resource.Vector, now stamp) time.Duration {
-	missing := need.Sub(n.Available()).Max(resource.Vector{})
+// expectedWait estimates from the declared run times when need will be free on the worker behind the claims there, if the
+// tasks for which ends holds do.
+func (n *node) expectedWait(need resource.Vector, now stamp, ends func(*task) bool) time.Duration {
+	missing := need.Add(n.claimed).Sub(n.held).Sub(n.Available()).Max(resource.Vector{})
 	var latest time.Duration
 	used := make([]bool, len(n.tasks))
 	for !missing.IsZero() {
 		next := -1
 		var soonest time.Duration
 		for i, t := range n.tasks {
-			if used[i] || t.class.urgent {
+			if used[i] || !ends(t) {
 				continue
 			}
 			if left := t.remaining(now); next < 0 || left < soonest {
--- a/core/placement/class.go
+++ b/core/placement/class.go
@@ -110,28 +110,34 @@
 	return held.Exceeds(cl.limit())
 }
 
-// tenantQueue holds the queued tasks of one tenant in one class, in order of submission. Tasks that have been evicted,
-// and lasting ones that have run, go to the front: their tenant has already waited for them once.
+// taskList is a list of queued tasks.
+type taskList struct {
+	first, last *task
+	length      int
+	// cursor is the next task to be tried.
+	cursor *task
+}
+
+// tenantQueue holds the queued tasks of one tenant in one class, in order of submission. Tasks that have been evicted go to
+// the front: their tenant has already waited for them once. Restarts of lasting tasks are in no queue of a tenant.
 type tenantQueue struct {
 	shareItem
+	taskList
 	class   *class
 	name    ident.TenantName
 	charged resource.Vector
 	// tasks counts the tasks of the tenant in any state.
 	tasks int
 
-	first, last *task
-	length      int
-	// cursor is the next task to try in the current Plan, tried how many have been in vain.
-	cursor *task
-	tried  int
+	// tried counts the tasks that have been tried in vain in the current Plan.
+	tried int
 	// floor is the least booking of the tasks tried, in each dimension. While less than that is free nothing fits.
 	floor   resource.Vector
 	blocked bool
 }
 
 func (q *tenantQueue) push(t *task) {
-	if t.evictions > 0 || t.lasting && t.attempt > 1 {
+	if t.evictions > 0 {
 		q.pushFront(t)
 		return
 	}
@@ -139,7 +145,7 @@
 }
 
 // placeOf returns the task behind which t belongs; nil for the front.
-func (q *tenantQueue) placeOf(t *task) *task {
+func (q *taskList) placeOf(t *task) *task {
 	after := q.last
 	for after != nil && t.before(after) {
 		after = after.prev
@@ -148,7 +154,7 @@
 }
 
 // insert puts a task behind another one; at the front if that is nil.
-func (q *tenantQueue) insert(t, after *task) {
+func (q *taskList) insert(t, after *task) {
 	if after == nil {
 		q.pushFront(t)
 		return
@@ -175,7 +181,7 @@
 	return next
 }
 
-func (q *tenantQueue) pushFront(t *task) {
+func (q *taskList) pushFront(t *task) {
 	t.prev, t.next = nil, q.first
 	if q.first != nil {
 		q.first.prev = t
@@ -186,7 +192,7 @@
 	q.length++
 }
 
-func (q *tenantQueue) remove(t *task) {
+func (q *taskList) remove(t *task) {
 	if q.cursor == t {
 		q.cursor = t.next
 	}
--- a/core/placement/evict.go
+++ b/core/placement/evict.go
@@ -180,10 +180,13 @@
 	amount resource.Vector
 }
 
-// newTaking starts anew; the previous one is no longer valid.
+// newTaking starts anew; the previous one is no longer valid. A restart may take whatever is left to the others.
 func (r *round) newTaking(t *task) *taking {
 	r.giving.shares = r.shares
 	r.giving.taker = r.shares.normalized(t.class, t.class.charged.Add(t.want))
+	if t.restarts() {
+		r.giving.taker = 0
+	}
 	r.giving.given = r.giving.given[:0]
 	return &r.giving
 }
--- a/core/placement/fair.go
+++ b/core/placement/fair.go
@@ -33,6 +33,8 @@
 
 	// cycle counts the Plans since the blocked ones were last looked at.
 	cycle int
+	// restarts lists the restarts that wait, in the order in which they came.
+	restarts taskList
 	// blockedUrgent and blockedBatch hold the tenants left out, in the order of their shares.
 	blockedUrgent, blockedBatch []*tenantQueue
 	blockedClasses              []*class
@@ -130,7 +132,11 @@
 func (s *shares) enqueue(t *task) {
 	t.state = queued
 	t.rank = t.rankAt(s.now)
-	t.tenant.push(t)
+	if t.restarts() {
+		s.restarts.insert(t, s.restarts.last)
+	} else {
+		t.tenant.push(t)
+	}
 	s.countQueued(t, 1)
 	t.tenant.blocked = false
 	s.refresh(t.tenant)
@@ -138,14 +144,22 @@
 
 func (s *shares) requeueFront(t *task) {
 	t.state = queued
-	t.tenant.pushFront(t)
+	s.listOf(t).pushFront(t)
 	s.countQueued(t, 1)
 	t.tenant.blocked = false
 	s.refresh(t.tenant)
 }
 
+// listOf returns the list in which a queued task is.
+func (s *shares) listOf(t *task) *taskList {
+	if t.restarts() {
+		return &s.restarts
+	}
+	return &t.tenant.taskList
+}
+
 func (s *shares) dequeue(t *task) {
-	t.tenant.remove(t)
+	s.listOf(t).remove(t)
 	s.countQueued(t, -1)
 	s.refresh(t.tenant)
 }
--- a/core/placement/impossible.go
+++ b/core/placement/impossible.go
@@ -126,16 +126,22 @@
 			continue
 		}
 		for _, q := range cl.sortedTenants() {
-			for t := q.first; t != nil; {
-				next := t.next
-				if d, largest := c.impossible(t); d != "" {
-					c.shares.dequeue(t)
-					c.park(t, d, largest)
-				}
-				t = next
-			}
+			c.parkImpossible(q.first)
 		}
 	}
+	c.parkImpossible(c.shares.restarts.first)
+}
+
+// parkImpossible parks what can never run of a queued task and those behind it.
+func (c *Cell) parkImpossible(t *task) {
+	for t != nil {
+		next := t.next
+		if d, largest := c.impossible(t); d != "" {
+			c.shares.dequeue(t)
+			c.park(t, d, largest)
+		}
+		t = next
+	}
 }
 
 // anyImpossible reports whether a size of the queued tasks of a class fits no worker or exceeds the class limit.
--- a/core/placement/model_test.go
+++ b/core/placement/model_test.go
@@ -45,6 +45,7 @@
 	pending map[ident.TaskID]placement.Pending
 	starts  map[ident.TaskID]placement.Start
 	evicted map[ident.TaskID]placement.Evict
+	lasting map[ident.TaskID]struct{}
 }
 
 func newMachine(t *rapid.T) *machine {
@@ -55,6 +56,7 @@
 		pending: map[ident.TaskID]placement.Pending{},
 		starts:  map[ident.TaskID]placement.Start{},
 		evicted: map[ident.TaskID]placement.Evict{},
+		lasting: map[ident.TaskID]struct{}{},
 	}
 	m.cell.SetTable(testTable())
 	return m
@@ -78,6 +80,19 @@
 	m.cell.Submit(tasks)
 }
 
+// Restart submits lasting tasks, some of them for a further attempt.
+func (m *machine) Restart(t *rapid.T) {
+	class := rapid.SampledFrom([]ident.ClassName{"web", "etl"}).Draw(t, "class")
+	m.next++
+	p := placement.Pending{
+		Task: taskID(m.next), Attempt: ident.Attempt(rapid.IntRange(1, 3).Draw(t, "attempt")), Class: class, Tenant: "t",
+		Kind: kinds[class], Need: vec(rapid.Int64Range(0, 9000).Draw(t, "cpu"), 500, 0), Lasting: true, SubmittedAt: m.now,
+	}
+	m.pending[p.Task] = p
+	m.lasting[p.Task] = struct{}{}
+	m.cell.Submit([]placement.Pending{p})
+}
+
 // Resubmit submits a task again while its first attempt may still be booked, as after an eviction.
 func (m *machine) Resubmit(t *rapid.T) {
 	ids := sortedKeys(m.evicted)
@@ -92,6 +107,7 @@
 		Task: id, Attempt: m.starts[id].Attempt + 1, Class: "etl", Tenant: "t", Kind: table.Batch, Need: vec(500, 500, 0),
 		Evictions: rapid.IntRange(0, 3).Draw(t, "evictions"),
 	}
+	_, p.Lasting = m.lasting[id]
 	m.pending[id] = p
 	m.cell.Submit([]placement.Pending{p})
 }
@@ -166,6 +182,7 @@
 		Task: id, Attempt: 1, Class: "etl", Kind: table.Batch,
 		Need: vec(rapid.Int64Range(0, 9000).Draw(t, "cpu"), 100, 0),
 	}
+	_, p.Lasting = m.lasting[id]
 	m.cell.Restore(placement.Running{Pending: p, Worker: w, StartedAt: m.now})
 	if m.starts[id].Attempt > p.Attempt {
 		return // An older attempt does not replace the one that is booked.
@@ -195,6 +212,7 @@
 		require.True(t, runs, "evicted task does not run")
 		require.Equal(t, victim.Worker, e.Worker)
 		require.NotContains(t, m.evicted, e.Task, "evicted twice")
+		require.NotContains(t, m.lasting, e.Task, "lasting tasks never give way")
 		m.evicted[e.Task] = e
 	}
 	for _, s := range p.Throttles {
@@ -232,7 +250,7 @@
 		m := newMachine(t)
 		t.Repeat(map[string]func(*rapid.T){
 			"submit": m.Submit, "upsert": m.UpsertWorker, "remove": m.RemoveWorker, "release": m.Release,
-			"cancel": m.Cancel, "restore": m.Restore, "observe": m.Observe, "plan": m.Plan, "plan again": m.Plan, "resubmit": m.Resubmit, "table": m.SetTable, "": m.Check,
+			"cancel": m.Cancel, "restore": m.Restore, "observe": m.Observe, "plan": m.Plan, "plan again": m.Plan, "resubmit": m.Resubmit, "restart": m.Restart, "table": m.SetTable, "": m.Check,
 		})
 	})
 }
--- a/core/placement/node.go
+++ b/core/placement/node.go
@@ -18,12 +18,13 @@
 	known bool
 
 	tasks []*task
-	// booked is the sum of the tasks' bookings, urgent the part of it that cannot be evicted.
-	booked, urgent resource.Vector
+	// booked is the sum of the tasks' bookings, kept the part of it that cannot be evicted and forLasting the part that
+	// lasting tasks have.
+	booked, kept, forLasting resource.Vector
 	// over is the sum of what tasks should have booked and could not.
 	over resource.Vector
-	// claims are the tasks that wait for resources of this worker, urgent ones first; held is the sum of what they
-	// hold so far and claimed the sum of what they need.
+	// claims are the tasks that wait for resources of this worker, urgent ones and restarts first; held is the sum of what
+	// they hold so far and claimed the sum of what they need.
 	claims        []*claim
 	held, claimed resource.Vector
 	// loads is the booked processors by class.
@@ -62,6 +63,9 @@
 	urgent bool
 }
 
+// goesFirst reports whether the claim goes before reservations of large tasks.
+func (cl *claim) goesFirst() bool { return cl.urgent || cl.task.restarts() }
+
 func (cl *claim) complete() bool {
 	return cl.task != nil && cl.hold == cl.task.want
 }
@@ -91,9 +95,14 @@
 	return !n.worker.Quarantined || (n.worker.Probe && n.Ending() == 0)
 }
 
-// reclaimable returns what is free or held by batch tasks, less what is already claimed.
+// reclaimable returns what is free or held by batch tasks that end, less what is already claimed.
 func (n *node) reclaimable() resource.Vector {
-	return n.worker.Capacity.Sub(n.urgent).Sub(n.claimed)
+	return n.worker.Capacity.Sub(n.kept).Sub(n.claimed)
+}
+
+// ending returns what is free or held by tasks that end, less what is already claimed.
+func (n *node) ending() resource.Vector {
+	return n.worker.Capacity.Sub(n.forLasting).Sub(n.claimed)
 }
 
 // add books a task, as far as it fits.
@@ -183,8 +192,11 @@
 func (n *node) set(t *task, want, booked resource.Vector) {
 	delta := booked.Sub(t.booked)
 	n.booked = n.booked.Add(delta)
-	if t.class.urgent {
-		n.urgent = n.urgent.Add(delta)
+	if t.class.urgent || t.lasting {
+		n.kept = n.kept.Add(delta)
+	}
+	if t.lasting {
+		n.forLasting = n.forLasting.Add(delta)
 	}
 	n.over = n.over.Add(want.Sub(booked)).Sub(t.want.Sub(t.booked))
 	n.load(t.class).MilliCPU += delta.MilliCPU
@@ -232,10 +244,10 @@
 
 // recount recomputes what depends on the kinds of the classes.
 func (n *node) recount(classes []*class) {
-	n.urgent = resource.Vector{}
+	n.kept = resource.Vector{}
 	for _, t := range n.tasks {
-		if t.class.urgent {
-			n.urgent = n.urgent.Add(t.booked)
+		if t.class.urgent || t.lasting {
+			n.kept = n.kept.Add(t.booked)
 		}
 	}
 	for i := range n.loads {
@@ -243,10 +255,10 @@
 	}
 }
 
-// addClaim queues a claim behind those of the same urgency.
+// addClaim queues a claim behind those that go first as it does.
 func (n *node) addClaim(cl *claim) {
 	i := len(n.claims)
-	for cl.urgent && i > 0 && !n.claims[i-1].urgent {
+	for cl.goesFirst() && i > 0 && !n.claims[i-1].goesFirst() {
 		i--
 	}
 	n.claims = slices.Insert(n.claims, i, cl)
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -49,7 +49,7 @@
 	unplaced
 )
 
-// Plan implements Planner. Claimed workers come first, then the queues in the order of their weighted shares.
+// Plan implements Planner. Claimed workers come first, then restarts, then the queues in the order of their weighted shares.
 func (c *Cell) Plan(now time.Time, limit int) Plan {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -80,6 +80,7 @@
 	r.reviewClaims()
 	r.startComplete()
 	r.tooLarge = r.tooLarge[:0]
+	r.startRestarts()
 	r.shares.revisit(maxRevisited, r.hasFreed)
 	clear(r.freed)
 	r.freed = r.freed[:0]
--- /dev/null
+++ b/core/placement/restarts_test.go
@@ -0,0 +1,274 @@
+package placement_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bulrushrelay/bulrushrelay/core/ident"
+	"github.com/bulrushrelay/bulrushrelay/core/placement"
+	"github.com/bulrushrelay/bulrushrelay/core/table"
+)
+
+const (
+	// restartWithin is the target: a lasting task runs again within this time while there is room.
+	restartWithin = 6 * time.Second
+	floodStep     = 100 * time.Millisecond
+	floodPerStep  = 20
+)
+
+// floodedCell is a cell whose workers are booked by lasting tasks for four fifths, while more urgent and batch tasks are
+// submitted than the rest can take.
+type floodedCell struct {
+	*placement.Cell
+	t    *testing.T
+	now  time.Time
+	next int
+	// ends holds when the tasks of the flood end, and urgentFor how long urgent ones run.
+	ends      map[ident.TaskID]time.Time
+	urgentFor time.Duration
+	batch     placement.Pending
+	started   map[ident.TaskID]placement.Start
+	evicted   int
+}
+
+const (
+	floodedWorkers   = 8
+	lastingPerWorker = 4
+)
+
+func newFloodedCell(t *testing.T, batch placement.Pending) *floodedCell {
+	f := &floodedCell{
+		Cell: placement.NewCell(1, placement.Options{MinThrottle: 1}), t: t, now: epoch, next: 1000, batch: batch,
+		urgentFor: time.Second, ends: map[ident.TaskID]time.Time{}, started: map[ident.TaskID]placement.Start{},
+	}
+	rows := []table.Row{{Name: "serve"}, {Name: "web"}, {Name: "etl"}}
+	for i, priority := range []int{0, 0, 2} {
+		rows[i].SetPriority(priority)
+	}
+	f.SetTable(table.New(1, rows))
+	for w := range floodedWorkers {
+		f.UpsertWorker(placement.Worker{ID: workerID(w), Rack: "r", Capacity: vec(64_000, 256_000, 0)})
+	}
+	for i := range floodedWorkers * lastingPerWorker {
+		f.Submit([]placement.Pending{lastingTask(i, 1)})
+	}
+	f.step(0)
+	require.Len(t, f.started, floodedWorkers*lastingPerWorker)
+	return f
+}
+
+func lastingTask(n int, attempt ident.Attempt) placement.Pending {
+	p := pendingTask(n, "serve", vec(13_000, 26_000, 0))
+	p.Kind, p.Lasting, p.Attempt = table.LatencyCritical, true, attempt
+	return p
+}
+
+// step submits n urgent and n batch tasks, ends what is due, and plans.
+func (f *floodedCell) step(n int) {
+	f.now = f.now.Add(floodStep)
+	for _, id := range sortedKeys(f.ends) {
+		if !f.ends[id].After(f.now) {
+			delete(f.ends, id)
+			f.Release(id)
+		}
+	}
+	for range n {
+		urgent := pendingTask(f.next, "web", vec(4600, 9000, 0))
+		urgent.Kind = table.LatencyCritical
+		batch := f.batch
+		batch.Task = taskID(f.next + 1)
+		f.next += 2
+		f.Submit([]placement.Pending{urgent, batch})
+	}
+	for range 256 {
+		p := f.Plan(f.now, 64)
+		for _, e := range p.Evictions {
+			delete(f.ends, e.Task)
+			f.evicted++
+			f.Release(e.Task)
+		}
+		for _, s := range p.Starts {
+			f.started[s.Task] = s
+			switch {
+			case s.Task.Job.Seq < 1000:
+			case s.Task.Job.Seq%2 == 0:
+				f.ends[s.Task] = f.now.Add(f.urgentFor)
+			default:
+				f.ends[s.Task] = f.now.Add(4 * time.Second)
+			}
+		}
+		if !p.More && len(p.Evictions) == 0 {
+			break
+		}
+	}
+	require.NoError(f.t, f.CheckInvariants())
+}
+
+// fail ends lasting tasks and queues their next attempts.
+func (f *floodedCell) fail(tasks ...int) {
+	for _, n := range tasks {
+		delete(f.started, taskID(n))
+		f.Release(taskID(n))
+		f.Submit([]placement.Pending{lastingTask(n, 2)})
+	}
+}
+
+// waits steps until the tasks have started, for a minute at most.
+func (f *floodedCell) waits(tasks ...int) time.Duration {
+	since := f.now
+	for range int(time.Minute / floodStep) {
+		left := 0
+		for _, n := range tasks {
+			if _, ok := f.started[taskID(n)]; !ok {
+				left++
+			}
+		}
+		if left == 0 {
+			break
+		}
+		f.step(floodPerStep)
+	}
+	return f.now.Sub(since)
+}
+
+func smallBatch() placement.Pending {
+	p := pendingTask(0, "etl", vec(2000, 4000, 0))
+	p.RunTime = 4 * time.Second
+	return p
+}
+
+func filler() placement.Pending {
+	p := pendingTask(0, "etl", vec(7000, 13_000, 0))
+	p.RunTime = 4 * time.Second
+	p.Constraints.Filler = true
+	return p
+}
+
+// Guards against a lasting task that stays away for as long as a flood lasts, because the tasks of other classes get the
+// room that it left and all that becomes free later.
+func TestFailedLastingTaskStartsAgainInAFlood(t *testing.T) {
+	for name, batch := range map[string]placement.Pending{"batch": smallBatch(), "fillers": filler()} {
+		t.Run(name, func(t *testing.T) {
+			f := newFloodedCell(t, batch)
+			for range 100 {
+				f.step(floodPerStep)
+			}
+			f.fail(3)
+			require.LessOrEqual(t, f.waits(3), floodStep, "the room that it left")
+		})
+	}
+}
+
+// Guards against lasting tasks of a lost worker that stay away for as long as a flood lasts: no worker has room for one of
+// them at once, and what becomes free in small parts must be kept for them.
+func TestLastingTasksOfALostWorkerStartAgainInAFlood(t *testing.T) {
+	for name, batch := range map[string]placement.Pending{"batch": smallBatch(), "fillers": filler()} {
+		t.Run(name, func(t *testing.T) {
+			f := newFloodedCell(t, batch)
+			f.UpsertWorker(placement.Worker{ID: "spare", Rack: "r", Capacity: vec(64_000, 256_000, 0)})
+			for range 100 {
+				f.step(floodPerStep)
+			}
+			var lost []int
+			for _, r := range f.RemoveWorker(workerID(0)) {
+				if r.Lasting {
+					lost = append(lost, int(r.Task.Job.Seq))
+				}
+			}
+			require.Len(t, lost, lastingPerWorker)
+			f.fail(lost...)
+			require.LessOrEqual(t, f.waits(lost...), restartWithin)
+		})
+	}
+}
+
+// Guards against urgent tasks that keep a lasting task away: they are not evicted, but each of them ends.
+func TestLastingTaskGetsWhatUrgentTasksLeave(t *testing.T) {
+	f := newFloodedCell(t, smallBatch())
+	f.urgentFor = 3 * time.Second
+	f.UpsertWorker(placement.Worker{ID: "spare", Rack: "r", Capacity: vec(14_000, 256_000, 0)})
+	for range 100 {
+		f.step(floodPerStep)
+	}
+	f.RemoveWorker("spare")
+	f.UpsertWorker(placement.Worker{ID: "spare", Rack: "r", Capacity: vec(14_000, 256_000, 0)})
+	f.step(floodPerStep)
+	f.Submit([]placement.Pending{lastingTask(900, 2)})
+	require.LessOrEqual(t, f.waits(900), restartWithin)
+}
+
+// Guards against a restart that displaces what must not give way: urgent tasks, other lasting tasks and batch tasks whose
+// row allows no eviction.
+func TestRestartDisplacesOrdinaryBatchTasksOnly(t *testing.T) {
+	c := placement.NewCell(1, placement.Options{MinThrottle: 1})
+	c.SetTable(table.New(1, []table.Row{
+		{Name: "serve", Kind: table.Batch, Weight: 1, Evictions: 4},
+		{Name: "web", Kind: table.LatencyCritical, Weight: 100},
+		{Name: "etl", Kind: table.Batch, Weight: 1, Evictions: 4},
+		{Name: "fixed", Kind: table.Batch, Weight: 1},
+	}))
+	for w, class := range []ident.ClassName{"serve", "web", "etl", "fixed"} {
+		c.UpsertWorker(placement.Worker{ID: workerID(w), Rack: "r", Capacity: vec(16_000, 64_000, 0)})
+		p := pendingTask(100+w, class, vec(16_000, 1000, 0))
+		p.Kind, p.Lasting = table.Batch, class == "serve"
+		if class == "web" {
+			p.Kind = table.LatencyCritical
+		}
+		c.Submit([]placement.Pending{p})
+		require.Len(t, c.Plan(epoch, 10).Starts, 1)
+	}
+	restart := pendingTask(1, "serve", vec(13_000, 1000, 0))
+	restart.Lasting, restart.Attempt = true, 2
+	c.Submit([]placement.Pending{restart})
+	p := c.Plan(epoch.Add(time.Second), 10)
+	require.Len(t, p.Evictions, 1)
+	require.Equal(t, taskID(102), p.Evictions[0].Task)
+	require.Empty(t, c.Plan(epoch.Add(2*time.Second), 10).Evictions)
+	c.Release(taskID(102))
+	require.True(t, startOf(c.Plan(epoch.Add(2*time.Second), 10), restart))
+	require.NoError(t, c.CheckInvariants())
+}
+
+// Guards against restarts that find no room and take the work of each Plan, so that nothing else is placed.
+func TestRestartsWithoutRoomLeaveWorkForOthers(t *testing.T) {
+	f := newFloodedCell(t, smallBatch())
+	for i := range 500 {
+		p := lastingTask(200+i, 2)
+		p.Need = vec(60_000+int64(i), 1000, 0)
+		f.Submit([]placement.Pending{p})
+	}
+	f.step(floodPerStep)
+	started := len(f.started)
+	for range 10 {
+		f.step(floodPerStep)
+	}
+	require.Greater(t, len(f.started), started+floodedWorkers)
+}
+
+// Guards against a restart that waits although it was cancelled, or one that is parked for ever as impossible.
+func TestRestartsAreCancelledAndParked(t *testing.T) {
+	c := cellOf(1, vec(16_000, 16_000, 0))
+	restart := lastingTask(1, 2)
+	restart.Need = vec(16_000, 16_000, 0)
+	blocker := lastingTask(2, 1)
+	blocker.Need = restart.Need
+	c.Submit([]placement.Pending{blocker})
+	require.Len(t, c.Plan(epoch, 10).Starts, 1)
+	c.Submit([]placement.Pending{restart})
+	require.Empty(t, c.Plan(epoch, 10).Starts)
+	c.UpsertWorker(placement.Worker{ID: workerID(0), Rack: "r", Capacity: vec(8000, 8000, 0)})
+	require.Len(t, c.Plan(epoch.Add(time.Second), 10).Impossible, 1)
+	c.UpsertWorker(placement.Worker{ID: "big", Rack: "r", Capacity: vec(16_000, 16_000, 0)})
+	require.True(t, startOf(c.Plan(epoch.Add(2*time.Second), 10), restart))
+	c.Release(restart.Task)
+	c.RemoveWorker("big")
+	restart.Attempt, restart.Need = 3, vec(8000, 8000, 0)
+	c.Submit([]placement.Pending{restart})
+	require.Empty(t, c.Plan(epoch.Add(3*time.Second), 10).Starts)
+	require.True(t, c.Cancel(restart.Task))
+	c.Release(blocker.Task)
+	require.Empty(t, c.Plan(epoch.Add(4*time.Second), 10).Starts)
+	require.NoError(t, c.CheckInvariants())
+}
