Test that a restart gets the room that urgent tasks leave in parts

The test before ended three urgent tasks at once, so that it passed without a reservation for the restart. Without the reservation the test now fails: the restart is not started after six urgent tasks have ended one by one.

--- a/core/placement/restarts_test.go
+++ b/core/placement/restarts_test.go
@@ -25,12 +25,10 @@
 	t    *testing.T
 	now  time.Time
 	next int
-	// ends holds when the tasks of the flood end, and urgentFor how long urgent ones run.
-	ends      map[ident.TaskID]time.Time
-	urgentFor time.Duration
-	batch     placement.Pending
-	started   map[ident.TaskID]placement.Start
-	evicted   int
+	// ends holds when the tasks of the flood end.
+	ends    map[ident.TaskID]time.Time
+	batch   placement.Pending
+	started map[ident.TaskID]placement.Start
 }
 
 const (
@@ -41,7 +39,7 @@
 func newFloodedCell(t *testing.T, batch placement.Pending) *floodedCell {
 	f := &floodedCell{
 		Cell: placement.NewCell(1, placement.Options{MinThrottle: 1}), t: t, now: epoch, next: 1000, batch: batch,
-		urgentFor: time.Second, ends: map[ident.TaskID]time.Time{}, started: map[ident.TaskID]placement.Start{},
+		ends: map[ident.TaskID]time.Time{}, started: map[ident.TaskID]placement.Start{},
 	}
 	rows := []table.Row{{Name: "serve"}, {Name: "web"}, {Name: "etl"}}
 	for i, priority := range []int{0, 0, 2} {
@@ -86,7 +84,6 @@
 		p := f.Plan(f.now, 64)
 		for _, e := range p.Evictions {
 			delete(f.ends, e.Task)
-			f.evicted++
 			f.Release(e.Task)
 		}
 		for _, s := range p.Starts {
@@ -94,7 +91,7 @@
 			switch {
 			case s.Task.Job.Seq < 1000:
 			case s.Task.Job.Seq%2 == 0:
-				f.ends[s.Task] = f.now.Add(f.urgentFor)
+				f.ends[s.Task] = f.now.Add(time.Second)
 			default:
 				f.ends[s.Task] = f.now.Add(4 * time.Second)
 			}
@@ -184,19 +181,29 @@
 	}
 }
 
-// Guards against urgent tasks that keep a lasting task away: they are not evicted, but each of them ends.
+// Guards against urgent tasks that keep a lasting task away: they are not evicted, but each of them ends, and the parts that
+// they leave one after another must be kept for it.
 func TestLastingTaskGetsWhatUrgentTasksLeave(t *testing.T) {
-	f := newFloodedCell(t, smallBatch())
-	f.urgentFor = 3 * time.Second
-	f.UpsertWorker(placement.Worker{ID: "spare", Rack: "r", Capacity: vec(14_000, 256_000, 0)})
-	for range 100 {
-		f.step(floodPerStep)
+	c := cellOf(2, vec(14_000, 64_000, 0))
+	var running []placement.Start
+	for i := range 1000 {
+		c.Submit([]placement.Pending{pendingTask(i, "web", vec(4600, 1000, 0))})
 	}
-	f.RemoveWorker("spare")
-	f.UpsertWorker(placement.Worker{ID: "spare", Rack: "r", Capacity: vec(14_000, 256_000, 0)})
-	f.step(floodPerStep)
-	f.Submit([]placement.Pending{lastingTask(900, 2)})
-	require.LessOrEqual(t, f.waits(900), restartWithin)
+	running = append(running, c.Plan(epoch, 100).Starts...)
+	require.Len(t, running, 6)
+	restart := pendingTask(2000, "web", vec(13_000, 1000, 0))
+	restart.Lasting, restart.Attempt = true, 2
+	c.Submit([]placement.Pending{restart})
+	for i := range 6 {
+		p := c.Plan(epoch.Add(time.Duration(i)*time.Second), 100)
+		if startOf(p, restart) {
+			return
+		}
+		running = append(running, p.Starts...)
+		c.Release(running[0].Task)
+		running = running[1:]
+	}
+	require.True(t, startOf(c.Plan(epoch.Add(restartWithin), 100), restart), "six tasks of three on one worker have ended")
 }
 
 // Guards against a restart that displaces what must not give way: urgent tasks, other lasting tasks and batch tasks whose
