End a quarantine within the time that a lasting task may wait

Cause: a worker that failed what it started and was sound again stayed in quarantine. The first probe came after 10 s, and a probe ended the quarantine only when it was done: one that lasts never is, and a filler that stands still beside serving tasks is for long not.

Change: the first probe comes after 2 s, later ones after pauses that double as before. An attempt that was started in the quarantine and has run for 3 s ends it. What ran before does not.

--- a/core/lifecycle/failure.go
+++ b/core/lifecycle/failure.go
@@ -22,9 +22,12 @@
 	maxMessageBytes = 200
 	// quarantineAfter failures without a success a worker is quarantined. Two can still be chance or one job.
 	quarantineAfter = 3
-	// The pause before a quarantined worker is probed doubles from firstProbe to maxProbe.
-	firstProbe = 10 * time.Second
-	maxProbe   = 5 * time.Minute
+	// The pause before a quarantined worker is probed doubles from firstProbe to maxProbe. An attempt that was started in
+	// quarantine and has run for provenAfter shows that the worker does not fail all it starts, although it has not ended. Both
+	// together leave 1 s of the 6 s within which a lasting task has to run again while there is room.
+	firstProbe  = 2 * time.Second
+	provenAfter = 3 * time.Second
+	maxProbe    = 5 * time.Minute
 )
 
 // health tells a worker that fails everything it starts from a worker that met a bad job.
@@ -34,9 +37,11 @@
 	// trusted is set once the worker completed a task, until it is quarantined.
 	trusted     bool
 	quarantined bool
-	probing     bool
-	probeAt     time.Time
-	probes      int
+	// since is when the quarantine began.
+	since   time.Time
+	probing bool
+	probeAt time.Time
+	probes  int
 }
 
 // suspect reports whether the job fails everywhere: it never succeeded, and failed on two workers that completed other
@@ -180,6 +185,7 @@
 		return
 	}
 	w.health.quarantined = true
+	w.health.since = now
 	w.health.trusted = false
 	c.scheduleProbe(now, w)
 	c.putWorker(w, eff)
@@ -237,6 +243,18 @@
 	if w.health.quarantined && !w.health.probing {
 		return
 	}
+	c.trust(w, eff)
+}
+
+// noteProven ends the quarantine of a worker on which an attempt goes on that was started in it: a lasting probe never ends,
+// and a filler may stand still.
+func (c *Cell) noteProven(now time.Time, w *worker, r *run, eff *Effects) {
+	if w.health.quarantined && r.startedAt.After(w.health.since) && now.Sub(r.startedAt) >= provenAfter {
+		c.trust(w, eff)
+	}
+}
+
+func (c *Cell) trust(w *worker, eff *Effects) {
 	lifted := w.health.quarantined
 	w.health = health{trusted: true}
 	if lifted {
--- a/core/lifecycle/report.go
+++ b/core/lifecycle/report.go
@@ -39,6 +39,7 @@
 		case c.repeatStop(now, t.run):
 			stops = append(stops, a.Run)
 		}
+		c.noteProven(now, w, t.run, eff)
 		c.repeatThrottle(t, eff)
 		observed = c.observe(now, t, a, observed, eff)
 	}
