Let a restart use a worker in quarantine as a last resort

Cause: while workers that fail what they start are in quarantine, a lasting task for which no other worker has room waits until a probe succeeds, although a worker has room: longer than the 6 s that it may take. If its class is urgent it is not even used as a probe.

Change: a restart for which no worker has room, and none can be made by displacing batch tasks, starts on a worker in quarantine that answers, at most one a second on each. If it goes on, the quarantine ends (it has run there for 3 s); if it fails, it has been tried at least.

Tests: TestRestartUsesAFailingWorkerAsALastResort ("should have 1 item(s), but has 0") and TestReservedRestartUsesAFailingWorker ("Should be true") fail without the change. The generated model sets the new field.

--- a/core/lifecycle/quarantine_test.go
+++ b/core/lifecycle/quarantine_test.go
@@ -88,3 +88,18 @@
 	}
 	require.True(t, f.c.workers["w"].health.quarantined)
 }
+
+// Guards against a restart that is sent to a worker that does not answer: only one that fails what it starts is a last resort.
+func TestSilentWorkerIsNoLastResort(t *testing.T) {
+	f := newFixture(t, 1, "w")
+	last := func() placement.Worker {
+		puts := commandsOf[PutWorker](f)
+		return puts[len(puts)-1].Worker
+	}
+	require.False(t, last().LastResort)
+	f.quarantine("w")
+	require.True(t, last().LastResort)
+	f.tickUntil(f.now.Add(silentAfter))
+	require.True(t, last().Quarantined)
+	require.False(t, last().LastResort)
+}
--- a/core/lifecycle/worker.go
+++ b/core/lifecycle/worker.go
@@ -180,6 +180,7 @@
 		Leaving:     w.leaving(),
 		Quarantined: w.health.quarantined || w.silent,
 		Probe:       w.health.probing && !w.silent,
+		LastResort:  w.health.quarantined && !w.silent,
 	}})
 	if !added {
 		return
--- a/core/placement/claims.go
+++ b/core/placement/claims.go
@@ -52,6 +52,10 @@
 	n := r.choose(t)
 	if t.restarts() {
 		r.vain = vain
+		if n == nil && !cl.urgent && r.now >= t.retryAt {
+			t.retryAt = r.now + stamp(displaceRetry)
+			n = r.lastResort(t)
+		}
 	}
 	if n == nil {
 		return false
--- a/core/placement/framework.go
+++ b/core/placement/framework.go
@@ -55,9 +55,11 @@
 	Class  int
 	Urgent bool
 	// Booking is what the task will have booked.
-	Booking     resource.Vector
-	Avoid       []ident.WorkerID
-	Lasting     bool
+	Booking resource.Vector
+	Avoid   []ident.WorkerID
+	Lasting bool
+	// LastResort is set if only workers in quarantine are left for a restart.
+	LastResort  bool
 	Pool        string
 	Constraints Constraints
 	// Wish is what a filler would use if it could, in thousandths of a processor.
--- a/core/placement/node.go
+++ b/core/placement/node.go
@@ -48,6 +48,8 @@
 	measured  bool
 	// metAt is when all serving tasks were last measured below their targets.
 	metAt stamp
+	// resortAt is when a worker in quarantine may get a restart again.
+	resortAt stamp
 	// changed is when a task last came or went.
 	changed stamp
 }
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -21,6 +21,8 @@
 	// Quarantined workers get only probes: a single task at a time, and only if Probe is set.
 	Quarantined bool
 	Probe       bool
+	// LastResort lets a quarantined worker get a restart of a lasting task for which no other worker has room, one at a time.
+	LastResort bool
 }
 
 // Pending is a task that waits for a worker.
--- a/core/placement/restarts.go
+++ b/core/placement/restarts.go
@@ -1,5 +1,7 @@
 package placement
 
+import "time"
+
 const (
 	// maxRestartTries bounds the restarts of one Plan that find no room, and maxRestartClaims the workers of a cell that are
 	// reserved for restarts, restartPart their part of it. Room that is kept idle costs less than a lasting task that does
@@ -7,6 +9,9 @@
 	maxRestartTries  = 32
 	maxRestartClaims = 64
 	restartPart      = 4
+	// lastResortPause is how often a worker in quarantine gets a restart. It may fail each at once; within the 6 s in which a
+	// lasting task has to run again several tries are left.
+	lastResortPause = time.Second
 )
 
 // restarts reports whether the task is a restart: a lasting task that may have run before, so that its users miss it.
@@ -52,7 +57,15 @@
 	if r.now < t.retryAt || r.stuckTries >= maxStuckTries {
 		return false
 	}
-	if r.displace(t) || r.reserveRestart(t) {
+	if r.displace(t) {
+		return true
+	}
+	if n := r.lastResort(t); n != nil {
+		r.shares.dequeue(t)
+		r.start(t, n)
+		return true
+	}
+	if r.reserveRestart(t) {
 		return true
 	}
 	t.retryAt = r.now + stamp(displaceRetry)
@@ -76,8 +89,30 @@
 	return r.reserveSampled(t, func(v *task) bool { return !v.lasting })
 }
 
-// sampleEnding fills slots with workers that can hold the task once what does not last has ended, from a random one on.
+// lastResort returns a worker in quarantine that has room for a restart, or nil. A restart that fails there has been tried at
+// least, and one that goes on shows that the worker is sound again.
+func (r *round) lastResort(t *task) *node {
+	r.sampleWhere(func(n *node) bool {
+		w := &n.worker
+		return w.Quarantined && w.LastResort && n.known && r.now >= n.resortAt && t.want.Fits(n.Available())
+	})
+	req := r.request(t)
+	req.LastResort = true
+	r.admit(&req)
+	best := r.best(&req)
+	if best != nil {
+		best.resortAt = r.now + stamp(lastResortPause)
+	}
+	return best
+}
+
+// sampleEnding fills slots with workers that can hold the task once what does not last has ended.
 func (r *round) sampleEnding(t *task) {
+	r.sampleWhere(func(n *node) bool { return n.accepts() && t.want.Fits(n.ending()) })
+}
+
+// sampleWhere fills slots with workers for which fits holds, from a random one on. It is for what no index tells.
+func (r *round) sampleWhere(fits func(*node) bool) {
 	r.slots = r.slots[:0]
 	if len(r.nodes) == 0 {
 		return
@@ -85,7 +120,7 @@
 	start := r.rng.IntN(len(r.nodes))
 	for i := range min(len(r.nodes), r.opts.SearchBudget) {
 		slot := (start + i) % len(r.nodes)
-		if n := r.nodes[slot]; !n.accepts() || !t.want.Fits(n.ending()) {
+		if !fits(r.nodes[slot]) {
 			continue
 		}
 		if r.slots = append(r.slots, slot); len(r.slots) == r.opts.Candidates {
--- a/core/placement/restarts_test.go
+++ b/core/placement/restarts_test.go
@@ -279,3 +279,51 @@
 	require.Empty(t, c.Plan(epoch.Add(4*time.Second), 10).Starts)
 	require.NoError(t, c.CheckInvariants())
 }
+
+// Guards against a lasting task that waits for as long as a worker is in quarantine although only that one has room, and
+// against a worker that fails all that it starts and gets one restart after another.
+func TestRestartUsesAFailingWorkerAsALastResort(t *testing.T) {
+	c := placement.NewCell(1, placement.Options{})
+	put := func(id ident.WorkerID, cpu int64, change func(*placement.Worker)) {
+		w := placement.Worker{ID: id, Rack: "r", Capacity: vec(cpu, 64_000, 0)}
+		change(&w)
+		c.UpsertWorker(w)
+	}
+	failing := func(w *placement.Worker) { w.Quarantined, w.LastResort = true, true }
+	put("small", 4000, func(*placement.Worker) {})
+	put("bad", 64_000, failing)
+	put("silent", 64_000, func(w *placement.Worker) { w.Quarantined = true })
+	put("leaving", 64_000, func(w *placement.Worker) { failing(w); w.Leaving = true })
+	c.Submit([]placement.Pending{lastingTask(1, 1), pendingTask(2, "etl", vec(13_000, 1000, 0))})
+	require.Empty(t, c.Plan(epoch, 10).Starts, "new starts wait")
+	c.Submit([]placement.Pending{lastingTask(3, 2), lastingTask(4, 2)})
+	starts := c.Plan(epoch, 10).Starts
+	require.Len(t, starts, 1, "one at a time, because it may fail at once")
+	require.Equal(t, ident.WorkerID("bad"), starts[0].Worker)
+	require.Equal(t, taskID(3), starts[0].Task)
+	c.Release(taskID(3))
+	c.Submit([]placement.Pending{lastingTask(3, 3)})
+	require.Empty(t, c.Plan(epoch.Add(100*time.Millisecond), 10).Starts)
+	require.Len(t, c.Plan(epoch.Add(time.Second), 10).Starts, 1)
+	put("sound", 64_000, func(*placement.Worker) {})
+	starts = c.Plan(epoch.Add(1100*time.Millisecond), 10).Starts
+	require.NotEmpty(t, starts)
+	for _, s := range starts {
+		require.Equal(t, ident.WorkerID("sound"), s.Worker)
+	}
+	require.NoError(t, c.CheckInvariants())
+}
+
+// Guards against a lasting task that waits on a worker that is reserved for it, although one in quarantine has room.
+func TestReservedRestartUsesAFailingWorker(t *testing.T) {
+	c := cellOf(1, vec(16_000, 16_000, 0))
+	c.Submit([]placement.Pending{pendingTask(1, "web", vec(16_000, 1000, 0))})
+	require.Len(t, c.Plan(epoch, 10).Starts, 1)
+	restart := pendingTask(2, "web", vec(13_000, 1000, 0))
+	restart.Lasting, restart.Attempt = true, 2
+	c.Submit([]placement.Pending{restart})
+	require.Empty(t, c.Plan(epoch, 10).Starts)
+	c.UpsertWorker(placement.Worker{ID: "bad", Rack: "r", Capacity: vec(16_000, 16_000, 0), Quarantined: true, LastResort: true})
+	require.True(t, startOf(c.Plan(epoch.Add(time.Second), 10), restart))
+	require.NoError(t, c.CheckInvariants())
+}
