Do not blame a worker for lasting tasks that fail after they have run

Cause: each failure of a lasting task counted against its worker. Such tasks may fail at any time by themselves, and none is ever done, so that on a worker with lasting tasks of two jobs nothing ended the blame: after three failures, however far apart, a sound worker was in quarantine and took no lasting task.

Test: TestLastingTaskThatHasRunIsNoBlameForItsWorker; before, the worker was in quarantine after three tasks had failed that had run for a minute each. Tasks that fail at once put it there as before.

--- a/core/lifecycle/attempt.go
+++ b/core/lifecycle/attempt.go
@@ -275,7 +275,7 @@
 		c.lateEnd(now, w, t, e, eff)
 		return
 	}
-	preempted := t.run.preempted
+	r := t.run
 	if e.End == EndNeverStarted {
 		t.maySent = t.run.priorSent
 	} else {
@@ -289,12 +289,13 @@
 		w.acks[e.Run] = struct{}{}
 		return
 	}
-	c.afterEnd(now, w, t, e, preempted, eff)
+	c.afterEnd(now, w, t, e, r, eff)
 }
 
-func (c *Cell) afterEnd(now time.Time, w *worker, t *task, e Ended, preempted bool, eff *Effects) {
+// afterEnd decides what follows from the end of the attempt r.
+func (c *Cell) afterEnd(now time.Time, w *worker, t *task, e Ended, r *run, eff *Effects) {
 	if t.group.Lasting && (e.End == EndDone || e.End == EndFailed) {
-		c.restart(now, w, t, e, eff)
+		c.restart(now, w, t, e, r, eff)
 		return
 	}
 	switch e.End {
@@ -304,12 +305,12 @@
 		c.failed(now, w, t, e, eff)
 	case EndEvicted:
 		c.unlogged[e.Run] = unloggedEnd{worker: w.member.ID}
-		if preempted {
+		if r.preempted {
 			t.evictions++
 		}
 		t.wait = WaitLog
 		c.setState(now, t, Queued)
-		eff.log(TaskEvicted{Run: e.Run, Checkpoint: t.checkpoint, Preempted: preempted, At: now})
+		eff.log(TaskEvicted{Run: e.Run, Checkpoint: t.checkpoint, Preempted: r.preempted, At: now})
 	default:
 		w.acks[e.Run] = struct{}{}
 		c.cancelOrRequeue(now, t, eff)
--- a/core/lifecycle/failure.go
+++ b/core/lifecycle/failure.go
@@ -124,14 +124,15 @@
 }
 
 // restart starts a lasting task again, whether it ended by itself or failed. The end needs no record: the next attempt
-// is not a repeat of finished work.
-func (c *Cell) restart(now time.Time, w *worker, t *task, e Ended, eff *Effects) {
+// is not a repeat of finished work. A lasting task may fail at any time by itself: only one that fails soon is blamed on its
+// worker, as one that fails all it starts would do.
+func (c *Cell) restart(now time.Time, w *worker, t *task, e Ended, r *run, eff *Effects) {
 	w.acks[e.Run] = struct{}{}
 	if t.job.cancelled {
 		c.setState(now, t, Cancelled)
 		return
 	}
-	if e.End == EndFailed {
+	if e.End == EndFailed && now.Sub(r.startedAt) < provenAfter {
 		c.blame(now, w, t.job, eff)
 	}
 	t.checkpoint = Checkpoint{}
--- a/core/lifecycle/quarantine_test.go
+++ b/core/lifecycle/quarantine_test.go
@@ -103,3 +103,24 @@
 	require.True(t, last().Quarantined)
 	require.False(t, last().LastResort)
 }
+
+// Guards against a sound worker that is put in quarantine because lasting tasks of two jobs failed there after they had run:
+// they may fail at any time by themselves, and no success of theirs ever ends the blame.
+func TestLastingTaskThatHasRunIsNoBlameForItsWorker(t *testing.T) {
+	f := newFixture(t, 1, "w")
+	var jobs []ident.JobID
+	for range quarantineAfter {
+		jobs = append(jobs, f.accept(JobSpec{Groups: []TaskGroup{{Count: 1, Need: need, Lasting: true}}}))
+	}
+	for _, ranFor := range []time.Duration{time.Minute, 0} {
+		for _, id := range jobs {
+			r := f.running(taskOf(id, 0, 0), "w")
+			for until := f.now.Add(ranFor); f.now.Before(until); {
+				f.tickUntil(f.now.Add(time.Second))
+				f.ends("w")
+			}
+			f.ends("w", Ended{Run: r, End: EndFailed})
+		}
+		require.Equal(t, ranFor == 0, f.c.workers["w"].health.quarantined, "ran for %v", ranFor)
+	}
+}
