Bound the pause after a refused start of a lasting task

Cause: the pause after refused starts doubles to 10 s, while a lasting task has 6 s to run again, and other workers may take it meanwhile.

Change: the pause of a lasting task is 1 s at most.

Test: TestRefusedLastingTaskIsTriedAgainInTime; before, the task was not queued again 1.5 s (a quarter of the bound) after a refusal once several had come in a row.

--- a/core/lifecycle/attempt.go
+++ b/core/lifecycle/attempt.go
@@ -129,7 +129,7 @@
 	case Refused:
 		t.maySent = t.run.priorSent
 		t.refusals++
-		pause := min(retryPause<<min(t.refusals-1, 6), maxRefusalPause)
+		pause := t.refusalPause()
 		c.endRun(now, t, &eff)
 		c.requeue(now, t, pause, WaitRefused, &eff)
 	default:
--- a/core/lifecycle/failure.go
+++ b/core/lifecycle/failure.go
@@ -18,6 +18,8 @@
 	// retryPause and maxRefusalPause bound the pause after a start that certainly did not run.
 	retryPause      = 200 * time.Millisecond
 	maxRefusalPause = 10 * time.Second
+	// maxLastingPause is the most for a lasting task, which has 6 s to run again and may have to try several workers.
+	maxLastingPause = time.Second
 	// maxMessageBytes bounds what is kept of the reason of a failure.
 	maxMessageBytes = 200
 	// quarantineAfter failures without a success a worker is quarantined. Two can still be chance or one job.
@@ -123,6 +125,15 @@
 	return min(c.policy.FirstBackoff<<min(max(failures-1, 0), 10), c.policy.MaxBackoff)
 }
 
+// refusalPause returns the pause after refused starts, which doubles with each one in a row.
+func (t *task) refusalPause() time.Duration {
+	most := maxRefusalPause
+	if t.group.Lasting {
+		most = maxLastingPause
+	}
+	return min(retryPause<<min(t.refusals-1, 6), most)
+}
+
 // restart starts a lasting task again, whether it ended by itself or failed. The end needs no record: the next attempt
 // is not a repeat of finished work. A lasting task may fail at any time by itself: only one that fails soon is blamed on its
 // worker, as one that fails all it starts would do.
