Ask early for the record of a lasting task's attempts

Cause: the ends of a lasting task are not logged, so that after 63 attempts it waited for a record of their number before it started again, for as long as the log took none (an outage of the store).

Change: the record is asked for after half as many attempts, and the task does not wait for it.

--- a/core/lifecycle/lasting_test.go
+++ b/core/lifecycle/lasting_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -22,3 +23,24 @@
 		f.ends("w")
 	}
 }
+
+// Guards against a lasting task that stays away for as long as the store is down, because so many of its attempts are not in
+// the log that it waits for a record.
+func TestLastingTaskDoesNotWaitForTheLog(t *testing.T) {
+	f := newFixture(t, 1, "w")
+	task := taskOf(f.accept(JobSpec{Groups: []TaskGroup{{Count: 1, Need: need, Lasting: true}}}), 0, 0)
+	fail := func(times int) {
+		for range times {
+			f.now = f.now.Add(time.Minute)
+			f.ends("w", Ended{Run: f.running(task, "w"), End: EndFailed})
+		}
+	}
+	fail(attemptStride - 10)
+	f.held = true
+	f.cmds = nil
+	fail(20)
+	require.Len(t, f.queuedWith(), 20)
+	f.held = false
+	fail(2 * attemptStride)
+	require.Len(t, f.queuedWith(), 2*attemptStride)
+}
--- a/core/lifecycle/queue.go
+++ b/core/lifecycle/queue.go
@@ -103,6 +103,10 @@
 			eff.log(AttemptsUsed{Run{Task: t.id, Attempt: t.next - 1}})
 			continue
 		}
+		if t.group.Lasting && t.next-t.logged == attemptStride/2 {
+			// The ends of lasting tasks need no records. This one is asked for early, because the log may not take any for a while.
+			eff.log(AttemptsUsed{Run{Task: t.id, Attempt: t.next - 1}})
+		}
 		t.wait = WaitNone
 		ready = append(ready, c.pending(t))
 	}
