Show when the owner of a cell does not keep up

Cause: on a host of 0.19 of a core the owner of 350 workers was saturated from the first second. Commits fell from 28 to 5 a second and records took up to 2 s to become durable, but nothing told the owner from a slow store or from silent workers.

Change: the loop measures how long events wait for their turn and how late its timer fires. lifecycle.Lateness decides when the owner is late (250 ms: a start passes the loop about six times and urgent work starts within 1.5 s) and on time again; each change is one line, owner_late and owner_on_time, with the age of the oldest contact to a worker, silent workers, queued tasks, waiting calls and waiting events.

--- /dev/null
+++ b/core/lifecycle/lateness.go
@@ -0,0 +1,75 @@
+package lifecycle
+
+import "time"
+
+const (
+	// LateAfter is the wait of an event from which on its owner counts as late. A start passes the loop of the owner about
+	// six times from submission to the worker, and urgent work is to start within 1.5 s.
+	LateAfter = 250 * time.Millisecond
+	// onTimeAfter is how long every wait must stay below half of LateAfter until the owner counts as on time again. It
+	// bounds the changes to one a second.
+	onTimeAfter = time.Second
+)
+
+// Lateness decides whether the owner of a cell keeps up with its events. The zero value is on time. It is not safe for
+// concurrent use.
+type Lateness struct {
+	late bool
+	// since is when the first late event arrived, and lateAt when an event last had to wait for long.
+	since, lateAt time.Time
+	worst         time.Duration
+}
+
+// LateChange is the beginning or the end of a time in which an owner is late.
+type LateChange struct {
+	Late bool
+	// Worst is the longest wait of an event since the owner became late.
+	Worst time.Duration
+	// Lasted is how long the owner was late; 0 at the beginning.
+	Lasted time.Duration
+}
+
+// Note takes over that an event had waited for some time when its turn came at now.
+func (l *Lateness) Note(now time.Time, waited time.Duration) (c LateChange, changed bool) {
+	if !l.late {
+		if waited < LateAfter {
+			return c, false
+		}
+		*l = Lateness{late: true, since: now.Add(-waited), lateAt: now, worst: waited}
+		return LateChange{Late: true, Worst: waited}, true
+	}
+	l.worst = max(l.worst, waited)
+	if waited >= LateAfter/2 {
+		l.lateAt = now
+	}
+	if now.Sub(l.lateAt) < onTimeAfter {
+		return c, false
+	}
+	l.late = false
+	return LateChange{Worst: l.worst, Lasted: now.Sub(l.since)}, true
+}
+
+// Contact tells how near the leases of the workers of a cell are to their end.
+type Contact struct {
+	// Oldest is the time since the last answer of the worker that has not answered for the longest time.
+	Oldest time.Duration
+	// Silent counts the workers that have not answered for so long that they get no new tasks.
+	Silent int
+}
+
+// Contact returns the state of the claimed workers. It looks at each of them: it is for reports, not for each event.
+func (c *Cell) Contact(now time.Time) Contact {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var found Contact
+	for _, w := range c.workers {
+		if !w.claimed {
+			continue
+		}
+		found.Oldest = max(found.Oldest, now.Sub(w.contactAt))
+		if w.silent {
+			found.Silent++
+		}
+	}
+	return found
+}
--- a/core/lifecycle/memory_test.go
+++ b/core/lifecycle/memory_test.go
@@ -39,7 +39,7 @@
 }
 
 // runningCell returns a cell with n running tasks, 12 on each worker.
-func runningCell(b *testing.B, n int) *Cell {
+func runningCell(b testing.TB, n int) *Cell {
 	const perWorker = 12
 	c := NewCell(1, 7, table.New(1, []table.Row{{Name: "batch", Kind: table.Batch}}))
 	c.SetAuthority(start0, true, true)
--- a/core/placement/cell.go
+++ b/core/placement/cell.go
@@ -307,6 +307,17 @@
 	}
 }
 
+// Queued counts the tasks that wait for a worker.
+func (c *Cell) Queued() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	queued := 0
+	for _, cl := range c.shares.classes {
+		queued += cl.queued
+	}
+	return queued
+}
+
 // Booked returns what is booked on a worker.
 func (c *Cell) Booked(id ident.WorkerID) resource.Vector {
 	c.mu.Lock()
--- a/daemon/counts.go
+++ b/daemon/counts.go
@@ -1,6 +1,10 @@
 package daemon
 
 import (
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/bulrushrelay/bulrushrelay/adapter/telemetry"
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/ownership"
@@ -12,6 +16,7 @@
 func (h *Host) exportCounts() {
 	exportCluster(h.metrics, h.cluster, h.settings.Cells)
 	exportJobs(h.metrics, h.jobs.Stats())
+	exportLoad(h.metrics, h.jobs.Load())
 	h.exportConfig()
 	records, bytes := h.ledgers.Own().Usage()
 	h.metrics.Gauge("ledger_records").Update(records)
@@ -70,6 +75,31 @@
 	export(m, "cells_replaced_total", s.Replaced.Load())
 }
 
+func exportLoad(m *telemetry.Registry, l jobs.Load) {
+	m.Gauge("owner_late_cells").Update(int64(l.Late))
+	m.Gauge("owner_oldest_contact_ms").Update(l.Oldest.Milliseconds())
+	m.Gauge("owner_silent_workers").Update(int64(l.Silent))
+	m.Gauge("owner_queued_tasks").Update(l.Queued)
+	m.Gauge("owner_calls_waiting").Update(l.Calls)
+	m.Gauge("owner_syncs_in_progress").Update(l.Syncs)
+	m.Gauge("owner_events_waiting").Update(l.Events)
+}
+
+// ownerMeter implements jobs.Meter.
+type ownerMeter struct {
+	loop, durable metrics.Histogram
+}
+
+func newOwnerMeter(m *telemetry.Registry) ownerMeter {
+	return ownerMeter{loop: m.Histogram("owner_loop_delay_us"), durable: m.Histogram("cell_log_durable_ms")}
+}
+
+// LoopDelay implements jobs.Meter.
+func (o ownerMeter) LoopDelay(d time.Duration) { o.loop.Update(d.Microseconds()) }
+
+// Durable implements jobs.Meter.
+func (o ownerMeter) Durable(d time.Duration) { o.durable.Update(d.Milliseconds()) }
+
 func (h *Host) exportConfig() {
 	c := h.config.Counters()
 	export(h.metrics, "table_installed_total", c.Installed.Load())
--- a/daemon/host.go
+++ b/daemon/host.go
@@ -240,6 +240,7 @@
 		NewPlanner:     h.newPlanner,
 		CommitInterval: commitInterval(h.settings.Cells),
 		Logger:         h.log.Logger,
+		Meter:          newOwnerMeter(h.metrics),
 	}, table.New(0, nil))
 	router := &cellRouter{
 		self:      h.self,
--- a/daemon/jobhost.go
+++ b/daemon/jobhost.go
@@ -153,6 +153,7 @@
 		Cells:          h.settings.Cells,
 		Logger:         h.log.Logger,
 		Journal:        h.ports.Journal,
+		Meter:          newOwnerMeter(h.metrics),
 		Latency: func(class ident.ClassName, took time.Duration) {
 			h.metrics.Histogram("job_ms", telemetry.Label{Name: "class", Value: string(class)}).Update(took.Milliseconds())
 		},
@@ -316,6 +317,7 @@
 	h.cluster.SetLocal(local)
 	exportCluster(h.metrics, h.cluster, h.settings.Cells)
 	exportJobs(h.metrics, h.jobs.Stats())
+	exportLoad(h.metrics, h.jobs.Load())
 }
 
 // grantChanged returns the listener that starts and ends the work in cells.
--- a/relay/jobs/calls.go
+++ b/relay/jobs/calls.go
@@ -160,7 +160,9 @@
 func (o *owner) sync(ctx context.Context, m lifecycle.Member, req lifecycle.SyncRequest) bool {
 	call, cancel := context.WithTimeout(ctx, o.cfg.SyncWait+callTimeout)
 	defer cancel()
+	o.syncing.Add(1)
 	c := o.cfg.Workers.Sync(call, m, o.epoch, req, o.cfg.SyncWait)
+	o.syncing.Add(-1)
 	if c.Reason == lifecycle.ReasonFenced {
 		o.replaced("worker " + string(m.ID) + " was claimed with a higher epoch")
 		return false
@@ -184,6 +186,7 @@
 		return
 	}
 	c.outbox = append(c.outbox, command)
+	o.unsent.Add(1)
 	o.pump(c)
 }
 
@@ -195,6 +198,7 @@
 			return
 		}
 		c.outbox = c.outbox[1:]
+		o.unsent.Add(-1)
 		c.inFlight++
 		if throttles {
 			c.throttling++
--- a/relay/jobs/eventlist.go
+++ b/relay/jobs/eventlist.go
@@ -25,6 +25,8 @@
 	EventWorkerLost         EventName = "worker_lost"
 	EventQuarantined        EventName = "worker_quarantined"
 	EventTrusted            EventName = "worker_trusted"
+	EventOwnerLate          EventName = "owner_late"
+	EventOwnerOnTime        EventName = "owner_on_time"
 	EventDependencyLost     EventName = "dependency_lost"
 	EventDependencyRegained EventName = "dependency_regained"
 	EventLinesDropped       EventName = "lines_dropped"
@@ -61,6 +63,13 @@
 	FieldLife        FieldName = "life"
 	FieldRunning     FieldName = "running"
 	FieldEnded       FieldName = "ended"
+	FieldLoopMs      FieldName = "loop_ms"
+	FieldContactMs   FieldName = "oldest_contact_ms"
+	FieldSilent      FieldName = "silent"
+	FieldWaiting     FieldName = "waiting"
+	FieldUnsent      FieldName = "unsent"
+	FieldEvents      FieldName = "events"
+	FieldLateMs      FieldName = "late_ms"
 	FieldMethod      FieldName = "method"
 	FieldPath        FieldName = "path"
 	FieldStatus      FieldName = "status"
@@ -116,6 +125,12 @@
 		{EventWorkerLost, "the owner counts on a worker no longer", []FieldName{FieldCell, FieldEpoch, FieldWorker, FieldReason}},
 		{EventQuarantined, "a worker gets no tasks, or probes only", []FieldName{FieldCell, FieldEpoch, FieldWorker, FieldReason}},
 		{EventTrusted, "a quarantine has ended", []FieldName{FieldCell, FieldEpoch, FieldWorker}},
+		{EventOwnerLate, "the owner does not keep up: an event waited for its turn for longer than 250 ms", []FieldName{
+			FieldCell, FieldEpoch, FieldLoopMs, FieldContactMs, FieldSilent, FieldWaiting, FieldUnsent, FieldEvents,
+		}},
+		{EventOwnerOnTime, "no event has waited for long for a second", []FieldName{
+			FieldCell, FieldEpoch, FieldLoopMs, FieldLateMs, FieldContactMs, FieldSilent, FieldWaiting, FieldUnsent, FieldEvents,
+		}},
 		{EventDependencyLost, "several calls in a row to a dependency failed", []FieldName{
 			FieldDependency, FieldFailures, FieldReason,
 		}},
@@ -151,6 +166,13 @@
 	FieldLife:        "incarnation of the worker",
 	FieldRunning:     "attempts that the worker still runs",
 	FieldEnded:       "ends that the worker still keeps",
+	FieldLoopMs:      "longest wait of an event for its turn since the owner became late, in milliseconds",
+	FieldContactMs:   "milliseconds since the last answer of the claimed worker that has not answered for the longest time",
+	FieldSilent:      "claimed workers that get no new tasks because they do not answer",
+	FieldWaiting:     "tasks that wait for a worker",
+	FieldUnsent:      "calls to workers that wait for others to the same worker",
+	FieldEvents:      "events that wait for the owner",
+	FieldLateMs:      "milliseconds for which the owner was late",
 	FieldMethod:      "method of the call",
 	FieldPath:        "path of the call",
 	FieldStatus:      "HTTP status of the answer",
--- /dev/null
+++ b/relay/jobs/load.go
@@ -0,0 +1,110 @@
+package jobs
+
+import (
+	"time"
+
+	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
+)
+
+// Meter takes the times that owners measure of themselves. It must not block.
+type Meter interface {
+	// LoopDelay takes the longest wait of an event for its turn in one run of the loop of an owner.
+	LoopDelay(d time.Duration)
+	// Durable takes the longest time from a decision until its effect was durable and visible, of the records of a commit.
+	Durable(d time.Duration)
+}
+
+// noMeter is the Meter of a service that was given none.
+type noMeter struct{}
+
+func (noMeter) LoopDelay(time.Duration) {}
+func (noMeter) Durable(time.Duration)   {}
+
+// event is one step of the loop.
+type event struct {
+	run func()
+	// at is when the event was posted.
+	at time.Time
+}
+
+// Load is what waits in the cells of this host.
+type Load struct {
+	// Late counts the cells whose owner does not keep up with its events.
+	Late int
+	// Contact covers the claimed workers of all cells.
+	lifecycle.Contact
+	// Queued counts the tasks that wait for a worker, Calls the calls to workers that wait for others to the same worker,
+	// Syncs the syncs in progress, and Events the events that wait for the loop.
+	Queued, Calls, Syncs, Events int64
+}
+
+// Load returns what waits in the cells of this host.
+func (s *Service) Load() Load {
+	var sum Load
+	for _, o := range s.all() {
+		one := o.load(o.now())
+		sum.Late += one.Late
+		sum.Oldest = max(sum.Oldest, one.Oldest)
+		sum.Silent += one.Silent
+		sum.Queued += one.Queued
+		sum.Calls += one.Calls
+		sum.Syncs += one.Syncs
+		sum.Events += one.Events
+	}
+	return sum
+}
+
+func (o *owner) load(now time.Time) Load {
+	l := Load{Contact: o.cell.Contact(now), Calls: o.unsent.Load(), Syncs: o.syncing.Load(), Events: o.waiting.Load()}
+	if o.late.Load() {
+		l.Late = 1
+	}
+	if p, ok := o.planner.(QueuePlanner); ok {
+		l.Queued = int64(p.Queued())
+	}
+	return l
+}
+
+// turn runs an event whose turn has come at now.
+func (o *owner) turn(now time.Time, e event) {
+	o.waiting.Add(-1)
+	o.longestWait = max(o.longestWait, now.Sub(e.at))
+	e.run()
+}
+
+// noteLateness judges the waits of one run of the loop.
+func (o *owner) noteLateness(now time.Time) {
+	waited := o.longestWait
+	o.longestWait = 0
+	o.cfg.Meter.LoopDelay(waited)
+	change, changed := o.lateness.Note(now, waited)
+	if !changed {
+		return
+	}
+	o.late.Store(change.Late)
+	load := o.load(now)
+	fields := Fields{
+		FieldLoopMs: change.Worst.Milliseconds(), FieldContactMs: load.Oldest.Milliseconds(), FieldSilent: load.Silent,
+		FieldWaiting: load.Queued, FieldUnsent: load.Calls, FieldEvents: load.Events,
+	}
+	if change.Late {
+		o.note(EventOwnerLate, fields)
+		return
+	}
+	fields[FieldLateMs] = change.Lasted.Milliseconds()
+	o.note(EventOwnerOnTime, fields)
+}
+
+// QueuePlanner is a planner that tells how many tasks wait for a worker.
+type QueuePlanner interface {
+	Queued() int
+}
+
+// longestQueued returns the longest time since the records of a batch were queued.
+func longestQueued(now time.Time, batch []*item) time.Duration {
+	var longest time.Duration
+	for _, it := range batch {
+		longest = max(longest, now.Sub(it.queuedAt))
+	}
+	return longest
+}
--- a/relay/jobs/log.go
+++ b/relay/jobs/log.go
@@ -37,8 +37,9 @@
 
 // item is a record on its way into the log.
 type item struct {
-	record lifecycle.Record
-	size   int
+	record   lifecycle.Record
+	size     int
+	queuedAt time.Time
 	// done is closed when the record is durable or withdrawn; durable says which.
 	done    chan struct{}
 	durable bool
@@ -59,6 +60,7 @@
 	committed func([]lifecycle.Record)
 	snapshot  func() (lifecycle.Snapshot, bool)
 	lost      func(why string)
+	meter     Meter
 
 	// mu guards the queue, which callers fill and the writer empties.
 	mu    sync.Mutex
@@ -87,25 +89,12 @@
 	garbage   []string
 }
 
-func ownKey(cell ident.CellID) string  { return fmt.Sprintf("/own/%d", cell) }
-func headKey(cell ident.CellID) string { return fmt.Sprintf("/cell/%d/snap", cell) }
-func logPrefix(c ident.CellID) string  { return fmt.Sprintf("/cell/%d/log/", c) }
-func partPrefix(c ident.CellID) string { return fmt.Sprintf("/cell/%d/part/", c) }
-
-// The sequence number is padded so that keys sort in its order.
-func logKey(cell ident.CellID, seq uint64) string {
-	return fmt.Sprintf("%s%020d", logPrefix(cell), seq)
-}
-
-func partKey(cell ident.CellID, id string, n int) string {
-	return fmt.Sprintf("%s%s/%06d", partPrefix(cell), id, n)
-}
-
 // append queues records and returns their items.
 func (l *cellLog) append(records []lifecycle.Record) []*item {
 	items := make([]*item, len(records))
+	now := time.Now()
 	for i, r := range records {
-		items[i] = &item{record: r, size: l.codec.RecordSize(r), done: make(chan struct{})}
+		items[i] = &item{record: r, size: l.codec.RecordSize(r), queuedAt: now, done: make(chan struct{})}
 	}
 	l.mu.Lock()
 	for _, it := range items {
@@ -387,6 +376,7 @@
 	l.seq++
 	l.sinceSnap++
 	l.committed(records)
+	l.meter.Durable(longestQueued(time.Now(), batch))
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.busy = false
--- a/relay/jobs/owner.go
+++ b/relay/jobs/owner.go
@@ -40,7 +40,7 @@
 
 	ctx     context.Context
 	cancel  context.CancelFunc
-	mailbox chan func()
+	mailbox chan event
 	wg      sync.WaitGroup
 	// gone is set once the store or a worker proved that another owner has the cell.
 	gone     atomic.Bool
@@ -52,6 +52,11 @@
 
 	watch watchers
 
+	// waiting counts the events that wait for the loop, unsent the calls that wait in the outboxes, and syncing the syncs
+	// in progress. late is what lateness last decided.
+	waiting, unsent, syncing atomic.Int64
+	late                     atomic.Bool
+
 	// learnt is what is stored of what the planner has learnt. It belongs to recall and then to keepLearnt.
 	learnt []byte
 
@@ -69,16 +74,23 @@
 	confirmed  bool
 	shareShift uint8
 	isQuiet    bool
+	lateness   lifecycle.Lateness
+	// longestWait is the longest wait of an event in the present run of the loop.
+	longestWait time.Duration
+	// wakeAt is when the timer of the loop is due.
+	wakeAt time.Time
 	// quarantined holds the workers whose quarantine is noted.
 	quarantined map[ident.WorkerID]struct{}
 }
 
 // post runs f in the loop; false if the owner has stopped.
 func (o *owner) post(f func()) bool {
+	o.waiting.Add(1)
 	select {
-	case o.mailbox <- f:
+	case o.mailbox <- event{f, o.now()}:
 		return true
 	case <-o.ctx.Done():
+		o.waiting.Add(-1)
 		return false
 	}
 }
@@ -90,11 +102,14 @@
 		defer close(done)
 		f()
 	}
+	o.waiting.Add(1)
 	select {
-	case o.mailbox <- wrapped:
+	case o.mailbox <- event{wrapped, o.now()}:
 	case <-o.ctx.Done():
+		o.waiting.Add(-1)
 		return false
 	case <-ctx.Done():
+		o.waiting.Add(-1)
 		return false
 	}
 	select {
@@ -120,12 +135,15 @@
 	defer o.wg.Done()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	o.wakeAt = o.now()
 	for {
 		select {
-		case f := <-o.mailbox:
-			f()
+		case e := <-o.mailbox:
+			o.turn(o.now(), e)
 			o.drainMailbox()
 		case <-timer.C:
+			// A timer that fires late tells of a host that gets no processor time, also when no event waits.
+			o.longestWait = max(o.longestWait, o.now().Sub(o.wakeAt))
 		case <-o.ctx.Done():
 			close(o.ended)
 			o.stopConns()
@@ -138,7 +156,11 @@
 		o.noteFinished(changed)
 		o.watch.notify(changed)
 		o.checkQuiet()
-		timer.Reset(o.nextWake())
+		now := o.now()
+		o.noteLateness(now)
+		wake := o.nextWake(now)
+		o.wakeAt = now.Add(wake)
+		timer.Reset(wake)
 	}
 }
 
@@ -146,23 +168,23 @@
 // planner is due: a wave of events must not delay it.
 func (o *owner) drainMailbox() {
 	for range mailboxSize {
-		if o.planDue(o.now()) {
+		now := o.now()
+		if o.planDue(now) {
 			return
 		}
 		select {
-		case f := <-o.mailbox:
-			f()
+		case e := <-o.mailbox:
+			o.turn(now, e)
 		default:
 			return
 		}
 	}
 }
 
-func (o *owner) nextWake() time.Duration {
+func (o *owner) nextWake(now time.Time) time.Duration {
 	if o.planMore {
 		return 0
 	}
-	now := o.now()
 	d := authorityInterval
 	if next := o.cell.NextTick(); !next.IsZero() {
 		d = min(d, next.Sub(now))
--- a/relay/jobs/service.go
+++ b/relay/jobs/service.go
@@ -54,6 +54,8 @@
 	// Journal takes the decisions of owners; nil drops them. Latency takes how long each finished job took; nil drops it.
 	Journal Journal
 	Latency func(class ident.ClassName, took time.Duration)
+	// Meter takes what owners measure of themselves; nil drops it.
+	Meter Meter
 	// Replaced is called when the store or a worker proves that another host owns a cell; it must not block.
 	Replaced func(cell ident.CellID, epoch ident.Epoch)
 }
@@ -91,6 +93,9 @@
 	if cfg.Journal == nil {
 		cfg.Journal = noJournal{}
 	}
+	if cfg.Meter == nil {
+		cfg.Meter = noMeter{}
+	}
 	if cfg.Latency == nil {
 		cfg.Latency = func(ident.ClassName, time.Duration) {}
 	}
@@ -178,7 +183,7 @@
 		planner: s.cfg.NewPlanner(g.Cell, t),
 		logger:  s.cfg.Logger.WithFields(logrus.Fields{"cell": g.Cell, "epoch": g.Epoch}),
 		ctx:     ctx, cancel: cancel,
-		mailbox:    make(chan func(), mailboxSize),
+		mailbox:    make(chan event, mailboxSize),
 		ended:      make(chan struct{}),
 		quiet:      make(chan struct{}),
 		conns:      make(map[ident.WorkerID]*conn),
@@ -192,6 +197,7 @@
 		store: s.cfg.Store, codec: s.cfg.Codec, cell: g.Cell, epoch: g.Epoch,
 		interval:  s.cfg.CommitInterval,
 		committed: o.onCommitted,
+		meter:     s.cfg.Meter,
 		snapshot:  func() (lifecycle.Snapshot, bool) { return o.takeSnapshot(false) },
 		lost:      o.replaced,
 		wake:      make(chan struct{}, 1),
--- a/relay/jobs/snapshot.go
+++ b/relay/jobs/snapshot.go
@@ -12,6 +12,20 @@
 	"github.com/bulrushrelay/bulrushrelay/core/store"
 )
 
+func ownKey(cell ident.CellID) string  { return fmt.Sprintf("/own/%d", cell) }
+func headKey(cell ident.CellID) string { return fmt.Sprintf("/cell/%d/snap", cell) }
+func logPrefix(c ident.CellID) string  { return fmt.Sprintf("/cell/%d/log/", c) }
+func partPrefix(c ident.CellID) string { return fmt.Sprintf("/cell/%d/part/", c) }
+
+// The sequence number is padded so that keys sort in its order.
+func logKey(cell ident.CellID, seq uint64) string {
+	return fmt.Sprintf("%s%020d", logPrefix(cell), seq)
+}
+
+func partKey(cell ident.CellID, id string, n int) string {
+	return fmt.Sprintf("%s%s/%06d", partPrefix(cell), id, n)
+}
+
 // writeSnapshot writes the state and truncates the log. A failure is not serious: the log stays, and the next commit
 // tries again.
 func (l *cellLog) writeSnapshot(ctx context.Context) {
