Measure what the decisions of a loaded owner cost

One operation of BenchmarkOwner is 10 ms of a cell of 350 or 1,400 workers with the recorded load for each 350 workers: 65 jobs of 12 tasks and 1,500 syncs a second, 1,600 lasting tasks and as many fillers. A clock of its own drives the cell and its planner in the way of the loop of an owner. TestLoadedCellDecidesAlike guards against commands that depend on the order of a map, and logs a digest of all commands, by which a change of cost shows that it changes no decision.

--- /dev/null
+++ b/core/lifecycle/owner_bench_test.go
@@ -0,0 +1,318 @@
+package lifecycle
+
+import (
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bulrushrelay/bulrushrelay/core/ident"
+	"github.com/bulrushrelay/bulrushrelay/core/placement"
+	"github.com/bulrushrelay/bulrushrelay/core/resource"
+	"github.com/bulrushrelay/bulrushrelay/core/table"
+)
+
+// The load of a cell for each 350 workers, as recorded of a saturated owner.
+const (
+	loadWorkers  = 350
+	loadJobs     = 65   // jobs a second
+	loadTasks    = 12   // tasks of a job
+	loadSyncs    = 1500 // syncs a second
+	loadLasting  = 1600 // lasting tasks
+	loadPerJob   = 16   // lasting tasks of a job
+	loadPeriod   = 10 * time.Millisecond
+	loadCommit   = 20 * time.Millisecond
+	loadRunTime  = 2 * time.Second
+	loadImages   = 10
+	loadPlanOnce = 64
+)
+
+// loadedWorker is a worker that answers at once.
+type loadedWorker struct {
+	id      ident.WorkerID
+	running []Active
+	until   []time.Time
+	ended   []Ended
+	report  []Active
+}
+
+// loadedCell is a cell with its planner under a steady load, driven by a clock of its own in the way of the loop of an owner.
+type loadedCell struct {
+	b         testing.TB
+	c         *Cell
+	planner   *placement.Cell
+	rng       *rand.Rand
+	now       time.Time
+	workers   []*loadedWorker
+	byID      map[ident.WorkerID]*loadedWorker
+	next      int
+	records   []Record
+	committed time.Time
+	planned   time.Time
+	answers   []StartTask
+	jobs      int
+	syncs     float64
+	submits   float64
+	// events and starts count what happened; planTime and cellTime are what the planner and the cell took.
+	events, starts, finished int
+	planTime, cellTime       time.Duration
+	// digest covers every command, so that two versions can be compared.
+	digest uint64
+	watch  bool
+}
+
+func newLoadedCell(b testing.TB, workers int) *loadedCell {
+	l := &loadedCell{
+		b: b, now: start0, rng: rand.New(rand.NewPCG(1, 2)), byID: make(map[ident.WorkerID]*loadedWorker),
+		c: NewCell(1, 7, table.New(1, []table.Row{
+			{Name: "serve", Kind: table.LatencyCritical, Tenant: "a"},
+			{Name: "fill", Kind: table.Batch, Tenant: "b", Retries: 3},
+			{Name: "batch", Kind: table.Batch, Tenant: "c", Retries: 3},
+		})),
+		planner: placement.NewCell(1, placement.Options{Cell: 1, Candidates: 64, BackfillDepth: 512, MinThrottle: 1}),
+	}
+	l.c.SetPolicy(Policy{
+		LeaseDuration: 6 * time.Second, LeaseMargin: 240 * time.Millisecond, SilentAfter: 2 * time.Second,
+		FirstBackoff: time.Second, MaxBackoff: time.Minute, StopRepeat: time.Second, ChargeAllFailures: true,
+	})
+	l.c.SetAuthority(l.now, true, true)
+	var members []Member
+	for i := range workers {
+		w := &loadedWorker{id: ident.WorkerID(fmt.Sprintf("worker-%05d", i))}
+		l.workers = append(l.workers, w)
+		l.byID[w.id] = w
+		members = append(members, Member{ID: w.id, Rack: ident.Rack(fmt.Sprint(i / 8)), Capacity: capacity})
+	}
+	l.apply(l.c.Recover(l.now, false, members))
+	for _, w := range l.workers {
+		l.apply(l.c.Claimed(l.now, w.id, "p1", Report{Token: "token"}))
+	}
+	l.commit()
+	for n := 0; n < loadLasting*workers/loadWorkers; n += loadPerJob {
+		l.submit(l.lastingJob())
+	}
+	for range 500 {
+		l.period()
+	}
+	return l
+}
+
+func (l *loadedCell) lastingJob() JobSpec {
+	l.jobs++
+	return JobSpec{Class: "serve", Number: uint64(l.jobs), Groups: []TaskGroup{{
+		Count: loadPerJob, Need: resource.Vector{MilliCPU: 10_000, MemoryMB: 20_000}, Command: "serve", Lasting: true,
+		Volatile: true, TailTarget: 100 * time.Millisecond,
+		Constraints: placement.Constraints{Serving: true, Image: fmt.Sprintf("serve-%d", l.jobs%loadImages)},
+	}}}
+}
+
+// batchJob returns a job of three steps; two of three are fillers.
+func (l *loadedCell) batchJob() JobSpec {
+	l.jobs++
+	class, need := ident.ClassName("fill"), resource.Vector{MilliCPU: 7000, MemoryMB: 2000}
+	if l.jobs%3 == 0 {
+		class, need = "batch", resource.Vector{MilliCPU: 1000, MemoryMB: 2000}
+	}
+	s := JobSpec{Class: class, Number: uint64(l.jobs), FailFast: true, Stretch: 5, Grace: time.Second}
+	for g := range 3 {
+		group := TaskGroup{
+			Count: loadTasks / 3, Need: need, Command: "work", RunTime: loadRunTime,
+			Constraints: placement.Constraints{Filler: class == "fill", Image: fmt.Sprintf("%s-%d", class, l.jobs%loadImages)},
+		}
+		if g > 0 {
+			group.After = []int{g - 1}
+		}
+		s.Groups = append(s.Groups, group)
+	}
+	return s
+}
+
+func (l *loadedCell) submit(s JobSpec) {
+	_, eff, err := l.c.Accept(l.now, s)
+	require.NoError(l.b, err)
+	l.apply(eff)
+	l.turn()
+}
+
+// period performs all that happens in 10 ms.
+func (l *loadedCell) period() {
+	scale := float64(len(l.workers)) / loadWorkers * loadPeriod.Seconds()
+	for l.submits += loadJobs * scale; l.submits >= 1; l.submits-- {
+		l.submit(l.batchJob())
+	}
+	for l.syncs += loadSyncs * scale; l.syncs >= 1; l.syncs-- {
+		l.sync(l.workers[l.next])
+		// Workers sync in an order that is not that of their names.
+		l.next = (l.next + 37) % len(l.workers)
+	}
+	answers := l.answers
+	l.answers = nil
+	for _, s := range answers {
+		l.apply(l.c.StartAnswered(l.now, s.Worker, s.Run, Answer{Outcome: Applied}))
+		l.turn()
+	}
+	if l.now.Sub(l.committed) >= loadCommit {
+		l.commit()
+	}
+	l.now = l.now.Add(loadPeriod)
+}
+
+func (l *loadedCell) commit() {
+	l.committed = l.now
+	for len(l.records) > 0 {
+		records := l.records
+		l.records = nil
+		l.apply(l.c.Committed(l.now, records))
+		l.turn()
+	}
+}
+
+// turn is what the loop does after each event.
+func (l *loadedCell) turn() {
+	l.events++
+	l.apply(l.c.Tick(l.now))
+	if l.now.Sub(l.planned) >= loadPeriod {
+		l.planned = l.now
+		began := time.Now()
+		p := l.planner.Plan(l.now, loadPlanOnce)
+		l.planTime += time.Since(began)
+		l.starts += len(p.Starts)
+		l.apply(l.c.Planned(l.now, p))
+	}
+	for _, id := range l.c.TakeChanged() {
+		v, err := l.c.Get(id, 0, 0)
+		require.NoError(l.b, err)
+		if v.State.Final() {
+			v.Spec.Chains()
+			l.finished++
+		}
+	}
+	l.c.NextTick()
+}
+
+// sync answers a sync of a worker with all that runs there, with a measurement.
+func (l *loadedCell) sync(w *loadedWorker) {
+	for i := 0; i < len(w.running); {
+		if w.until[i].IsZero() || l.now.Before(w.until[i]) {
+			i++
+			continue
+		}
+		w.ended = append(w.ended, Ended{Run: w.running[i].Run, End: EndDone})
+		last := len(w.running) - 1
+		w.running[i], w.until[i] = w.running[last], w.until[last]
+		w.running, w.until = w.running[:last], w.until[:last]
+	}
+	l.c.AwaitsLog(w.id)
+	req, ok := l.c.SyncRequest(w.id)
+	require.True(l.b, ok)
+	for _, r := range req.Acks {
+		for i := range w.ended {
+			if w.ended[i].Run == r {
+				w.ended = append(w.ended[:i], w.ended[i+1:]...)
+				break
+			}
+		}
+	}
+	w.report = w.report[:0]
+	for i, a := range w.running {
+		a.Measure = 3000 + 4000*l.rng.Float64()
+		if w.until[i].IsZero() {
+			a.Measure = 30 + 50*l.rng.Float64()
+		}
+		w.report = append(w.report, a)
+	}
+	l.apply(l.c.Synced(l.now, w.id, req.Seq, "p1", req.Acks, Report{Token: "token", Active: w.report, Ended: w.ended}))
+	l.turn()
+}
+
+func (l *loadedCell) apply(eff Effects) {
+	l.records = append(l.records, eff.Records...)
+	for _, command := range eff.Commands {
+		if l.watch {
+			h := fnv.New64a()
+			fmt.Fprintf(h, "%d %T%+v", l.digest, command, command)
+			l.digest = h.Sum64()
+		}
+		l.perform(command)
+	}
+}
+
+func (l *loadedCell) perform(command Command) {
+	began := time.Now()
+	switch c := command.(type) {
+	case Enqueue:
+		l.planner.Submit(c.Tasks)
+	case Dequeue:
+		for _, id := range c.Tasks {
+			l.planner.Cancel(id)
+		}
+	case Release:
+		l.planner.Release(c.Task)
+	case Restore:
+		l.planner.Restore(c.Running)
+	case PutWorker:
+		l.planner.UpsertWorker(c.Worker)
+	case Observe:
+		l.planner.Observe(c.Observations)
+	case StartTask:
+		w := l.byID[c.Worker]
+		w.running = append(w.running, Active{Run: c.Run})
+		until := time.Time{}
+		if c.Class != "serve" {
+			until = l.now.Add(loadRunTime/2 + time.Duration(l.rng.Int64N(int64(loadRunTime))))
+		}
+		w.until = append(w.until, until)
+		l.answers = append(l.answers, c)
+	case ThrottleTask:
+		l.apply(l.c.ThrottleAnswered(c.Worker, c.Run, c.Fraction, Answer{Outcome: Applied}))
+	}
+	l.planTime += time.Since(began)
+}
+
+// BenchmarkOwner measures the decisions of an owner: one operation is 10 ms of a loaded cell, so that ns/op / 1e7 is the part
+// of a core that they take. go test -run '^$' -bench Owner -benchtime 1000x ./core/lifecycle.
+func BenchmarkOwner(b *testing.B) {
+	for _, workers := range []int{loadWorkers, 4 * loadWorkers} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			l := newLoadedCell(b, workers)
+			l.events, l.starts, l.finished, l.planTime = 0, 0, 0, 0
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				l.period()
+			}
+			b.StopTimer()
+			seconds := float64(b.N) * loadPeriod.Seconds()
+			running := 0
+			for _, w := range l.workers {
+				running += len(w.running)
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(l.events), "ns/event")
+			b.ReportMetric(b.Elapsed().Seconds()/seconds, "core")
+			b.ReportMetric(l.planTime.Seconds()/seconds, "planner-core")
+			b.ReportMetric(float64(l.events)/seconds, "events/s")
+			b.ReportMetric(float64(l.starts)/seconds, "starts/s")
+			b.ReportMetric(float64(running), "running")
+		})
+	}
+}
+
+// Guards against commands that depend on the order of a map: equal events must give equal commands. The digest in the log
+// tells whether a change of the cell or the planner changes a decision.
+func TestLoadedCellDecidesAlike(t *testing.T) {
+	run := func() *loadedCell {
+		l := newLoadedCell(t, 35)
+		l.watch = true
+		for range 700 {
+			l.period()
+		}
+		return l
+	}
+	first, second := run(), run()
+	require.NotZero(t, first.finished)
+	require.Equal(t, first.digest, second.digest)
+	t.Logf("%d starts, %d jobs finished, digest %x", first.starts, first.finished, first.digest)
+}
