Make a sync cost what it reports only

Cause: each sync sorted all that runs on a worker into a list of renewals that the platform's workers do not read, looked through the ends of the whole cell that wait for the log, and compared its report by a map of it and a second sort.

Change: a WorkerPort may say that its syncs renew every lease of a worker (WholeRenewer; the platform's hold does); no renewals are listed then. Ends that wait for the log are counted by worker. A report marks the attempts that it lists, and only those that it does not list are sorted.

--- a/core/lifecycle/attempt.go
+++ b/core/lifecycle/attempt.go
@@ -304,7 +304,7 @@
 	case EndFailed:
 		c.failed(now, w, t, e, eff)
 	case EndEvicted:
-		c.unlogged[e.Run] = unloggedEnd{worker: w.member.ID}
+		c.awaitLog(e.Run, unloggedEnd{worker: w.member.ID})
 		if preempted {
 			t.evictions++
 		}
@@ -320,7 +320,7 @@
 func (c *Cell) completed(now time.Time, w *worker, t *task, e Ended, eff *Effects) {
 	t.settled = true
 	t.wait = WaitLog
-	c.unlogged[e.Run] = unloggedEnd{worker: w.member.ID}
+	c.awaitLog(e.Run, unloggedEnd{worker: w.member.ID})
 	c.clearBlame(w, eff)
 	c.provenGood(now, t.job, eff)
 	eff.log(TaskDone{Run: e.Run, At: now})
--- a/core/lifecycle/cell.go
+++ b/core/lifecycle/cell.go
@@ -52,10 +52,14 @@
 	waitOrder []waitingStart
 	// unlogged holds the ended attempts whose record is not durable yet; the worker must keep them until then.
 	unlogged map[Run]unloggedEnd
-	changed  map[ident.JobID]struct{}
+	// unloggedOn counts them by worker.
+	unloggedOn map[ident.WorkerID]int
+	changed    map[ident.JobID]struct{}
 
 	// seq orders the answers of a worker against its reports.
-	seq        uint64
+	seq uint64
+	// reports numbers the reports of all workers.
+	reports    uint64
 	recovering bool
 	// takenOver is set once the Takeover record is durable; nothing is started before.
 	takenOver bool
@@ -77,18 +81,19 @@
 // NewCell returns an empty cell for the owner with the given epoch.
 func NewCell(id ident.CellID, epoch ident.Epoch, t *table.Table) *Cell {
 	return &Cell{
-		id:       id,
-		epoch:    epoch,
-		table:    t,
-		policy:   DefaultPolicy(),
-		jobs:     make(map[ident.JobID]*job),
-		tokens:   make(map[string]accepted),
-		workers:  make(map[ident.WorkerID]*worker),
-		logged:   make(map[ident.WorkerID]string),
-		held:     make(map[ident.TaskID]*task),
-		waiting:  make(map[Run]*task),
-		unlogged: make(map[Run]unloggedEnd),
-		changed:  make(map[ident.JobID]struct{}),
+		id:         id,
+		epoch:      epoch,
+		table:      t,
+		policy:     DefaultPolicy(),
+		jobs:       make(map[ident.JobID]*job),
+		tokens:     make(map[string]accepted),
+		workers:    make(map[ident.WorkerID]*worker),
+		logged:     make(map[ident.WorkerID]string),
+		held:       make(map[ident.TaskID]*task),
+		waiting:    make(map[Run]*task),
+		unlogged:   make(map[Run]unloggedEnd),
+		unloggedOn: make(map[ident.WorkerID]int),
+		changed:    make(map[ident.JobID]struct{}),
 	}
 }
 
--- a/core/lifecycle/commit.go
+++ b/core/lifecycle/commit.go
@@ -119,6 +119,7 @@
 		return
 	}
 	delete(c.unlogged, r)
+	c.leaveLog(end.worker)
 	if w, found := c.workers[end.worker]; found && w.claimed {
 		w.acks[r] = struct{}{}
 	}
--- a/core/lifecycle/failure.go
+++ b/core/lifecycle/failure.go
@@ -93,7 +93,7 @@
 	c.blame(now, w, t.job, eff)
 	charged = c.chargedFailures(t)
 	final = charged > c.retries(t)
-	c.unlogged[e.Run] = unloggedEnd{worker: w.member.ID}
+	c.awaitLog(e.Run, unloggedEnd{worker: w.member.ID})
 	if final && t.job.spec.FailFast && !t.job.cancelling {
 		c.beginFailing(t.job, eff)
 	}
--- a/core/lifecycle/job.go
+++ b/core/lifecycle/job.go
@@ -111,6 +111,8 @@
 	stopping  bool
 	stoppedAt time.Time
 	preempted bool
+	// listedIn is the number of the last report that listed the attempt.
+	listedIn uint64
 	// fraction is the throttle decided last, 0 if none; throttleLost is set if its answer was lost.
 	fraction     float64
 	throttleLost bool
--- a/core/lifecycle/late.go
+++ b/core/lifecycle/late.go
@@ -17,7 +17,7 @@
 	if open && e.End != EndDone && e.Checkpoint.ID != "" && e.Attempt >= t.lastRan && t.run == nil {
 		// The worker was given up before it could report the checkpoint, and no attempt has resumed yet.
 		t.checkpoint = Checkpoint{ID: e.Checkpoint.ID, At: now}
-		c.unlogged[e.Run] = unloggedEnd{worker: w.member.ID, checkpoint: e.Checkpoint.ID}
+		c.awaitLog(e.Run, unloggedEnd{worker: w.member.ID, checkpoint: e.Checkpoint.ID})
 		eff.log(CheckpointSaved{Run: e.Run, Checkpoint: t.checkpoint})
 		return
 	}
--- a/core/lifecycle/owner_bench_test.go
+++ b/core/lifecycle/owner_bench_test.go
@@ -76,7 +76,7 @@
 	}
 	l.c.SetPolicy(Policy{
 		LeaseDuration: 6 * time.Second, LeaseMargin: 240 * time.Millisecond, SilentAfter: 2 * time.Second,
-		FirstBackoff: time.Second, MaxBackoff: time.Minute, StopRepeat: time.Second, ChargeAllFailures: true,
+		FirstBackoff: time.Second, MaxBackoff: time.Minute, StopRepeat: time.Second, RenewsWhole: true, ChargeAllFailures: true,
 	})
 	l.c.SetAuthority(l.now, true, true)
 	var members []Member
--- a/core/lifecycle/policy.go
+++ b/core/lifecycle/policy.go
@@ -15,6 +15,8 @@
 	CheckpointInterval time.Duration
 	// StopRepeat is how long a stop may take on the worker before it is sent again.
 	StopRepeat time.Duration
+	// RenewsWhole is set if a sync renews every lease of the worker by itself: it lists no attempts to be renewed then.
+	RenewsWhole bool
 	// ChargeAllFailures counts failures on workers that fail everything against the retries of a task, too.
 	ChargeAllFailures bool
 }
--- a/core/lifecycle/report.go
+++ b/core/lifecycle/report.go
@@ -27,11 +27,10 @@
 
 // compareActive stops what should not run, and finds attempts that are gone without a result.
 func (c *Cell) compareActive(now time.Time, w *worker, seq uint64, active []Active, eff *Effects) {
-	seen := make(map[Run]struct{}, len(active))
 	var stops []Run
-	var observed []placement.Observation
+	observed := make([]placement.Observation, 0, len(active))
+	c.reports++
 	for _, a := range active {
-		seen[a.Run] = struct{}{}
 		t := w.runs[a.Task]
 		switch {
 		case t == nil || t.run.Attempt != a.Attempt:
@@ -40,14 +39,12 @@
 		case c.repeatStop(now, t.run):
 			stops = append(stops, a.Run)
 		}
+		t.run.listedIn = c.reports
 		c.repeatThrottle(t, eff)
 		observed = c.observe(now, t, a, observed, eff)
 	}
-	for _, t := range w.sortedRuns() {
+	for _, t := range w.unlisted(c.reports, seq) {
 		r := t.run
-		if _, ok := seen[r.Run]; ok || r.confirmedSeq >= seq {
-			continue
-		}
 		switch {
 		case r.phase == phaseActive || r.phase == phaseEvicting:
 			c.lose(now, t, eff)
@@ -63,6 +60,19 @@
 	}
 }
 
+// unlisted returns the tasks of a worker that a report does not list although it was asked for after they were confirmed,
+// in a fixed order.
+func (w *worker) unlisted(report, seq uint64) []*task {
+	var tasks []*task
+	for _, t := range w.runs {
+		if t.run.listedIn != report && t.run.confirmedSeq < seq {
+			tasks = append(tasks, t)
+		}
+	}
+	sortTasks(tasks)
+	return tasks
+}
+
 // repeatStop reports whether a stop is to be sent again, because the last one was answered a while ago.
 func (c *Cell) repeatStop(now time.Time, r *run) bool {
 	if r.phase != phaseStopping || r.stopping || now.Sub(r.stoppedAt) < c.policy.StopRepeat {
--- a/core/lifecycle/tick.go
+++ b/core/lifecycle/tick.go
@@ -92,8 +92,9 @@
 	}
 	for r, end := range c.unlogged {
 		if end.worker == w.member.ID {
+			c.leaveLog(end.worker)
 			end.worker = ""
-			c.unlogged[r] = end
+			c.awaitLog(r, end)
 		}
 	}
 	eff.do(ClaimWorker{Member: w.member})
--- a/core/lifecycle/worker.go
+++ b/core/lifecycle/worker.go
@@ -203,11 +203,8 @@
 	}
 	c.seq++
 	req = SyncRequest{Token: w.token, Seq: c.seq}
-	for _, t := range w.sortedRuns() {
-		// A stopping attempt is not renewed, so that it ends with its lease if the stop never arrives.
-		if t.run.phase != phaseLogging && t.run.phase != phaseStopping {
-			req.Renewals = append(req.Renewals, t.run.Run)
-		}
+	if !c.policy.RenewsWhole {
+		req.Renewals = w.renewals()
 	}
 	for r := range w.acks {
 		req.Acks = append(req.Acks, r)
@@ -216,20 +213,37 @@
 	return req, true
 }
 
+// renewals lists the attempts whose leases are to be renewed.
+func (w *worker) renewals() []Run {
+	runs := make([]Run, 0, len(w.runs))
+	for _, t := range w.sortedRuns() {
+		// A stopping attempt is not renewed, so that it ends with its lease if the stop never arrives.
+		if t.run.phase != phaseLogging && t.run.phase != phaseStopping {
+			runs = append(runs, t.run.Run)
+		}
+	}
+	return runs
+}
+
 // AwaitsLog reports whether the worker listed ends of which no record is durable yet and none can be acknowledged.
 func (c *Cell) AwaitsLog(id ident.WorkerID) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	w, ok := c.workers[id]
-	if !ok || len(w.acks) > 0 {
-		return false
-	}
-	for _, end := range c.unlogged {
-		if end.worker == id {
-			return true
-		}
+	return ok && len(w.acks) == 0 && c.unloggedOn[id] > 0
+}
+
+// awaitLog notes an end whose record is on its way into the log.
+func (c *Cell) awaitLog(r Run, end unloggedEnd) {
+	c.unlogged[r] = end
+	c.unloggedOn[end.worker]++
+}
+
+// leaveLog forgets on which worker an end without a durable record happened.
+func (c *Cell) leaveLog(id ident.WorkerID) {
+	if c.unloggedOn[id]--; c.unloggedOn[id] <= 0 {
+		delete(c.unloggedOn, id)
 	}
-	return false
 }
 
 // Claimed takes over the inventory of a worker that accepted the epoch of this owner.
@@ -358,6 +372,10 @@
 	for _, t := range w.runs {
 		all = append(all, t)
 	}
-	slices.SortFunc(all, func(a, b *task) int { return compareTasks(a.id, b.id) })
+	sortTasks(all)
 	return all
 }
+
+func sortTasks(tasks []*task) {
+	slices.SortFunc(tasks, func(a, b *task) int { return compareTasks(a.id, b.id) })
+}
--- a/relay/jobs/ports.go
+++ b/relay/jobs/ports.go
@@ -78,6 +78,11 @@
 	Throttle(ctx context.Context, w lifecycle.Member, epoch ident.Epoch, r lifecycle.Run, f float64) lifecycle.Answer
 }
 
+// WholeRenewer is a WorkerPort whose syncs renew every lease of a worker, whatever they list.
+type WholeRenewer interface {
+	RenewsWhole() bool
+}
+
 // Grants tells the present right of this host in a cell. It is asked before each call that starts or renews a task,
 // because a paused process learns late that its lease has lapsed. It must not block.
 type Grants interface {
--- a/relay/jobs/service.go
+++ b/relay/jobs/service.go
@@ -90,6 +90,9 @@
 	if cfg.Policy == (lifecycle.Policy{}) {
 		cfg.Policy = lifecycle.DefaultPolicy()
 	}
+	if r, ok := cfg.Workers.(WholeRenewer); ok {
+		cfg.Policy.RenewsWhole = r.RenewsWhole()
+	}
 	if cfg.Journal == nil {
 		cfg.Journal = noJournal{}
 	}
