Wake only the syncs whose ends a commit holds, and finish a job once

Cause: each commit woke every worker with an end, also those whose record was not in it. Their syncs returned at once with the same end. The loop also built a view of every changed job on each turn, in order to find those that had finished; a cancelled job was noted and measured again with the end of each of its attempts.

Change: the cell names the workers that can be told of ends, and the jobs that have come to an end.

--- a/core/lifecycle/cell.go
+++ b/core/lifecycle/cell.go
@@ -55,6 +55,10 @@
 	// unloggedOn counts them by worker.
 	unloggedOn map[ident.WorkerID]int
 	changed    map[ident.JobID]struct{}
+	// finished lists the jobs that have come to an end since TakeFinished, and acked the workers that can be told of ends
+	// since TakeAcked.
+	finished []*job
+	acked    []ident.WorkerID
 
 	// seq orders the answers of a worker against its reports.
 	seq uint64
@@ -227,11 +231,15 @@
 	if t.state == s {
 		return
 	}
+	before := t.job.final()
 	t.job.counts[t.state]--
 	t.state = s
 	t.job.counts[s]++
 	if t.job.final() {
 		t.job.finishedAt = now
+		if !before {
+			c.finished = append(c.finished, t.job)
+		}
 	}
 	c.touch(t.job)
 }
--- a/core/lifecycle/commit.go
+++ b/core/lifecycle/commit.go
@@ -122,9 +122,19 @@
 	c.leaveLog(end.worker)
 	if w, found := c.workers[end.worker]; found && w.claimed {
 		w.acks[r] = struct{}{}
+		c.acked = append(c.acked, end.worker)
 	}
 }
 
+// TakeAcked returns the workers of which ends have become durable since the last call. A worker may be listed repeatedly.
+func (c *Cell) TakeAcked() []ident.WorkerID {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	acked := c.acked
+	c.acked = nil
+	return acked
+}
+
 func (c *Cell) finish(now time.Time, r Run, s State) {
 	t := c.task(r.Task)
 	if t == nil || t.state.Final() {
--- a/core/lifecycle/owner_bench_test.go
+++ b/core/lifecycle/owner_bench_test.go
@@ -182,14 +182,8 @@
 		l.starts += len(p.Starts)
 		l.apply(l.c.Planned(l.now, p))
 	}
-	for _, id := range l.c.TakeChanged() {
-		v, err := l.c.Get(id, 0, 0)
-		require.NoError(l.b, err)
-		if v.State.Final() {
-			v.Spec.Chains()
-			l.finished++
-		}
-	}
+	l.c.TakeChanged()
+	l.finished += len(l.c.TakeFinished())
 	l.c.NextTick()
 }
 
--- a/core/lifecycle/view.go
+++ b/core/lifecycle/view.go
@@ -126,6 +126,33 @@
 	return ids
 }
 
+// Finished describes a job that has come to an end.
+type Finished struct {
+	Job   ident.JobID
+	Class ident.ClassName
+	State State
+	// Took is the time from acceptance to the end, and Objective what it should have taken; 0 without an objective.
+	Took, Objective time.Duration
+}
+
+// TakeFinished returns the jobs that have come to an end since the last call, in the order of their ends.
+func (c *Cell) TakeFinished() []Finished {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.finished) == 0 {
+		return nil
+	}
+	out := make([]Finished, len(c.finished))
+	for i, j := range c.finished {
+		out[i] = Finished{
+			Job: j.id, Class: j.spec.Class, State: j.state(), Took: j.finishedAt.Sub(j.acceptedAt), Objective: j.objective,
+		}
+	}
+	clear(c.finished)
+	c.finished = c.finished[:0]
+	return out
+}
+
 func (j *job) state() State {
 	switch {
 	case j.final() && j.failing && j.counts[Failed] > 0:
--- a/relay/jobs/calls.go
+++ b/relay/jobs/calls.go
@@ -81,6 +81,11 @@
 			}
 			continue
 		}
+		select {
+		case <-acked:
+			// Told of an earlier record.
+		default:
+		}
 		if o.cell.AwaitsLog(m.ID) {
 			// The worker lists an end until it is acknowledged, so that a sync before that would return at once.
 			o.awaitAck(ctx, acked)
--- a/relay/jobs/events.go
+++ b/relay/jobs/events.go
@@ -110,21 +110,14 @@
 	}
 }
 
-// noteFinished notes the jobs that have come to an end since the last call.
-func (o *owner) noteFinished(changed []ident.JobID) {
-	for _, id := range changed {
-		v, err := o.cell.Get(id, 0, 0)
-		if err != nil || !v.State.Final() {
-			continue
-		}
-		_, longest := v.Spec.Chains()
-		took := v.FinishedAt.Sub(v.AcceptedAt)
-		objective := v.Spec.Objective(longest)
+// noteFinished notes the jobs that have come to an end.
+func (o *owner) noteFinished(finished []lifecycle.Finished) {
+	for _, f := range finished {
 		o.note(EventJobFinished, Fields{
-			FieldJob: jobField(id), FieldClass: v.Spec.Class, FieldState: v.State.String(), FieldTookMs: took.Milliseconds(),
-			FieldObjectiveMs: objective.Milliseconds(), FieldLate: objective > 0 && took > objective,
+			FieldJob: jobField(f.Job), FieldClass: f.Class, FieldState: f.State.String(), FieldTookMs: f.Took.Milliseconds(),
+			FieldObjectiveMs: f.Objective.Milliseconds(), FieldLate: f.Objective > 0 && f.Took > f.Objective,
 		})
-		o.cfg.Latency(v.Spec.Class, took)
+		o.cfg.Latency(f.Class, f.Took)
 	}
 }
 
--- a/relay/jobs/owner.go
+++ b/relay/jobs/owner.go
@@ -152,9 +152,8 @@
 		o.checkAuthority()
 		o.apply(o.cell.Tick(o.now()))
 		o.plan()
-		changed := o.cell.TakeChanged()
-		o.noteFinished(changed)
-		o.watch.notify(changed)
+		o.noteFinished(o.cell.TakeFinished())
+		o.watch.notify(o.cell.TakeChanged())
 		o.checkQuiet()
 		now := o.now()
 		o.noteLateness(now)
@@ -347,15 +346,24 @@
 				delete(o.cancelling, typed.Job)
 			}
 		}
-		for _, c := range o.conns {
-			select {
-			case c.acked <- struct{}{}:
-			default:
-			}
-		}
+		o.wakeSyncs(o.cell.TakeAcked())
 	})
 }
 
+// wakeSyncs wakes the syncs that wait for a record of an end on their worker.
+func (o *owner) wakeSyncs(workers []ident.WorkerID) {
+	for _, id := range workers {
+		c, ok := o.conns[id]
+		if !ok {
+			continue
+		}
+		select {
+		case c.acked <- struct{}{}:
+		default:
+		}
+	}
+}
+
 // takeSnapshot returns the state after every commit that was reported before.
 func (o *owner) takeSnapshot(clean bool) (lifecycle.Snapshot, bool) {
 	var s lifecycle.Snapshot
--- a/relay/jobs/service.go
+++ b/relay/jobs/service.go
@@ -161,6 +161,7 @@
 	o.apply(o.cell.Recover(o.now(), h.clean(), members))
 	// What the predecessor did is no change.
 	o.cell.TakeChanged()
+	o.cell.TakeFinished()
 	o.checkAuthority()
 	o.wg.Add(3)
 	go o.loop()
