Look at the tasks of a worker once for what is expected of its tails

Cause: for each Plan and worker, the expected tails took a look at every task for each serving task, and an estimate for each pair with a filler, also where the filler has nothing left to show.

Change: the longest tail is taken by image first; fillers that will use more than was measured are listed once.

--- a/core/placement/cell.go
+++ b/core/placement/cell.go
@@ -59,6 +59,7 @@
 	priced     []priced
 	giving     taking
 	loads      []Load
+	unseenUses []unseenUse
 	// images numbers the images of tasks in the order of their first use, and quiet holds by that number the usual tail of
 	// serving tasks without fillers, as a part of the target.
 	images map[string]int
--- a/core/placement/pacing.go
+++ b/core/placement/pacing.go
@@ -181,10 +181,11 @@
 	}
 	var serving []*task
 	var room []float64
+	unseen := r.unseen(n)
 	for _, s := range n.tasks {
 		if s.constraints.Serving {
 			serving = append(serving, s)
-			room = append(room, math.Log(speedTail/max(s.tail, leastQuiet))-r.ahead(s))
+			room = append(room, math.Log(speedTail/max(s.tail, leastQuiet))-r.ahead(s.image, unseen))
 		}
 	}
 	var list []slowed
--- a/core/placement/tails.go
+++ b/core/placement/tails.go
@@ -175,14 +175,33 @@
 	return min(n.most*float64(t.wish)/partUnit, 1)
 }
 
-// ahead returns the logarithm of the factor by which the tail of a serving task is expected to grow beyond its last
+// unseenUse is what a filler will use beyond what was measured, in thousandths of a processor.
+type unseenUse struct {
+	image    int
+	milliCPU float64
+}
+
+// unseen lists the fillers on a worker that will use more than was measured. The list is valid until the next call.
+func (c *Cell) unseen(n *node) []unseenUse {
+	list := c.unseenUses[:0]
+	for _, f := range n.tasks {
+		if !f.constraints.Filler {
+			continue
+		}
+		if more := f.unseen(c.now); more > 0 {
+			list = append(list, unseenUse{f.image, more})
+		}
+	}
+	c.unseenUses = list
+	return list
+}
+
+// ahead returns the logarithm of the factor by which the tail of a serving image is expected to grow beyond its last
 // measurement, by what the fillers beside it have not shown yet.
-func (c *Cell) ahead(serving *task) float64 {
+func (c *Cell) ahead(serving int, unseen []unseenUse) float64 {
 	sum := 0.0
-	for _, f := range serving.node.tasks {
-		if f.constraints.Filler {
-			sum += c.lengthening(serving.image, f.image, f.unseen(c.now))
-		}
+	for _, u := range unseen {
+		sum += c.lengthening(serving, u.image, u.milliCPU)
 	}
 	return sum
 }
@@ -205,13 +224,19 @@
 		if !s.constraints.Serving {
 			continue
 		}
-		tail := math.Log(max(s.tail, c.quiet[s.image])) + c.ahead(s)
 		i := slices.IndexFunc(n.expected, func(e expectation) bool { return e.image == s.image })
 		if i < 0 {
-			n.expected = append(n.expected, expectation{s.image, tail})
+			n.expected = append(n.expected, expectation{s.image, s.tail})
 			continue
 		}
-		n.expected[i].tail = max(n.expected[i].tail, tail)
+		n.expected[i].tail = max(n.expected[i].tail, s.tail)
+	}
+	if len(n.expected) == 0 {
+		return nil
+	}
+	unseen := c.unseen(n)
+	for i, e := range n.expected {
+		n.expected[i].tail = math.Log(max(e.tail, c.quiet[e.image])) + c.ahead(e.image, unseen)
 	}
 	return n.expected
 }
