--- a/core/lifecycle/attempt.go
+++ b/core/lifecycle/attempt.go
@@ -89,6 +89,7 @@
 	}
 	t.wait = WaitLog
 	c.waiting[t.run.Run] = t
+	c.waitOrder = append(c.waitOrder, waitingStart{t.run.Run, t})
 	eff.log(CheckpointConsumed{Run: t.run.Run, Checkpoint: t.checkpoint.ID})
 }
 
@@ -304,7 +305,7 @@
 	case EndFailed:
 		c.failed(now, w, t, e, eff)
 	case EndEvicted:
-		c.unlogged[e.Run] = unloggedEnd{worker: w.member.ID}
+		c.awaitLog(e.Run, unloggedEnd{worker: w.member.ID})
 		if r.preempted {
 			t.evictions++
 		}
@@ -320,7 +321,7 @@
 func (c *Cell) completed(now time.Time, w *worker, t *task, e Ended, eff *Effects) {
 	t.settled = true
 	t.wait = WaitLog
-	c.unlogged[e.Run] = unloggedEnd{worker: w.member.ID}
+	c.awaitLog(e.Run, unloggedEnd{worker: w.member.ID})
 	c.clearBlame(w, eff)
 	c.provenGood(now, t.job, eff)
 	eff.log(TaskDone{Run: e.Run, At: now})
--- a/core/lifecycle/failure.go
+++ b/core/lifecycle/failure.go
@@ -100,7 +100,7 @@
 	c.blame(now, w, t.job, eff)
 	charged = c.chargedFailures(t)
 	final = charged > c.retries(t)
-	c.unlogged[e.Run] = unloggedEnd{worker: w.member.ID}
+	c.awaitLog(e.Run, unloggedEnd{worker: w.member.ID})
 	if final && t.job.spec.FailFast && !t.job.cancelling {
 		c.beginFailing(t.job, eff)
 	}
@@ -247,6 +247,7 @@
 	w.health.probing = false
 	w.health.probeAt = now.Add(min(firstProbe<<min(w.health.probes, 10), maxProbe))
 	w.health.probes++
+	c.schedule(w)
 }
 
 // clearBlame ends the suspicion against a worker on which an attempt succeeded. Work that was running there before
--- a/core/lifecycle/worker.go
+++ b/core/lifecycle/worker.go
@@ -31,6 +31,9 @@
 	runs        map[ident.TaskID]*task
 	acks        map[Run]struct{}
 	health      health
+	// tickAt is not after the time at which Tick has something to do for the worker; tickPos is its place in the queue.
+	tickAt  time.Time
+	tickPos int
 }
 
 // SyncRequest is what the owner sends in a sync.
@@ -112,9 +115,10 @@
 
 func (c *Cell) addWorker(m Member) *worker {
 	w := &worker{
-		member: m,
-		runs:   make(map[ident.TaskID]*task),
-		acks:   make(map[Run]struct{}),
+		member:  m,
+		runs:    make(map[ident.TaskID]*task),
+		acks:    make(map[Run]struct{}),
+		tickPos: notQueued,
 	}
 	c.workers[m.ID] = w
 	c.sorted = nil
@@ -200,11 +204,8 @@
 	}
 	c.seq++
 	req = SyncRequest{Token: w.token, Seq: c.seq}
-	for _, t := range w.sortedRuns() {
-		// A stopping attempt is not renewed, so that it ends with its lease if the stop never arrives.
-		if t.run.phase != phaseLogging && t.run.phase != phaseStopping {
-			req.Renewals = append(req.Renewals, t.run.Run)
-		}
+	if !c.policy.RenewsWhole {
+		req.Renewals = w.renewals()
 	}
 	for r := range w.acks {
 		req.Acks = append(req.Acks, r)
@@ -213,20 +214,37 @@
 	return req, true
 }
 
+// renewals lists the attempts whose leases are to be renewed.
+func (w *worker) renewals() []Run {
+	runs := make([]Run, 0, len(w.runs))
+	for _, t := range w.sortedRuns() {
+		// A stopping attempt is not renewed, so that it ends with its lease if the stop never arrives.
+		if t.run.phase != phaseLogging && t.run.phase != phaseStopping {
+			runs = append(runs, t.run.Run)
+		}
+	}
+	return runs
+}
+
 // AwaitsLog reports whether the worker listed ends of which no record is durable yet and none can be acknowledged.
 func (c *Cell) AwaitsLog(id ident.WorkerID) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	w, ok := c.workers[id]
-	if !ok || len(w.acks) > 0 {
-		return false
-	}
-	for _, end := range c.unlogged {
-		if end.worker == id {
-			return true
-		}
+	return ok && len(w.acks) == 0 && c.unloggedOn[id] > 0
+}
+
+// awaitLog notes an end whose record is on its way into the log.
+func (c *Cell) awaitLog(r Run, end unloggedEnd) {
+	c.unlogged[r] = end
+	c.unloggedOn[end.worker]++
+}
+
+// leaveLog forgets on which worker an end without a durable record happened.
+func (c *Cell) leaveLog(id ident.WorkerID) {
+	if c.unloggedOn[id]--; c.unloggedOn[id] <= 0 {
+		delete(c.unloggedOn, id)
 	}
-	return false
 }
 
 // Claimed takes over the inventory of a worker that accepted the epoch of this owner.
@@ -249,6 +267,7 @@
 	w.silent = false
 	w.incarnation = incarnation
 	w.contactAt = now
+	c.schedule(w)
 	c.takeToken(now, w, report)
 	// Leases of adopted tasks were renewed by the predecessor with tokens that this owner has not seen, but none
 	// newer than the one issued by the claim.
@@ -330,8 +349,7 @@
 	return eff
 }
 
-// sortedWorkers lists the workers by id. The list does not change while a caller goes through it. It is kept, because
-// each event of the cell needs it.
+// sortedWorkers lists the workers by id. The list does not change while a caller goes through it.
 func (c *Cell) sortedWorkers() []*worker {
 	if c.sorted != nil {
 		return c.sorted
@@ -340,19 +358,25 @@
 	for _, w := range c.workers {
 		all = append(all, w)
 	}
-	slices.SortFunc(all, func(a, b *worker) int {
-		return strings.Compare(string(a.member.ID), string(b.member.ID))
-	})
+	slices.SortFunc(all, compareWorkers)
 	c.sorted = all
 	return all
 }
 
+func compareWorkers(a, b *worker) int {
+	return strings.Compare(string(a.member.ID), string(b.member.ID))
+}
+
 // sortedRuns returns the tasks of a worker in a fixed order, so that equal events give equal commands.
 func (w *worker) sortedRuns() []*task {
 	all := make([]*task, 0, len(w.runs))
 	for _, t := range w.runs {
 		all = append(all, t)
 	}
-	slices.SortFunc(all, func(a, b *task) int { return compareTasks(a.id, b.id) })
+	sortTasks(all)
 	return all
 }
+
+func sortTasks(tasks []*task) {
+	slices.SortFunc(tasks, func(a, b *task) int { return compareTasks(a.id, b.id) })
+}
