Let cancellations and commits not wait behind the reports of workers

Cause: the loop of an owner took its events in the order in which they came. Behind the reports of 350 workers a cancellation waited for longer than the 3 s that its caller had, was given up, and left no trace, again and again.

It takes events of both lanes in turn, so that a wave of cancellations does not hold the reports up.

Tests: TestCancellationDoesNotWaitBehindOtherEvents failed in 20 of 20 runs before, and does so with either the cancellations or the commits in the old lane; it passes in 20 of 20. An urgent task during a wave of 10,000 cancellations takes 102.9 and 109.1 ms (103.9 and 107.2 before, alternating, 8 waves each). go test -race passes for relay/..., platform and daemon.

--- a/relay/jobs/api.go
+++ b/relay/jobs/api.go
@@ -162,7 +162,7 @@
 		pending bool
 		err     error
 	)
-	if !o.call(ctx, func() {
+	if !o.callSoon(ctx, func() {
 		var eff lifecycle.Effects
 		if eff, pending, err = o.cell.Cancel(o.now(), id); err != nil {
 			return
--- a/relay/jobs/owner.go
+++ b/relay/jobs/owner.go
@@ -41,7 +41,10 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	mailbox chan func()
-	wg      sync.WaitGroup
+	// priority holds the events that must not wait behind the others: cancellations and what is durable. The loop takes
+	// events of both lanes in turn, so that neither holds the other up.
+	priority chan func()
+	wg       sync.WaitGroup
 	// gone is set once the store or a worker proved that another owner has the cell.
 	gone     atomic.Bool
 	draining atomic.Bool
@@ -85,13 +88,22 @@
 
 // call runs f in the loop and waits for it; false proves that f has not run and never will.
 func (o *owner) call(ctx context.Context, f func()) bool {
+	return o.callOn(ctx, o.mailbox, f)
+}
+
+// callSoon is call for events of the priority lane.
+func (o *owner) callSoon(ctx context.Context, f func()) bool {
+	return o.callOn(ctx, o.priority, f)
+}
+
+func (o *owner) callOn(ctx context.Context, lane chan<- func(), f func()) bool {
 	done := make(chan struct{})
 	wrapped := func() {
 		defer close(done)
 		f()
 	}
 	select {
-	case o.mailbox <- wrapped:
+	case lane <- wrapped:
 	case <-o.ctx.Done():
 		return false
 	case <-ctx.Done():
@@ -122,9 +134,12 @@
 	defer timer.Stop()
 	for {
 		select {
+		case f := <-o.priority:
+			f()
+			o.drain()
 		case f := <-o.mailbox:
 			f()
-			o.drainMailbox()
+			o.drain()
 		case <-timer.C:
 		case <-o.ctx.Done():
 			close(o.ended)
@@ -142,22 +157,31 @@
 	}
 }
 
-// drainMailbox performs the events that wait already, so that planning happens once for all of them. It ends when the
-// planner is due: a wave of events must not delay it.
-func (o *owner) drainMailbox() {
+// drain performs the events that wait already, so that planning happens once for all of them. It ends when the planner is
+// due: a wave of events must not delay it. Where each event makes the planner due, one of the priority lane goes first.
+func (o *owner) drain() {
 	for range mailboxSize {
+		soon := performNext(o.priority)
 		if o.planDue(o.now()) {
 			return
 		}
-		select {
-		case f := <-o.mailbox:
-			f()
-		default:
+		if !performNext(o.mailbox) && !soon {
 			return
 		}
 	}
 }
 
+// performNext performs one event of a lane; false if none waits.
+func performNext(lane <-chan func()) bool {
+	select {
+	case f := <-lane:
+		f()
+		return true
+	default:
+		return false
+	}
+}
+
 func (o *owner) nextWake() time.Duration {
 	if o.planMore {
 		return 0
@@ -313,7 +337,7 @@
 	o.stats.Commits.Add(1)
 	o.stats.Records.Add(int64(len(records)))
 	// The log writer waits, so that a caller who is told of the commit also sees its effect.
-	o.call(o.ctx, func() {
+	o.callSoon(o.ctx, func() {
 		o.apply(o.cell.Committed(o.now(), records))
 		now := o.now()
 		for _, r := range records {
@@ -337,7 +361,7 @@
 // takeSnapshot returns the state after every commit that was reported before.
 func (o *owner) takeSnapshot(clean bool) (lifecycle.Snapshot, bool) {
 	var s lifecycle.Snapshot
-	ok := o.call(o.ctx, func() { s = o.cell.Snapshot(o.now(), clean) })
+	ok := o.callSoon(o.ctx, func() { s = o.cell.Snapshot(o.now(), clean) })
 	return s, ok
 }
 
--- a/relay/jobs/service.go
+++ b/relay/jobs/service.go
@@ -179,6 +179,7 @@
 		logger:  s.cfg.Logger.WithFields(logrus.Fields{"cell": g.Cell, "epoch": g.Epoch}),
 		ctx:     ctx, cancel: cancel,
 		mailbox:    make(chan func(), mailboxSize),
+		priority:   make(chan func()),
 		ended:      make(chan struct{}),
 		quiet:      make(chan struct{}),
 		conns:      make(map[ident.WorkerID]*conn),
--- a/relay/jobs/slow_test.go
+++ b/relay/jobs/slow_test.go
@@ -1,6 +1,8 @@
 package jobs_test
 
 import (
+	"context"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -9,33 +11,39 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
+	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
 	"github.com/bulrushrelay/bulrushrelay/core/placement"
 	"github.com/bulrushrelay/bulrushrelay/core/table"
 	"github.com/bulrushrelay/bulrushrelay/relay/jobs"
 )
 
-// slowPlanner takes a set time for its next Plan, so that the events of the cell have to wait.
+// slowness is for how long the planner stands still, so that the events of the cell have to wait.
+type slowness struct {
+	// next counts for the next Plan only, each for every Plan.
+	next, each atomic.Int64
+}
+
 type slowPlanner struct {
 	placement.Planner
-	next *atomic.Int64
+	slow *slowness
 }
 
 func (p slowPlanner) Plan(now time.Time, limit int) placement.Plan {
-	time.Sleep(time.Duration(p.next.Swap(0)))
+	time.Sleep(time.Duration(p.slow.next.Swap(0) + p.slow.each.Load()))
 	return p.Planner.Plan(now, limit)
 }
 
-// slowScenario is a scenario whose owner stands still for as long as slow says, with its next Plan.
-func slowScenario(t *testing.T, workers int, f func(w *world, h *host, slow *atomic.Int64)) {
+// slowScenario is a scenario with an owner whose planner is slow.
+func slowScenario(t *testing.T, workers int, f func(w *world, h *host, slow *slowness)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, workers)
 		defer w.close()
-		var slow atomic.Int64
+		var slow slowness
 		h := w.hostWith(func(cfg *jobs.Config) {
 			plain := cfg.NewPlanner
 			cfg.NewPlanner = func(c ident.CellID, t *table.Table) placement.Planner {
-				return slowPlanner{Planner: plain(c, t), next: &slow}
+				return slowPlanner{Planner: plain(c, t), slow: &slow}
 			}
 		})
 		w.own(h)
@@ -46,10 +54,10 @@
 // Guards against a task that runs again although it is done: an owner that stood still for longer than a lease lasts
 // gave its workers up before it looked at their answers, which had arrived meanwhile.
 func TestSlowOwnerTakesAnswersOverBeforeItGivesWorkersUp(t *testing.T) {
-	slowScenario(t, 4, func(w *world, h *host, slow *atomic.Int64) {
+	slowScenario(t, 4, func(w *world, h *host, slow *slowness) {
 		id := h.submit(spec("batch", 6, "work=8s"))
 		time.Sleep(6 * time.Second)
-		slow.Store(int64(14 * time.Second))
+		slow.next.Store(int64(14 * time.Second))
 		h.finished(time.Minute, id)
 		w.verify(h, id)
 		for _, v := range h.get(id).Tasks {
@@ -57,3 +65,34 @@
 		}
 	})
 }
+
+// labelled lists the workers with a label that differs for each i, so that the planner has to look at them again.
+func (w *world) labelled(i int) []lifecycle.Member {
+	members := w.members()
+	for n := range members {
+		members[n].Labels = strconv.Itoa(i)
+	}
+	return members
+}
+
+// Guards against tasks that start after their job's cancellation was asked for: behind the events of a busy cell, the
+// cancellation waited for longer than its callers did, again and again, and no trace of it was left.
+func TestCancellationDoesNotWaitBehindOtherEvents(t *testing.T) {
+	slowScenario(t, 2, func(w *world, h *host, slow *slowness) {
+		id := h.submit(spec("batch", 20, "work=1s"))
+		slow.each.Store(int64(50 * time.Millisecond))
+		time.Sleep(time.Second)
+		for i := range 400 {
+			go h.svc.SetMembers(cell, w.labelled(i))
+		}
+		time.Sleep(time.Second)
+		ctx, cancel := context.WithTimeout(bg, 3*time.Second)
+		defer cancel()
+		require.NoError(t, h.svc.Cancel(ctx, id))
+		acknowledged := time.Now()
+		time.Sleep(time.Minute)
+		for _, e := range w.rec.Executions() {
+			require.False(t, e.Task.Job == id && e.Start.After(acknowledged), "task %v started", e.Task)
+		}
+	})
+}
