Do not send a start that is no longer wanted

Cause: at most 8 calls to a worker are in progress, and a start is sent by a goroutine of its own, so that a start may be sent seconds after it was decided.

Change: the sender asks the cell, just before the call, whether the attempt is still about to start. A start that is not sent is answered as unsent, so that its task counts as not run.

--- a/core/lifecycle/answer_test.go
+++ b/core/lifecycle/answer_test.go
@@ -70,3 +70,32 @@
 	require.Equal(t, Done, f.view(task.Job, 0).State)
 	require.Empty(t, commandsOf[Enqueue](f))
 }
+
+// Guards against a second run of a task that is done: its start waited to be sent while a worker that had been given up
+// listed the first run as done.
+func TestStartIsNotWantedOnceItsReasonIsGone(t *testing.T) {
+	f := newFixture(t, 7, "w1", "w2", "w3")
+	task := ident.TaskID{Job: f.submit(1)}
+	first := f.running(task, "w1")
+	f.c.CallFailed("w1")
+	f.tickUntil(f.now.Add(LeaseDuration + LeaseMargin))
+	second := f.place(task, "w2")
+	require.True(t, f.c.WantsStart("w2", second))
+	require.False(t, f.c.WantsStart("w3", second))
+	require.False(t, f.c.WantsStart("w1", first))
+	f.claim("w1", Report{Ended: []Ended{{Run: first, End: EndDone}}})
+	require.False(t, f.c.WantsStart("w2", second))
+	f.apply(f.c.StartAnswered(f.now, "w2", second, Answer{Outcome: Refused, Reason: ReasonUnsent}))
+	require.Equal(t, Done, f.view(task.Job, 0).State)
+}
+
+// Guards against a start that is sent while the cancellation of its job is being made durable.
+func TestStartIsNotWantedOnceItsJobIsCancelled(t *testing.T) {
+	f := newFixture(t, 7, "w1")
+	r := f.place(ident.TaskID{Job: f.submit(1)}, "w1")
+	f.held = true
+	eff, _, err := f.c.Cancel(f.now, r.Task.Job)
+	require.NoError(t, err)
+	f.apply(eff)
+	require.False(t, f.c.WantsStart("w1", r))
+}
--- a/core/lifecycle/attempt.go
+++ b/core/lifecycle/attempt.go
@@ -105,6 +105,15 @@
 	})
 }
 
+// WantsStart reports whether a start that was decided is still to be sent: not if the task has ended, the attempt was
+// given up, or the cancellation of the job was asked for since.
+func (c *Cell) WantsStart(id ident.WorkerID, r Run) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.current(id, r)
+	return t != nil && t.run.phase == phaseStarting && !t.settled && !t.job.cancelling
+}
+
 // StartAnswered takes over the answer to a start.
 func (c *Cell) StartAnswered(now time.Time, id ident.WorkerID, r Run, a Answer) Effects {
 	c.mu.Lock()
--- a/relay/jobs/calls.go
+++ b/relay/jobs/calls.go
@@ -283,10 +283,10 @@
 	return func() lifecycle.Effects { return lifecycle.Effects{} }
 }
 
-// sendStart sends a start only under full authority. A pause between this check and the call is covered by the token,
-// which the worker refuses after 10 s.
+// sendStart sends a start only under full authority, and only if it is still wanted: it may have waited for earlier calls
+// to the worker. A pause between these checks and the call is covered by the token, which the worker refuses after 10 s.
 func (o *owner) sendStart(m lifecycle.Member, c lifecycle.StartTask) lifecycle.Answer {
-	if o.authority() != ownership.Full {
+	if o.authority() != ownership.Full || !o.cell.WantsStart(m.ID, c.Run) {
 		return unsent
 	}
 	ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
--- a/relay/jobs/slow_test.go
+++ b/relay/jobs/slow_test.go
@@ -13,6 +13,7 @@
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
 	"github.com/bulrushrelay/bulrushrelay/core/placement"
+	"github.com/bulrushrelay/bulrushrelay/core/resource"
 	"github.com/bulrushrelay/bulrushrelay/core/table"
 	"github.com/bulrushrelay/bulrushrelay/relay/jobs"
 )
@@ -96,3 +97,25 @@
 		}
 	})
 }
+
+// Guards against tasks that start after their job's cancellation was acknowledged: their starts had been decided before
+// and waited for earlier calls to the same worker.
+func TestWaitingStartIsNotSentAfterTheCancellation(t *testing.T) {
+	const delay = time.Second
+	scenario(t, 1, func(w *world, h *host) {
+		time.Sleep(time.Second)
+		h.link.SetDelay(func() time.Duration { return delay })
+		small := resource.Vector{MilliCPU: 100, MemoryMB: 100}
+		id := h.submit(lifecycle.JobSpec{Class: "batch", Groups: []lifecycle.TaskGroup{{Count: 40, Need: small, Command: "work=9s"}}})
+		time.Sleep(delay / 2)
+		require.Equal(t, 40, h.get(id).Counts[lifecycle.Starting])
+		require.NoError(t, h.svc.Cancel(bg, id))
+		arrived := time.Now().Add(delay)
+		time.Sleep(time.Minute)
+		for _, e := range w.rec.Executions() {
+			require.False(t, e.Start.After(arrived), "task %v was sent at %s", e.Task, e.Start.Add(-delay))
+		}
+		require.Equal(t, 40, h.get(id).Counts[lifecycle.Cancelled])
+		w.verify(h, id)
+	})
+}
