Take all ends over that a worker lists beside the answer to a stop

Cause: a stop is followed by a hold, whose answer lists all that has ended on the worker. Only the ends of the attempts that were asked for were passed on. A worker that had listed a task as done there, and whose next syncs failed, was given up and the task started again, although its end counts as taken note of once it is listed (TWICE).

Change: the answer to a stop carries all ends of the list, and an answered stop counts as an answer of the worker.

--- a/core/lifecycle/answer_test.go
+++ b/core/lifecycle/answer_test.go
@@ -99,3 +99,16 @@
 	f.apply(eff)
 	require.False(t, f.c.WantsStart("w1", r))
 }
+
+// Guards against an end that is dropped because another attempt was asked for.
+func TestEndsBesideTheAnswerToAStopCount(t *testing.T) {
+	f := newFixture(t, 7, "w1")
+	task := ident.TaskID{Job: f.submit(1)}
+	r := f.running(task, "w1")
+	asked := Run{Task: ident.TaskID{Job: f.submit(1)}, Attempt: 1}
+	ends := []Ended{{Run: asked, End: EndNeverStarted}, {Run: r, End: EndDone}}
+	f.apply(f.c.StopAnswered(f.now, "w1", []Run{asked}, Answer{Outcome: Applied}, "p1", ends))
+	require.Equal(t, Done, f.view(task.Job, 0).State)
+	req, _ := f.c.SyncRequest("w1")
+	require.Contains(t, req.Acks, r)
+}
--- a/relay/jobs/calls.go
+++ b/relay/jobs/calls.go
@@ -255,6 +255,9 @@
 		ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
 		defer cancel()
 		a := o.cfg.Workers.Stop(ctx, m, o.epoch, c.Runs)
+		if a.Outcome == lifecycle.Applied {
+			o.cell.CallAnswered(m.ID)
+		}
 		o.noteFence(m, a.Answer)
 		return func() lifecycle.Effects {
 			return o.cell.StopAnswered(o.now(), m.ID, c.Runs, a.Answer, a.Incarnation, a.Ends)
--- a/relay/jobs/ports.go
+++ b/relay/jobs/ports.go
@@ -58,7 +58,8 @@
 type StopAnswer struct {
 	lifecycle.Answer
 	Incarnation string
-	Ends        []lifecycle.Ended
+	// Ends says what became of the attempts asked for, unless they still run. The worker may list further ends.
+	Ends []lifecycle.Ended
 }
 
 // CheckpointAnswer is the answer of a worker to a checkpoint.
