--- a/core/lifecycle/deadlines.go
+++ b/core/lifecycle/deadlines.go
@@ -50,7 +50,7 @@
 	}
 	if !w.silent {
 		earliest(w.contactAt.Add(c.policy.SilentAfter))
-	} else if !c.doubt {
+	} else if !c.doubt && w.unanswered {
 		earliest(latest(c.lapseAt(w), w.contactAt.Add(c.policy.LeaseDuration)))
 	}
 	if w.health.quarantined && !w.health.probing {
--- a/core/lifecycle/deadlines_test.go
+++ b/core/lifecycle/deadlines_test.go
@@ -57,6 +57,8 @@
 			req, _ := f.c.SyncRequest(id)
 			if n < 18 {
 				f.apply(f.c.Synced(f.now, id, req.Seq, "p1", nil, Report{Token: "token", Capacity: capacity}))
+			} else {
+				f.c.CallFailed(id)
 			}
 		}
 		require.Equal(t, scannedTick(f.c), f.c.NextTick())
--- a/core/lifecycle/sync_test.go
+++ b/core/lifecycle/sync_test.go
@@ -56,6 +56,7 @@
 	}
 	require.False(t, f.c.AwaitsLog("w2"))
 	require.Equal(t, map[ident.WorkerID]int{"w1": 2}, f.c.unloggedOn)
+	f.c.CallFailed("w1")
 	f.now = f.now.Add(time.Minute)
 	f.apply(f.c.Tick(f.now))
 	require.False(t, f.c.AwaitsLog("w1"), "the leases of the worker have lapsed")
--- a/core/lifecycle/tick.go
+++ b/core/lifecycle/tick.go
@@ -74,7 +74,7 @@
 		c.putWorker(w, eff)
 		c.refreshAvoid(now, eff)
 	}
-	if c.doubt || now.Before(c.lapseAt(w)) || now.Before(w.contactAt.Add(c.policy.LeaseDuration)) {
+	if c.doubt || !w.unanswered || now.Before(c.lapseAt(w)) || now.Before(w.contactAt.Add(c.policy.LeaseDuration)) {
 		return
 	}
 	c.lapse(now, w, eff)
@@ -120,7 +120,7 @@
 	if t := c.oldestWaiting(); t != nil {
 		earliest(t.run.startedAt.Add(logWait))
 	}
-	if c.recovering && !c.recoverFrom.IsZero() && !c.doubt {
+	if c.recovering && !c.recoverFrom.IsZero() && !c.doubt && !c.awaitsClaims() {
 		earliest(c.recoverFrom.Add(c.policy.lapse()))
 	}
 	return next
--- a/core/lifecycle/worker.go
+++ b/core/lifecycle/worker.go
@@ -28,9 +28,12 @@
 	tokenAt     time.Time
 	sentTokenAt time.Time
 	contactAt   time.Time
-	runs        map[ident.TaskID]*task
-	acks        map[Run]struct{}
-	health      health
+	// unanswered is set while the latest call for a report has failed. A worker is given up only then: an answer that has
+	// arrived and waits for its turn, or a call in progress, may tell that a task has ended.
+	unanswered bool
+	runs       map[ident.TaskID]*task
+	acks       map[Run]struct{}
+	health     health
 	// tickAt is not after the time at which Tick has something to do for the worker; tickPos is its place in the queue.
 	tickAt  time.Time
 	tickPos int
@@ -226,6 +229,26 @@
 	return runs
 }
 
+// CallAnswered notes that a claim or a sync of a worker was answered. It is called when the answer arrives, which may be
+// long before the report in it is taken over.
+func (c *Cell) CallAnswered(id ident.WorkerID) {
+	c.noteCall(id, false)
+}
+
+// CallFailed notes that a claim or a sync of a worker was not answered.
+func (c *Cell) CallFailed(id ident.WorkerID) {
+	c.noteCall(id, true)
+}
+
+func (c *Cell) noteCall(id ident.WorkerID, unanswered bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if w, ok := c.workers[id]; ok && w.unanswered != unanswered {
+		w.unanswered = unanswered
+		c.schedule(w)
+	}
+}
+
 // AwaitsLog reports whether the worker listed ends of which no record is durable yet and none can be acknowledged.
 func (c *Cell) AwaitsLog(id ident.WorkerID) bool {
 	c.mu.Lock()
@@ -267,6 +290,7 @@
 	w.silent = false
 	w.incarnation = incarnation
 	w.contactAt = now
+	w.unanswered = false
 	c.schedule(w)
 	c.takeToken(now, w, report)
 	// Leases of adopted tasks were renewed by the predecessor with tokens that this owner has not seen, but none
--- a/relay/jobs/calls.go
+++ b/relay/jobs/calls.go
@@ -142,6 +142,7 @@
 			call, cancel := context.WithTimeout(ctx, callTimeout)
 			c := o.cfg.Workers.Claim(call, m, o.cellID, o.epoch)
 			cancel()
+			o.noteReport(ctx, m, c.Answer)
 			if c.Outcome == lifecycle.Applied {
 				o.note(EventWorkerClaimed, Fields{
 					FieldWorker: m.ID, FieldLife: c.Incarnation, FieldRunning: len(c.Report.Active), FieldEnded: len(c.Report.Ended),
@@ -168,6 +169,7 @@
 	o.syncing.Add(1)
 	c := o.cfg.Workers.Sync(call, m, o.epoch, req, o.cfg.SyncWait)
 	o.syncing.Add(-1)
+	o.noteReport(ctx, m, c.Answer)
 	if c.Reason == lifecycle.ReasonFenced {
 		o.replaced("worker " + string(m.ID) + " was claimed with a higher epoch")
 		return false
@@ -183,6 +185,17 @@
 	})
 }
 
+// noteReport tells the cell at once whether a worker answered: the event that takes the report over may wait for its turn
+// for longer than a lease lasts.
+func (o *owner) noteReport(ctx context.Context, m lifecycle.Member, a lifecycle.Answer) {
+	switch {
+	case a.Outcome == lifecycle.Applied:
+		o.cell.CallAnswered(m.ID)
+	case ctx.Err() == nil:
+		o.cell.CallFailed(m.ID)
+	}
+}
+
 // enqueueCall adds a command for a worker and sends it if the bound allows.
 func (o *owner) enqueueCall(id ident.WorkerID, command lifecycle.Command) {
 	c, ok := o.conns[id]
@@ -251,6 +264,9 @@
 		ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
 		defer cancel()
 		a := o.cfg.Workers.Stop(ctx, m, o.epoch, c.Runs)
+		if a.Outcome == lifecycle.Applied {
+			o.cell.CallAnswered(m.ID)
+		}
 		o.noteFence(m, a.Answer)
 		return func() lifecycle.Effects {
 			return o.cell.StopAnswered(o.now(), m.ID, c.Runs, a.Answer, a.Incarnation, a.Ends)
@@ -279,10 +295,10 @@
 	return func() lifecycle.Effects { return lifecycle.Effects{} }
 }
 
-// sendStart sends a start only under full authority. A pause between this check and the call is covered by the token,
-// which the worker refuses after 10 s.
+// sendStart sends a start only under full authority, and only if it is still wanted: it may have waited for earlier calls
+// to the worker. A pause between these checks and the call is covered by the token, which the worker refuses after 10 s.
 func (o *owner) sendStart(m lifecycle.Member, c lifecycle.StartTask) lifecycle.Answer {
-	if o.authority() != ownership.Full {
+	if o.authority() != ownership.Full || !o.cell.WantsStart(m.ID, c.Run) {
 		return unsent
 	}
 	ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
--- a/relay/jobs/load_test.go
+++ b/relay/jobs/load_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,17 +15,6 @@
 	"github.com/bulrushrelay/bulrushrelay/standin/kv"
 )
 
-// slowPlanner takes some time for each Plan, as on a host without processor time.
-type slowPlanner struct {
-	placement.Planner
-	takes *atomic.Int64
-}
-
-func (p slowPlanner) Plan(now time.Time, limit int) placement.Plan {
-	time.Sleep(time.Duration(p.takes.Load()))
-	return p.Planner.Plan(now, limit)
-}
-
 // meter keeps the longest of each time.
 type meter struct {
 	// mu guards the fields below: the loop and the writer of the log measure beside each other.
@@ -59,12 +47,12 @@
 func TestSaturatedOwnerIsToldFromSlowStoreAndSilentWorkers(t *testing.T) {
 	scenario(t, 3, func(w *world, h *host) {
 		w.kill(h)
-		var takes atomic.Int64
+		var slow slowness
 		m := &meter{}
 		h = w.hostWith(func(cfg *jobs.Config) {
 			cfg.Meter = m
 			cfg.NewPlanner = func(ident.CellID, *table.Table) placement.Planner {
-				return slowPlanner{placement.NewCell(1, placement.Options{Cell: cell}), &takes}
+				return slowPlanner{Planner: placement.NewCell(1, placement.Options{Cell: cell}), slow: &slow}
 			}
 		})
 		w.own(h)
@@ -89,14 +77,14 @@
 		time.Sleep(5 * time.Second)
 		require.Zero(t, w.notes.count(jobs.EventOwnerLate))
 
-		takes.Store(int64(2 * lifecycle.LateAfter))
+		slow.each.Store(int64(2 * lifecycle.LateAfter))
 		for range 5 {
 			h.submit(spec("batch", 1, "work=1h"))
 		}
 		loop, _ = m.longest()
 		require.GreaterOrEqual(t, loop, lifecycle.LateAfter)
 		require.Equal(t, 1, h.svc.Load().Late)
-		takes.Store(0)
+		slow.each.Store(0)
 		time.Sleep(5 * time.Second)
 		require.Zero(t, h.svc.Load().Late)
 		require.Equal(t, 1, w.notes.count(jobs.EventOwnerLate))
--- a/relay/jobs/owner.go
+++ b/relay/jobs/owner.go
@@ -41,7 +41,10 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	mailbox chan event
-	wg      sync.WaitGroup
+	// priority holds the events that must not wait behind the others: cancellations and what is durable. The loop takes
+	// events of both lanes in turn, so that neither holds the other up.
+	priority chan event
+	wg       sync.WaitGroup
 	// gone is set once the store or a worker proved that another owner has the cell.
 	gone     atomic.Bool
 	draining atomic.Bool
@@ -97,6 +100,15 @@
 
 // call runs f in the loop and waits for it; false proves that f has not run and never will.
 func (o *owner) call(ctx context.Context, f func()) bool {
+	return o.callOn(ctx, o.mailbox, f)
+}
+
+// callSoon is call for events of the priority lane.
+func (o *owner) callSoon(ctx context.Context, f func()) bool {
+	return o.callOn(ctx, o.priority, f)
+}
+
+func (o *owner) callOn(ctx context.Context, lane chan<- event, f func()) bool {
 	done := make(chan struct{})
 	wrapped := func() {
 		defer close(done)
@@ -104,7 +116,7 @@
 	}
 	o.waiting.Add(1)
 	select {
-	case o.mailbox <- event{wrapped, o.now()}:
+	case lane <- event{wrapped, o.now()}:
 	case <-o.ctx.Done():
 		o.waiting.Add(-1)
 		return false
@@ -138,9 +150,12 @@
 	o.wakeAt = o.now()
 	for {
 		select {
+		case e := <-o.priority:
+			o.turn(o.now(), e)
+			o.drain()
 		case e := <-o.mailbox:
 			o.turn(o.now(), e)
-			o.drainMailbox()
+			o.drain()
 		case <-timer.C:
 			// A timer that fires late tells of a host that gets no processor time, also when no event waits.
 			o.longestWait = max(o.longestWait, o.now().Sub(o.wakeAt))
@@ -163,23 +178,32 @@
 	}
 }
 
-// drainMailbox performs the events that wait already, so that planning happens once for all of them. It ends when the
-// planner is due: a wave of events must not delay it.
-func (o *owner) drainMailbox() {
+// drain performs the events that wait already, so that planning happens once for all of them. It ends when the planner is
+// due: a wave of events must not delay it. Where each event makes the planner due, one of the priority lane goes first.
+func (o *owner) drain() {
 	for range mailboxSize {
 		now := o.now()
+		soon := o.performNext(now, o.priority)
 		if o.planDue(now) {
 			return
 		}
-		select {
-		case e := <-o.mailbox:
-			o.turn(now, e)
-		default:
+		if !o.performNext(now, o.mailbox) && !soon {
 			return
 		}
 	}
 }
 
+// performNext performs one event of a lane; false if none waits.
+func (o *owner) performNext(now time.Time, lane <-chan event) bool {
+	select {
+	case e := <-lane:
+		o.turn(now, e)
+		return true
+	default:
+		return false
+	}
+}
+
 func (o *owner) nextWake(now time.Time) time.Duration {
 	if o.planMore {
 		return 0
@@ -334,7 +358,7 @@
 	o.stats.Commits.Add(1)
 	o.stats.Records.Add(int64(len(records)))
 	// The log writer waits, so that a caller who is told of the commit also sees its effect.
-	o.call(o.ctx, func() {
+	o.callSoon(o.ctx, func() {
 		o.apply(o.cell.Committed(o.now(), records))
 		now := o.now()
 		for _, r := range records {
@@ -367,7 +391,7 @@
 // takeSnapshot returns the state after every commit that was reported before.
 func (o *owner) takeSnapshot(clean bool) (lifecycle.Snapshot, bool) {
 	var s lifecycle.Snapshot
-	ok := o.call(o.ctx, func() { s = o.cell.Snapshot(o.now(), clean) })
+	ok := o.callSoon(o.ctx, func() { s = o.cell.Snapshot(o.now(), clean) })
 	return s, ok
 }
 
--- a/relay/jobs/service.go
+++ b/relay/jobs/service.go
@@ -188,6 +188,7 @@
 		logger:  s.cfg.Logger.WithFields(logrus.Fields{"cell": g.Cell, "epoch": g.Epoch}),
 		ctx:     ctx, cancel: cancel,
 		mailbox:    make(chan event, mailboxSize),
+		priority:   make(chan event),
 		ended:      make(chan struct{}),
 		quiet:      make(chan struct{}),
 		conns:      make(map[ident.WorkerID]*conn),
