--- a/daemon/jobhost.go
+++ b/daemon/jobhost.go
@@ -84,6 +84,8 @@
 	members *members
 	jobs    *jobs.Service
 	fleet   *fleet
+	// outside holds the workers that are in no cell; only the goroutine that follows the workers uses it.
+	outside map[ident.WorkerID]ident.DataCentre
 
 	health   health
 	hasTable atomic.Bool
@@ -291,15 +293,7 @@
 
 // takeWorkers divides the workers over the cells.
 func (h *JobHost) takeWorkers(list []lifecycle.Member) {
-	next := &hosts{workers: make(map[ident.CellID][]lifecycle.Member)}
-	for _, m := range list {
-		id, ok := h.cellMap.Cell(h.settings.Regions[m.DataCentre], m.Rack)
-		if !ok {
-			h.log.WithFields(logrus.Fields{"worker": m.ID, "data_centre": m.DataCentre}).Warn("a worker is in no cell")
-			continue
-		}
-		next.workers[id] = append(next.workers[id], m)
-	}
+	next := h.divide(list)
 	h.fleet.current.Store(next)
 	for _, id := range CellIDs(h.settings.Cells) {
 		h.jobs.SetMembers(id, next.workers[id])
@@ -307,6 +301,24 @@
 	h.metrics.Gauge("workers_listed").Update(int64(len(list)))
 }
 
+// divide logs a worker that is in no cell once and not with each later change of any worker.
+func (h *JobHost) divide(list []lifecycle.Member) *hosts {
+	next := &hosts{workers: make(map[ident.CellID][]lifecycle.Member)}
+	outside := make(map[ident.WorkerID]ident.DataCentre)
+	for _, m := range list {
+		if id, ok := h.cellMap.Cell(h.settings.Regions[m.DataCentre], m.Rack); ok {
+			next.workers[id] = append(next.workers[id], m)
+			continue
+		}
+		outside[m.ID] = m.DataCentre
+		if before, known := h.outside[m.ID]; !known || before != m.DataCentre {
+			h.log.WithFields(logrus.Fields{"worker": m.ID, "data_centre": m.DataCentre}).Warn("a worker is in no cell")
+		}
+	}
+	h.outside = outside
+	return next
+}
+
 // publish gossips the cells of this host and copies the counters of the services into the metrics.
 func (h *JobHost) publish() {
 	var local cluster.Local
