Ignore hang-ups, and let the plain daemon state its processor time

A SIGHUP ended relayd at once and cut off its requests: the default action of the signal, because only the daemon for the platform listens for it. StopSignals ignores it; a host takes its settings at its start.

Owners of cells are chosen by processor time, which only the platform's settings could state. The setting milli-cpu states it for a host that is started by flags; 0, the default, leaves the choice as it was.

--- a/cmd/relayd/main.go
+++ b/cmd/relayd/main.go
@@ -9,8 +9,6 @@
 	"errors"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/urfave/cli/v3"
 
@@ -29,7 +27,7 @@
 }
 
 func run() int {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	ctx, stop := daemon.StopSignals()
 	defer stop()
 	var settings daemon.Settings
 	code := 0
--- a/daemon/flags.go
+++ b/daemon/flags.go
@@ -62,6 +62,7 @@
 		duration(&s.KeyRetention, "key-retention", groupLimits, ledger.DefaultRetention, "how long after its issue an idempotency key may be used, the same on all hosts; fixed by the first host that starts"),
 		number(&s.LedgerRecords, "ledger-records", groupLimits, 500_000, "most idempotency records held at once"),
 		number(&s.LedgerMB, "ledger-mb", groupLimits, 256, "most memory of idempotency records, in MB"),
+		number(&s.MilliCPU, "milli-cpu", groupLimits, 0, "processor time of this host in thousandths of a core, by which owners of cells are chosen; 0 if not known"),
 	}
 }
 
--- a/daemon/host.go
+++ b/daemon/host.go
@@ -214,6 +214,7 @@
 		Ownership:     h.ownershipConfig(),
 		PeerAddress:   h.settings.Advertised(),
 		CallerAddress: h.settings.CallerAddress,
+		MilliCPU:      int64(h.settings.MilliCPU),
 		Seeds:         h.settings.Seeds,
 		Store:         h.agreed,
 		Transport:     peergrpc.NewGossipClient(h.self, h.pool),
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -58,6 +58,9 @@
 	KeyRetention  time.Duration
 	LedgerRecords int
 	LedgerMB      int
+	// MilliCPU is the processor time that this host may use, in thousandths of a core; 0 if it is not known. Hosts with
+	// more of it are preferred as owners of cells.
+	MilliCPU int
 }
 
 // Instance returns the identity of a process of this host that starts at now. The start time makes the incarnation grow
@@ -105,6 +108,7 @@
 
 	maxLedgerRecords = 4_000_000
 	maxLedgerMB      = 16 << 10
+	maxMilliCPU      = 1_000_000
 )
 
 // Validate returns every fault of the settings in one error.
@@ -160,6 +164,7 @@
 	}
 	faults.number("ledger-records", s.LedgerRecords, 1, maxLedgerRecords, "records")
 	faults.number("ledger-mb", s.LedgerMB, 1, maxLedgerMB, "MB")
+	faults.number("milli-cpu", s.MilliCPU, 0, maxMilliCPU, "thousandths of a core")
 	return faults.err()
 }
 
