Put proxies between the processes of a deployment

Failures of links were made inside the processes, by their own dialer, and connections to the store, targets, workers and callers could not fail at all. A deployment may now have a loopback proxy at each of these places, which delays, resets, cuts one way or silences connections from outside.

A paused host whose planned stop has begun no longer counts as live when it resumes, a host is not started twice, and a process that nobody ended is told from one that was ended by a signal to the process it belongs to.

--- a/action/platform.go
+++ b/action/platform.go
@@ -9,6 +9,7 @@
 
 	"github.com/bulrushrelay/bulrushrelay/standin/deployment"
 	"github.com/bulrushrelay/bulrushrelay/standin/kv"
+	"github.com/bulrushrelay/bulrushrelay/standin/network"
 	"github.com/bulrushrelay/bulrushrelay/standin/target"
 	"github.com/bulrushrelay/bulrushrelay/standin/worker"
 )
@@ -22,7 +23,7 @@
 	return nil, fmt.Errorf("no host %q", name)
 }
 
-// host changes relay hosts: host kill|pause|resume|drain|start|ready NAME. A drain goes on in the background.
+// host changes relay hosts: host kill|pause|resume|hang-up|drain|start|ready NAME. A drain goes on in the background.
 func (a *Actions) host(ctx context.Context, args []string) error {
 	if len(args) != 2 {
 		return errors.New("want an action and a host")
@@ -38,6 +39,8 @@
 		return h.Pause()
 	case "resume":
 		return h.Resume()
+	case "hang-up":
+		return h.HangUp()
 	case "start":
 		return h.Start()
 	case "ready":
@@ -52,7 +55,7 @@
 		}()
 		return nil
 	default:
-		return fmt.Errorf("action %q: want kill, pause, resume, drain, start or ready", args[0])
+		return fmt.Errorf("action %q: want kill, pause, resume, hang-up, drain, start or ready", args[0])
 	}
 }
 
@@ -70,6 +73,18 @@
 	}
 }
 
+// proxy changes a proxy: proxy PLACE STATE, with the places of a deployment and the states of package network.
+func (a *Actions) proxy(_ context.Context, args []string) error {
+	if len(args) != 2 {
+		return errors.New("want a place and a state")
+	}
+	p, ok := a.Deployment.Proxies[args[0]]
+	if !ok {
+		return fmt.Errorf("no proxy at %q", args[0])
+	}
+	return p.Set(network.ProxyState(args[1]))
+}
+
 // links cuts or restores the links between data centres: links cut|restore A B.
 func (a *Actions) links(_ context.Context, args []string) error {
 	if len(args) != 3 || (args[0] != "cut" && args[0] != "restore") {
--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -16,11 +16,8 @@
 	"syscall"
 	"time"
 
-	"google.golang.org/grpc"
-
 	"github.com/bulrushrelay/bulrushrelay/adapter/operatorhttp"
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
-	"github.com/bulrushrelay/bulrushrelay/core/ledger"
 	"github.com/bulrushrelay/bulrushrelay/core/resource"
 	"github.com/bulrushrelay/bulrushrelay/core/table"
 	"github.com/bulrushrelay/bulrushrelay/daemon"
@@ -64,6 +61,11 @@
 	Interference func(task, beside ident.ClassName) float64
 	// Dir receives the logs of the relay hosts.
 	Dir string
+	// Proxies puts a proxy between the processes and in front of them, for failures of connections.
+	Proxies bool
+	// StrongMilliCPU and WeakMilliCPU are what the first relay host of each data centre and the others say of their
+	// processor time; 0 for nothing.
+	StrongMilliCPU, WeakMilliCPU int
 	// LogLevel is that of the relay hosts; "info" if empty.
 	LogLevel string
 	Seed     uint64
@@ -116,6 +118,8 @@
 	// Executions records what ran on the workers.
 	Executions *worker.Recorder
 	List       *hostlist.List
+	// Proxies are named by their place: peer/HOST, store/HOST, caller/HOST, target/N and worker/N.
+	Proxies map[string]*network.Proxy
 
 	closers []func()
 
@@ -130,6 +134,8 @@
 	Settings   daemon.Settings
 	// Session is the host's access to the key-value service, for faults that only this host sees.
 	Session *kv.Session
+	// starting lets one replacement of the process start at a time.
+	starting sync.Mutex
 	// process is replaced while others look at it.
 	process atomic.Pointer[process]
 }
@@ -141,6 +147,7 @@
 		Recorder:   history.NewRecorder(time.Now),
 		Store:      kv.New(kv.Config{}),
 		Executions: worker.NewRecorder(),
+		Proxies:    make(map[string]*network.Proxy),
 	}
 	if err := d.start(ctx); err != nil {
 		d.Stop()
@@ -203,54 +210,6 @@
 	return nil
 }
 
-// prepareHosts chooses the addresses of all hosts, because each one is told some of the others as seeds.
-func (d *Deployment) prepareHosts() error {
-	for i := range d.options.Hosts {
-		addresses, err := freeAddresses(3)
-		if err != nil {
-			return err
-		}
-		h := &Host{deployment: d, Session: d.Store.Client(fmt.Sprintf("relay-%d", i+1))}
-		endpoint, err := d.serveStore(h.Session)
-		if err != nil {
-			return err
-		}
-		h.Settings = daemon.Settings{
-			HostID: fmt.Sprintf("%s-%d", d.dataCentre(i), i/len(d.options.DataCentres)+1), DataCentre: d.dataCentre(i),
-			DataCentres: d.options.DataCentres, Cells: d.options.Cells,
-			CallerAddress: addresses[0], PeerAddress: addresses[1], OperatorAddress: addresses[2],
-			StoreEndpoints: []string{endpoint}, StoreCallRate: daemon.DefaultStoreCallRate, HostListURL: d.List.URL(),
-			EditTokens: []string{Token}, Plain: true, LogFormat: "text", LogLevel: d.options.LogLevel,
-			DrainTimeout: 30 * time.Second, LongestRequest: daemon.DefaultLongestRequest,
-			MaxCallerConnections: 4096, MaxPeerConnections: daemon.DefaultMaxPeerConnections, KeyRetention: ledger.DefaultRetention,
-			LedgerRecords: 500_000, LedgerMB: 256,
-		}
-		if h.Settings.LogLevel == "" {
-			h.Settings.LogLevel = "info"
-		}
-		d.Hosts = append(d.Hosts, h)
-	}
-	for _, h := range d.Hosts {
-		for _, seed := range d.Hosts[:min(3, len(d.Hosts))] {
-			h.Settings.Seeds = append(h.Settings.Seeds, seed.Settings.PeerAddress)
-		}
-	}
-	return nil
-}
-
-// serveStore serves a session of the key-value service on a port of its own, so that faults can be set per host.
-func (d *Deployment) serveStore(s *kv.Session) (string, error) {
-	l, err := d.listen()
-	if err != nil {
-		return "", err
-	}
-	server := grpc.NewServer()
-	kv.Register(server, s)
-	d.closers = append(d.closers, server.Stop)
-	go func() { _ = server.Serve(l) }()
-	return l.Addr().String(), nil
-}
-
 // AwaitReachable waits until every live host answers its health check.
 func (d *Deployment) AwaitReachable(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
@@ -337,6 +296,18 @@
 	return out
 }
 
+// ProxiedCallers returns the base URLs for callers that pass a proxy in front of their host. The names differ from those
+// of the hosts, because what a proxy cuts off is not cut off by the host.
+func (d *Deployment) ProxiedCallers() map[string]string {
+	out := make(map[string]string)
+	for _, h := range d.Hosts {
+		if p := d.Proxies["caller/"+h.ID()]; p != nil {
+			out["proxy of "+h.ID()] = "http://" + p.Address()
+		}
+	}
+	return out
+}
+
 // Service returns the mean service time of a target.
 func (d *Deployment) Service() time.Duration {
 	return d.options.Service
--- a/standin/deployment/host.go
+++ b/standin/deployment/host.go
@@ -21,6 +21,11 @@
 
 // Start starts a process for the host: the first one, or a replacement after it ended.
 func (h *Host) Start() error {
+	h.starting.Lock()
+	defer h.starting.Unlock()
+	if h.Running() {
+		return fmt.Errorf("relay host %s still runs", h.ID())
+	}
 	p, err := startProcess(h.Settings, h.deployment.options.Dir)
 	if err != nil {
 		return err
@@ -35,7 +40,7 @@
 func (h *Host) describeLinks() error {
 	for _, other := range h.deployment.Hosts {
 		zone := network.Zone(other.Settings.DataCentre)
-		if err := h.process.Load().link(linkCommand{Place: other.Settings.PeerAddress, A: zone}); err != nil {
+		if err := h.process.Load().link(linkCommand{Place: other.Settings.Advertised(), A: zone}); err != nil {
 			return err
 		}
 	}
@@ -88,6 +93,7 @@
 // Kill ends the process at once.
 func (h *Host) Kill(ctx context.Context) error {
 	h.deployment.Recorder.Add(history.Event{Kind: history.HostDown, Host: h.ID()})
+	h.deployment.Recorder.Add(history.Event{Kind: history.HostKilled, Host: h.ID()})
 	err := h.process.Load().stop(ctx, syscall.SIGKILL)
 	if ctx.Err() != nil {
 		return err
@@ -101,10 +107,23 @@
 	return h.process.Load().signal(syscall.SIGSTOP)
 }
 
-// Resume lets a paused process go on.
+// Resume lets a paused process go on. One that is being stopped does not become live again.
 func (h *Host) Resume() error {
-	h.deployment.Recorder.Add(history.Event{Kind: history.HostUp, Host: h.ID()})
-	return h.process.Load().signal(syscall.SIGCONT)
+	p := h.process.Load()
+	if h.Running() && !p.ending.Load() {
+		h.deployment.Recorder.Add(history.Event{Kind: history.HostUp, Host: h.ID()})
+	}
+	return p.signal(syscall.SIGCONT)
+}
+
+// HangUp sends the signal by which operators make a host read its settings again. It must not end the process.
+func (h *Host) HangUp() error {
+	return h.process.Load().signal(syscall.SIGHUP)
+}
+
+// Crashed reports whether the process ended although nobody stopped it.
+func (h *Host) Crashed() bool {
+	return !h.Running() && !h.process.Load().ending.Load()
 }
 
 // Drain stops the process as planned and returns an error unless it ends with code 0.
--- a/standin/deployment/platform.go
+++ b/standin/deployment/platform.go
@@ -36,8 +36,12 @@
 		d.Recorder.Add(e)
 	})
 	d.Targets = append(d.Targets, t)
+	address, err := d.front(fmt.Sprintf("target/%d", i), t.Address())
+	if err != nil {
+		return err
+	}
 	d.list = append(d.list, standinlist.Host{
-		ID: id, Address: t.Address(), Kind: string(hostlist.Target), DataCentre: d.dataCentre(i), Rack: d.rack(i), State: stateLive,
+		ID: id, Address: address, Kind: string(hostlist.Target), DataCentre: d.dataCentre(i), Rack: d.rack(i), State: stateLive,
 	})
 	return nil
 }
@@ -57,8 +61,12 @@
 	d.closers = append(d.closers, server.Stop)
 	go func() { _ = server.Serve(l) }()
 	d.Workers = append(d.Workers, w)
+	address, err := d.front(fmt.Sprintf("worker/%d", i), l.Addr().String())
+	if err != nil {
+		return err
+	}
 	d.list = append(d.list, standinlist.Host{
-		ID: id, Address: l.Addr().String(), Kind: string(hostlist.Worker), DataCentre: d.dataCentre(i), Rack: d.rack(i), State: stateLive,
+		ID: id, Address: address, Kind: string(hostlist.Worker), DataCentre: d.dataCentre(i), Rack: d.rack(i), State: stateLive,
 	})
 	return nil
 }
--- /dev/null
+++ b/standin/deployment/prepare.go
@@ -0,0 +1,94 @@
+package deployment
+
+import (
+	"fmt"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"github.com/bulrushrelay/bulrushrelay/core/ledger"
+	"github.com/bulrushrelay/bulrushrelay/daemon"
+	"github.com/bulrushrelay/bulrushrelay/standin/kv"
+	"github.com/bulrushrelay/bulrushrelay/standin/network"
+)
+
+// prepareHosts chooses the addresses of all hosts, because each one is told some of the others as seeds.
+func (d *Deployment) prepareHosts() error {
+	for i := range d.options.Hosts {
+		addresses, err := freeAddresses(3)
+		if err != nil {
+			return err
+		}
+		h := &Host{deployment: d, Session: d.Store.Client(fmt.Sprintf("relay-%d", i+1))}
+		endpoint, err := d.serveStore(h.Session)
+		if err != nil {
+			return err
+		}
+		id := fmt.Sprintf("%s-%d", d.dataCentre(i), i/len(d.options.DataCentres)+1)
+		if endpoint, err = d.front("store/"+id, endpoint); err != nil {
+			return err
+		}
+		advertised, err := d.front("peer/"+id, addresses[1])
+		if err != nil {
+			return err
+		}
+		if _, err := d.front("caller/"+id, addresses[0]); err != nil {
+			return err
+		}
+		h.Settings = daemon.Settings{
+			HostID: id, DataCentre: d.dataCentre(i), MilliCPU: d.milliCPU(i), AdvertiseAddress: advertised,
+			DataCentres: d.options.DataCentres, Cells: d.options.Cells,
+			CallerAddress: addresses[0], PeerAddress: addresses[1], OperatorAddress: addresses[2],
+			StoreEndpoints: []string{endpoint}, StoreCallRate: daemon.DefaultStoreCallRate, HostListURL: d.List.URL(),
+			EditTokens: []string{Token}, Plain: true, LogFormat: "text", LogLevel: d.options.LogLevel,
+			DrainTimeout: 30 * time.Second, LongestRequest: daemon.DefaultLongestRequest,
+			MaxCallerConnections: 4096, MaxPeerConnections: daemon.DefaultMaxPeerConnections, KeyRetention: ledger.DefaultRetention,
+			LedgerRecords: 500_000, LedgerMB: 256,
+		}
+		if h.Settings.LogLevel == "" {
+			h.Settings.LogLevel = "info"
+		}
+		d.Hosts = append(d.Hosts, h)
+	}
+	for _, h := range d.Hosts {
+		for _, seed := range d.Hosts[:min(3, len(d.Hosts))] {
+			h.Settings.Seeds = append(h.Settings.Seeds, seed.Settings.Advertised())
+		}
+	}
+	return nil
+}
+
+// serveStore serves a session of the key-value service on a port of its own, so that faults can be set per host.
+func (d *Deployment) serveStore(s *kv.Session) (string, error) {
+	l, err := d.listen()
+	if err != nil {
+		return "", err
+	}
+	server := grpc.NewServer()
+	kv.Register(server, s)
+	d.closers = append(d.closers, server.Stop)
+	go func() { _ = server.Serve(l) }()
+	return l.Addr().String(), nil
+}
+
+// milliCPU returns the processor time of the relay host i: the first one of each data centre is the strong one.
+func (d *Deployment) milliCPU(i int) int {
+	if i < len(d.options.DataCentres) {
+		return d.options.StrongMilliCPU
+	}
+	return d.options.WeakMilliCPU
+}
+
+// front returns the address that stands for a server: that of a proxy, if the deployment has proxies.
+func (d *Deployment) front(place, server string) (string, error) {
+	if !d.options.Proxies {
+		return server, nil
+	}
+	p, err := network.StartProxy(server)
+	if err != nil {
+		return "", err
+	}
+	d.Proxies[place] = p
+	d.closers = append(d.closers, func() { _ = p.Close() })
+	return p.Address(), nil
+}
--- a/standin/deployment/process.go
+++ b/standin/deployment/process.go
@@ -11,9 +11,9 @@
 	"net/http"
 	"os"
 	"os/exec"
-	"os/signal"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -47,7 +47,7 @@
 
 // runChild takes the settings from the environment and the state of the links from standard input.
 func runChild() error {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	ctx, stop := daemon.StopSignals()
 	defer stop()
 	var settings daemon.Settings
 	command := &cli.Command{
@@ -107,6 +107,8 @@
 	command  *exec.Cmd
 	exited   chan struct{}
 	err      error
+	// ending is set before the process is told to end.
+	ending atomic.Bool
 
 	// mu keeps the lines of link commands apart.
 	mu    sync.Mutex
@@ -211,6 +213,7 @@
 
 // stop sends s and waits for the process to end. The process is killed when ctx ends.
 func (p *process) stop(ctx context.Context, s syscall.Signal) error {
+	p.ending.Store(true)
 	select {
 	case <-p.exited:
 		return p.err
