Check what clients on open connections see of a planned stop

Clients of the load use a pool; whether a request went over a connection that was open before was not recorded, and a request sent after the begin of a planned stop was not checked at all. RunOpen adds clients that use one connection to one host until the host closes it or is gone. The rule for P8 covers requests sent to a stopping host over an open connection: they must get an answer. A process that is killed in the middle of its planned stop is left out from the kill on. Traces show that the rule fails and what it allows.

--- a/history/check_test.go
+++ b/history/check_test.go
@@ -44,6 +44,14 @@
 	return Event{Kind: TaskStopped, Task: "j", Worker: worker, Attempt: attempt, Reason: reason, Checkpoint: checkpoint}
 }
 
+// broken is what a caller records that got no answer.
+var broken = Event{Kind: CallAnswered, Operation: "a", Attempt: 1, Verdict: "may-have-run", Broken: true}
+
+func overOpen(e Event) Event {
+	e.Open = true
+	return e
+}
+
 func pause(n int) []Event {
 	return make([]Event, n)
 }
@@ -55,22 +63,24 @@
 		guarantee string
 		trace     []Event
 	}{
-		"worker over capacity":  {"P1", []Event{{Kind: TaskStarted, Task: "j", Worker: "w", Used: small.Scale(2), Total: small}}},
-		"target over its slots": {"P1", []Event{sent(1, true), {Kind: RunStarted, Operation: "a", InProgress: 9, Capacity: 8}}},
-		"task in two places":    {"P2", []Event{started("w1", 1, ""), started("w2", 2, "")}},
-		"one attempt twice":     {"P3", []Event{started("w1", 1, ""), stopped("w1", 1, "evicted", "c"), started("w2", 2, "c"), stopped("w2", 2, "lost", ""), started("w3", 2, "c")}},
-		"eviction not resumed":  {"P3", []Event{started("w1", 1, ""), stopped("w1", 1, "evicted", "c")}},
-		"answer of another":     {"P4", []Event{sent(1, true), run, {Kind: CallAnswered, Operation: "a", Attempt: 1, Verdict: "ran", Answer: "b"}}},
-		"answer without a run":  {"P4", []Event{sent(1, true), answered(1, "ran")}},
-		"false not-run":         {"P5", []Event{sent(1, true), run, answered(1, "not-run")}},
-		"not-run of a repeat":   {"P5", []Event{sent(1, false), run, answered(1, "may-have-run"), sent(2, false), answered(2, "not-run")}},
-		"run of an unsent call": {"P5", []Event{sent(1, true), answered(1, VerdictUnsent), run}},
-		"run after not-run":     {"P5", []Event{sent(1, true), answered(1, "not-run"), run}},
-		"second run":            {"P6", []Event{sent(1, false), run, answered(1, "may-have-run"), sent(2, false), run}},
-		"work for a leaver":     {"P7", append(append([]Event{{Kind: TargetLeaving, Target: "t"}}, pause(31)...), sent(1, true), run)},
-		"cut off by a stop":     {"P8", []Event{sent(1, true), {Kind: DrainStarted, Host: "h1"}, answered(1, "may-have-run")}},
-		"revision goes back":    {"P9", []Event{{Kind: TableInForce, Host: "h1", Revision: 3}, {Kind: TableInForce, Host: "h1", Revision: 2}}},
-		"never in force":        {"P9", append([]Event{{Kind: HostUp, Host: "h1"}, {Kind: TableAccepted, Revision: 3}}, pause(25)...)},
+		"worker over capacity":                   {"P1", []Event{{Kind: TaskStarted, Task: "j", Worker: "w", Used: small.Scale(2), Total: small}}},
+		"target over its slots":                  {"P1", []Event{sent(1, true), {Kind: RunStarted, Operation: "a", InProgress: 9, Capacity: 8}}},
+		"task in two places":                     {"P2", []Event{started("w1", 1, ""), started("w2", 2, "")}},
+		"one attempt twice":                      {"P3", []Event{started("w1", 1, ""), stopped("w1", 1, "evicted", "c"), started("w2", 2, "c"), stopped("w2", 2, "lost", ""), started("w3", 2, "c")}},
+		"eviction not resumed":                   {"P3", []Event{started("w1", 1, ""), stopped("w1", 1, "evicted", "c")}},
+		"answer of another":                      {"P4", []Event{sent(1, true), run, {Kind: CallAnswered, Operation: "a", Attempt: 1, Verdict: "ran", Answer: "b"}}},
+		"answer without a run":                   {"P4", []Event{sent(1, true), answered(1, "ran")}},
+		"false not-run":                          {"P5", []Event{sent(1, true), run, answered(1, "not-run")}},
+		"not-run of a repeat":                    {"P5", []Event{sent(1, false), run, answered(1, "may-have-run"), sent(2, false), answered(2, "not-run")}},
+		"run of an unsent call":                  {"P5", []Event{sent(1, true), answered(1, VerdictUnsent), run}},
+		"run after not-run":                      {"P5", []Event{sent(1, true), answered(1, "not-run"), run}},
+		"second run":                             {"P6", []Event{sent(1, false), run, answered(1, "may-have-run"), sent(2, false), run}},
+		"work for a leaver":                      {"P7", append(append([]Event{{Kind: TargetLeaving, Target: "t"}}, pause(31)...), sent(1, true), run)},
+		"cut off by a stop":                      {"P8", []Event{sent(1, true), {Kind: DrainStarted, Host: "h1"}, answered(1, "may-have-run")}},
+		"cut off a caller on an open connection": {"P8", []Event{{Kind: DrainStarted, Host: "h1"}, sent(1, true), overOpen(broken)}},
+		"cut off before a kill":                  {"P8", []Event{sent(1, true), {Kind: DrainStarted, Host: "h1"}, answered(1, "may-have-run"), {Kind: HostKilled, Host: "h1"}}},
+		"revision goes back":                     {"P9", []Event{{Kind: TableInForce, Host: "h1", Revision: 3}, {Kind: TableInForce, Host: "h1", Revision: 2}}},
+		"never in force":                         {"P9", append([]Event{{Kind: HostUp, Host: "h1"}, {Kind: TableAccepted, Revision: 3}}, pause(25)...)},
 	} {
 		t.Run(name, func(t *testing.T) {
 			bounds := DefaultBounds()
@@ -86,14 +96,18 @@
 // Guards against a rule that rejects what the guarantees allow.
 func TestAllowedHistoriesPass(t *testing.T) {
 	for name, trace := range map[string][]Event{
-		"unsent repeat":              {sent(1, false), run, answered(1, "may-have-run"), sent(2, false), answered(2, VerdictUnsent)},
-		"retry after not-run":        {sent(1, false), answered(1, "not-run"), sent(2, false), run, answered(2, "ran")},
-		"replay of a late answer":    {sent(1, false), run, answered(1, "may-have-run"), sent(2, false), answered(2, "ran")},
-		"idempotent request twice":   {sent(1, true), run, run, answered(1, "ran")},
-		"resume after worker loss":   {started("w1", 1, ""), stopped("w1", 1, "evicted", "c"), started("w2", 2, "c"), stopped("w2", 2, "lost", ""), started("w1", 3, "c")},
-		"eviction of a cancelled":    {started("w1", 1, ""), stopped("w1", 1, "evicted", "c"), {Kind: TaskCancelled, Task: "j"}},
-		"stop between two requests":  {sent(1, true), run, answered(1, "ran"), {Kind: DrainStarted, Host: "h1"}},
-		"host down before the bound": append([]Event{{Kind: HostUp, Host: "h1"}, {Kind: TableAccepted, Revision: 3}, {Kind: HostDown, Host: "h1"}}, pause(25)...),
+		"unsent repeat":                {sent(1, false), run, answered(1, "may-have-run"), sent(2, false), answered(2, VerdictUnsent)},
+		"retry after not-run":          {sent(1, false), answered(1, "not-run"), sent(2, false), run, answered(2, "ran")},
+		"replay of a late answer":      {sent(1, false), run, answered(1, "may-have-run"), sent(2, false), answered(2, "ran")},
+		"idempotent request twice":     {sent(1, true), run, run, answered(1, "ran")},
+		"resume after worker loss":     {started("w1", 1, ""), stopped("w1", 1, "evicted", "c"), started("w2", 2, "c"), stopped("w2", 2, "lost", ""), started("w1", 3, "c")},
+		"eviction of a cancelled":      {started("w1", 1, ""), stopped("w1", 1, "evicted", "c"), {Kind: TaskCancelled, Task: "j"}},
+		"stop between two requests":    {sent(1, true), run, answered(1, "ran"), {Kind: DrainStarted, Host: "h1"}},
+		"kill in a planned stop":       {sent(1, true), {Kind: DrainStarted, Host: "h1"}, {Kind: HostKilled, Host: "h1"}, answered(1, "may-have-run")},
+		"whole answer during a stop":   {{Kind: DrainStarted, Host: "h1"}, sent(1, true), overOpen(answered(1, "may-have-run"))},
+		"new connection during a stop": {{Kind: DrainStarted, Host: "h1"}, sent(1, true), broken},
+		"open connection after a stop": {{Kind: DrainStarted, Host: "h1"}, {Kind: HostUp, Host: "h1"}, sent(1, true), overOpen(broken)},
+		"host down before the bound":   append([]Event{{Kind: HostUp, Host: "h1"}, {Kind: TableAccepted, Revision: 3}, {Kind: HostDown, Host: "h1"}}, pause(25)...),
 	} {
 		t.Run(name, func(t *testing.T) {
 			bounds := DefaultBounds()
--- a/history/event.go
+++ b/history/event.go
@@ -22,7 +22,7 @@
 const (
 	// CallSent: Operation, Attempt, Class, Host, Idempotent, TimeoutMS. A caller sent an attempt of an operation to Host.
 	CallSent Kind = "call_sent"
-	// CallAnswered: Operation, Attempt, Verdict, Answer. Answer is the operation named in the body of the answer.
+	// CallAnswered: Operation, Attempt, Verdict, Answer, Open, Broken. Answer is the operation named in the body of the answer.
 	CallAnswered Kind = "call_answered"
 	// RunStarted: Operation, Target, InProgress, Capacity. A target began to run an operation.
 	RunStarted Kind = "run_started"
@@ -43,6 +43,8 @@
 	// HostUp: Host. HostDown: Host. A relay host began or ended to be live.
 	HostUp   Kind = "host_up"
 	HostDown Kind = "host_down"
+	// HostKilled: Host. The process of a relay host was ended at once, beside HostDown.
+	HostKilled Kind = "host_killed"
 	// DrainStarted: Host. A planned stop of a relay host began.
 	DrainStarted Kind = "drain_started"
 )
@@ -57,9 +59,13 @@
 	Host       string    `json:"host,omitempty"`
 	Idempotent bool      `json:"idempotent,omitempty"`
 	// TimeoutMS is the limit that the caller sent, in milliseconds; 0 if none was sent.
-	TimeoutMS  int64           `json:"timeout_ms,omitempty"`
-	Verdict    string          `json:"verdict,omitempty"`
-	Answer     string          `json:"answer,omitempty"`
+	TimeoutMS int64  `json:"timeout_ms,omitempty"`
+	Verdict   string `json:"verdict,omitempty"`
+	Answer    string `json:"answer,omitempty"`
+	// Open is set if the attempt was sent over a connection that had served another one before.
+	Open bool `json:"open,omitempty"`
+	// Broken is set if no answer came: the verdict is then what the caller has to assume.
+	Broken     bool            `json:"broken,omitempty"`
 	Target     string          `json:"target,omitempty"`
 	InProgress int             `json:"in_progress,omitempty"`
 	Capacity   int             `json:"capacity,omitempty"`
--- a/history/requests.go
+++ b/history/requests.go
@@ -152,29 +152,3 @@
 	}
 	return out
 }
-
-// checkDrain checks P8: a request in progress at a host when its planned stop begins is answered with a definite
-// verdict.
-func checkDrain(events []Event, otherFailures bool) []Violation {
-	var out []Violation
-	ops, order := operations(events)
-	for _, drain := range events {
-		if drain.Kind != DrainStarted {
-			continue
-		}
-		for _, id := range order {
-			for _, a := range ops[id].attempts {
-				if a.sent.Host != drain.Host || a.answered == nil || a.sent.At.After(drain.At) || a.answered.At.Before(drain.At) {
-					continue
-				}
-				if otherFailures && a.reachedLimit() {
-					continue
-				}
-				if v := a.answered.Verdict; v != verdictRan && v != verdictNotRun && v != VerdictUnsent {
-					out = append(out, Violation{"P8", fmt.Sprintf("the planned stop of %s cut off operation %s", drain.Host, id), []Event{a.sent, drain, *a.answered}})
-				}
-			}
-		}
-	}
-	return out
-}
--- /dev/null
+++ b/load/open_test.go
@@ -0,0 +1,80 @@
+package load
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bulrushrelay/bulrushrelay/history"
+)
+
+// openRun sends requests from one client to a host that answers by the handler, and returns what the client recorded.
+func openRun(t *testing.T, handler http.HandlerFunc) []history.Event {
+	server := httptest.NewServer(handler)
+	defer server.Close()
+	recorder := history.NewRecorder(time.Now)
+	c := Class{Name: "read", Rate: 200, Idempotent: true, Timeout: time.Second, Attempts: 1}
+	g, err := New(Options{Hosts: map[string]string{"h": server.URL}, Classes: []Class{c}, Duration: 300 * time.Millisecond, Recorder: recorder})
+	require.NoError(t, err)
+	require.NoError(t, g.RunOpen(t.Context(), c, 1))
+	return recorder.Events()
+}
+
+func answers(events []history.Event) []history.Event {
+	return slices.DeleteFunc(events, func(e history.Event) bool { return e.Kind != history.CallAnswered })
+}
+
+// Guards against a client that leaves a host by itself: a host that drains closes connections at the wrong time only for
+// callers that go on using them.
+func TestOpenClientStaysUntilTheHostCloses(t *testing.T) {
+	var mu sync.Mutex
+	connections := make(map[string]int)
+	events := answers(openRun(t, func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		connections[r.RemoteAddr]++
+		w.Header().Set("Bulrush-Verdict", "not-run")
+		if connections[r.RemoteAddr] == 5 {
+			w.Header().Set("Connection", "close")
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	require.Greater(t, len(events), 6)
+	require.Greater(t, len(connections), 1)
+	for i, e := range events {
+		require.Equal(t, i%5 != 0, e.Open, "a new connection only after the host has closed the last one")
+		require.False(t, e.Broken)
+		require.Equal(t, "not-run", e.Verdict)
+	}
+}
+
+// Guards against a broken connection that counts as an answer of the host.
+func TestBrokenConnectionIsNoAnswer(t *testing.T) {
+	n := 0
+	events := answers(openRun(t, func(w http.ResponseWriter, _ *http.Request) {
+		if n++; n%2 == 0 {
+			panic(http.ErrAbortHandler)
+		}
+		w.Header().Set("Bulrush-Verdict", "not-run")
+	}))
+	require.Greater(t, len(events), 2)
+	require.False(t, events[0].Broken)
+	require.True(t, events[1].Broken && events[1].Open)
+	require.Equal(t, "may-have-run", events[1].Verdict)
+}
+
+// Guards against open clients of a class that needs keys: a request without one may run twice.
+func TestOpenClientsAreIdempotent(t *testing.T) {
+	c := Class{Name: "write", Rate: 1, Attempts: 1}
+	g, err := New(Options{Hosts: map[string]string{"h": "http://127.0.0.1:1"}, Classes: []Class{c}})
+	require.NoError(t, err)
+	err = g.RunOpen(t.Context(), c, 1)
+	require.Error(t, err)
+	require.True(t, strings.Contains(err.Error(), "idempotent"))
+}
--- a/load/operation.go
+++ b/load/operation.go
@@ -7,8 +7,10 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/bulrushrelay/bulrushrelay/history"
@@ -30,6 +32,7 @@
 		id:      fmt.Sprintf("%s%s-%d", g.options.ID, c.Name, g.next.Add(1)),
 		class:   c,
 		service: time.Duration(random.ExpFloat64() * float64(c.Service)),
+		client:  g.client,
 	}
 	if !c.Idempotent {
 		key, err := g.keys.take(ctx)
@@ -81,6 +84,8 @@
 	key   string
 	// service is the time that the target is asked to take.
 	service time.Duration
+	// client sends the requests.
+	client *http.Client
 }
 
 // body returns the body of the requests of the operation: its name, padded to the size of the class.
@@ -101,7 +106,11 @@
 
 type attemptResult struct {
 	// unsent is set if no connection was made: the verdict is then the caller's own and not that of a relay host.
-	unsent     bool
+	unsent bool
+	// open is set if the connection had served another request before.
+	open bool
+	// broken is set if the request was sent and no answer came.
+	broken     bool
 	verdict    string
 	retryAfter time.Duration
 }
@@ -117,17 +126,20 @@
 		said = history.VerdictUnsent
 	}
 	g.options.Recorder.Add(history.Event{
-		Kind: history.CallAnswered, Operation: op.id, Attempt: attempt, Verdict: said, Answer: answer,
+		Kind: history.CallAnswered, Operation: op.id, Attempt: attempt, Verdict: said, Answer: answer, Open: result.open, Broken: result.broken,
 	})
 	return result
 }
 
 // send returns the verdict, and the operation named by the answer. Without a verdict of the service the caller only
 // knows that its request may have run.
-func (g *Generator) send(ctx context.Context, op *operation, host string) (attemptResult, string) {
-	unknown := attemptResult{verdict: verdictMayHaveRun}
+func (g *Generator) send(ctx context.Context, op *operation, host string) (result attemptResult, answer string) {
+	unknown := attemptResult{verdict: verdictMayHaveRun, broken: true}
 	ctx, cancel := context.WithTimeout(ctx, op.class.Timeout+5*time.Second)
 	defer cancel()
+	var open atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) { open.Store(c.Reused) }})
+	defer func() { result.open = open.Load() }()
 	url := fmt.Sprintf("%s/v1/run/%s/work?service=%s", g.options.Hosts[host], op.class.Name, op.service)
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(op.body()))
 	if err != nil {
@@ -142,7 +154,7 @@
 	}
 	g.running[host].Add(1)
 	defer g.running[host].Add(-1)
-	response, err := g.client.Do(r)
+	response, err := op.client.Do(r)
 	if notConnected(err) {
 		return attemptResult{verdict: verdictNotRun, unsent: true}, ""
 	}
