Let signals, restarts and changes overlap in soak runs, and check while they run

A schedule had one failure of a host at a time, in the hosts' own dialers, and the record was checked at the end only. New steps: rolling restarts, a table that changes every 100 ms, hang-ups, hosts that are paused or killed in the middle of a planned stop, failures of the proxies, and the loss of all strong hosts at once. Half of the hosts are strong: at the end each cell must be owned by a strong one again, and the run counts the cells that passed to weak hosts and back.

--- a/cmd/relaydev/soak.go
+++ b/cmd/relaydev/soak.go
@@ -19,6 +19,7 @@
 func soakCommand() *cli.Command {
 	o := soak.Options{Deployment: deployment.Small()}
 	o.Deployment.Service = 20 * time.Millisecond
+	o.Deployment.Proxies, o.Deployment.StrongMilliCPU, o.Deployment.WeakMilliCPU = true, 2000, 500
 	size := &o.Deployment
 	var schedule string
 	return &cli.Command{
@@ -81,7 +82,8 @@
 	for _, l := range r.Loads {
 		out = fmt.Appendf(out, "%s: %d sent, %d answered, %d not run, %d unknown\n", l.Class, l.Sent, l.Answered, l.NotRun, l.Unknown)
 	}
-	out = fmt.Appendf(out, "jobs: %v\n%d steps, %d events, %d violations\n", r.Jobs, len(r.Schedule), len(r.Events), len(r.Violations))
+	out = fmt.Appendf(out, "jobs: %v\n%d steps, %d events, %d violations\ncells that passed to weak hosts: %d, to strong ones: %d\n",
+		r.Jobs, len(r.Schedule), len(r.Events), len(r.Violations), r.ToWeak, r.ToStrong)
 	for _, n := range r.Notes {
 		out = fmt.Appendf(out, "note: %s\n", n)
 	}
--- a/history/requests.go
+++ b/history/requests.go
@@ -6,8 +6,9 @@
 )
 
 const (
-	verdictRan    = "ran"
-	verdictNotRun = "not-run"
+	verdictRan        = "ran"
+	verdictNotRun     = "not-run"
+	verdictMayHaveRun = "may-have-run"
 
 	// VerdictUnsent is recorded for an attempt for which the caller got no connection: no relay host said anything, and
 	// the attempt cannot have run.
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -15,7 +15,8 @@
 // Step is one action of a schedule, at a time since the start of the load.
 type Step struct {
 	At time.Duration
-	// Words are an action of package action, or one of this package: replace HOST, flood CLASS RATE TIME, race N.
+	// Words are an action of package action, or one of this package: replace HOST, rolling HOST..., churn TIME INTERVAL,
+	// flood CLASS RATE TIME, race N.
 	Words []string
 }
 
@@ -49,7 +50,9 @@
 
 // Size is what a schedule can act on.
 type Size struct {
-	Hosts       []string
+	Hosts []string
+	// Strong are the hosts that are preferred as owners of cells.
+	Strong      []string
 	DataCentres []string
 	Targets     int
 	Workers     int
@@ -63,8 +66,8 @@
 	// their owners.
 	shortest = 300 * time.Millisecond
 	longest  = 14 * time.Second
-	// replaceTime is longer than a planned stop and a start.
-	replaceTime = 40 * time.Second
+	// replaceTime is longer than a planned stop and a start, also of a host that was paused meanwhile.
+	replaceTime = 60 * time.Second
 	resolution  = 10 * time.Millisecond
 )
 
@@ -75,16 +78,21 @@
 	steps  []Step
 	busy   map[string]time.Duration
 	now    time.Duration
+	// duration is that of the run.
+	duration time.Duration
 	// left counts the targets that leave for good.
 	left int
 }
 
 // Generate returns the schedule of a seed. All failures but crashes and leaving targets end before the duration is over.
 func Generate(seed uint64, duration time.Duration, size Size) []Step {
-	g := &generator{random: rand.New(rand.NewPCG(seed, 0)), size: size, busy: make(map[string]time.Duration), now: warmUp}
+	g := &generator{
+		random: rand.New(rand.NewPCG(seed, 0)), size: size, busy: make(map[string]time.Duration), now: warmUp, duration: duration,
+	}
 	kinds := []func(end time.Duration){
 		g.stopHost, g.stopHost, g.pauseHost, g.pauseHost, g.replaceHost, g.cutLinks, g.breakStore, g.breakStore,
 		g.breakTarget, g.breakTarget, g.leave, g.breakWorker, g.breakWorker, g.flood, g.cancel, g.race, g.race,
+		g.proxy, g.proxy, g.proxy, g.proxy, g.hangUp, g.disturbStop, g.series, g.loseStrong,
 	}
 	for {
 		g.now += min(4*meanPause, time.Duration(g.random.ExpFloat64()*float64(meanPause))).Round(resolution)
