Change a setting of hosts in soak runs

A weak host may get as much processor time as a strong one; its next process, after a planned stop, says so and becomes preferred as the owner of cells.

--- a/action/platform.go
+++ b/action/platform.go
@@ -23,7 +23,7 @@
 	return nil, fmt.Errorf("no host %q", name)
 }
 
-// host changes relay hosts: host kill|pause|resume|hang-up|drain|start|ready NAME. A drain goes on in the background.
+// host changes relay hosts: host kill|pause|resume|hang-up|strong|drain|start|ready NAME. A drain goes on in the background.
 func (a *Actions) host(ctx context.Context, args []string) error {
 	if len(args) != 2 {
 		return errors.New("want an action and a host")
@@ -39,6 +39,10 @@
 		return h.Pause()
 	case "resume":
 		return h.Resume()
+	case "strong":
+		// The next process of the host says that it has as much processor time as the strongest ones.
+		h.SetMilliCPU(a.Deployment.StrongMilliCPU())
+		return nil
 	case "hang-up":
 		return h.HangUp()
 	case "start":
@@ -55,7 +59,7 @@
 		}()
 		return nil
 	default:
-		return fmt.Errorf("action %q: want kill, pause, resume, hang-up, drain, start or ready", args[0])
+		return fmt.Errorf("action %q: want kill, pause, resume, hang-up, strong, drain, start or ready", args[0])
 	}
 }
 
--- a/soak/hosts.go
+++ b/soak/hosts.go
@@ -139,7 +139,7 @@
 }
 
 func (r *runner) strong(h *deployment.Host) bool {
-	return h.Settings.MilliCPU > 0 && h.Settings.MilliCPU == r.options.Deployment.StrongMilliCPU
+	return h.MilliCPU() > 0 && h.MilliCPU() == r.options.Deployment.StrongMilliCPU
 }
 
 // owners returns the host that owns each cell, by the key of its record.
--- a/soak/run_test.go
+++ b/soak/run_test.go
@@ -69,7 +69,7 @@
 	o := shortOptions(t)
 	steps, err := Parse(strings.NewReader(overlap))
 	require.NoError(t, err)
-	o.Schedule = append(steps, Generate(o.Seed, o.Duration, shortSize(o.Deployment))...)
+	o.Schedule = slices.Concat(steps, Generate(o.Seed, o.Duration, shortSize(o.Deployment)))
 	sortSteps(o.Schedule)
 	r, err := Run(t.Context(), o)
 	require.NoError(t, err)
@@ -119,8 +119,9 @@
 // Guards against cells that stay with weak hosts unnoticed, and against moves that are not counted.
 func TestWeakOwnersAreFound(t *testing.T) {
 	strong, weak := &deployment.Host{}, &deployment.Host{}
-	strong.Settings.HostID, strong.Settings.MilliCPU = "s", 2000
-	weak.Settings.HostID, weak.Settings.MilliCPU = "w", 500
+	strong.Settings.HostID, weak.Settings.HostID = "s", "w"
+	strong.SetMilliCPU(2000)
+	weak.SetMilliCPU(500)
 	r := &runner{result: &Result{}}
 	r.options.Deployment.StrongMilliCPU = 2000
 	require.Equal(t, []string{"/own/1 of w"}, weakOwners(map[string]*deployment.Host{"/own/0": strong, "/own/1": weak}, r.strong))
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -92,7 +92,7 @@
 	kinds := []func(end time.Duration){
 		g.stopHost, g.stopHost, g.pauseHost, g.pauseHost, g.replaceHost, g.cutLinks, g.breakStore, g.breakStore,
 		g.breakTarget, g.breakTarget, g.leave, g.breakWorker, g.breakWorker, g.flood, g.cancel, g.race, g.race,
-		g.proxy, g.proxy, g.proxy, g.proxy, g.hangUp, g.disturbStop, g.series, g.loseStrong,
+		g.proxy, g.proxy, g.proxy, g.proxy, g.hangUp, g.disturbStop, g.series, g.loseStrong, g.strengthen,
 	}
 	for {
 		g.now += min(4*meanPause, time.Duration(g.random.ExpFloat64()*float64(meanPause))).Round(resolution)
--- a/soak/schedule_test.go
+++ b/soak/schedule_test.go
@@ -52,7 +52,7 @@
 			case w[0] == "host" && (w[1] == "kill" || w[1] == "pause"):
 				require.Empty(t, held["host "+w[2]], words)
 				held["host "+w[2]] = w[1]
-			case w[0] == "host" && w[1] == "hang-up":
+			case w[0] == "host" && (w[1] == "hang-up" || w[1] == "strong"):
 			case w[0] == "host":
 				require.Equal(t, map[string]string{"start": "kill", "resume": "pause"}[w[1]], held["host "+w[2]], words)
 				delete(held, "host "+w[2])
--- a/soak/series.go
+++ b/soak/series.go
@@ -89,6 +89,14 @@
 	}
 }
 
+// strengthen changes a setting of a host, which takes effect by a planned stop and a start.
+func (g *generator) strengthen(time.Duration) {
+	if name, ok := g.host(g.now + replaceTime); ok {
+		g.add(g.now, "host", "strong", name)
+		g.add(g.now, "replace", name)
+	}
+}
+
 // otherDown reports whether every weak host is held by another failure.
 func (g *generator) otherDown() bool {
 	up := 0
--- a/standin/deployment/host.go
+++ b/standin/deployment/host.go
@@ -36,6 +36,24 @@
 	return h.describeLinks()
 }
 
+// SetMilliCPU changes a setting of the host, which its next process takes.
+func (h *Host) SetMilliCPU(n int) {
+	h.starting.Lock()
+	defer h.starting.Unlock()
+	h.Settings.MilliCPU = n
+}
+
+// MilliCPU returns what the present or last process of the host says of its processor time; before the first one, what
+// that will say.
+func (h *Host) MilliCPU() int {
+	if p := h.process.Load(); p != nil {
+		return p.settings.MilliCPU
+	}
+	h.starting.Lock()
+	defer h.starting.Unlock()
+	return h.Settings.MilliCPU
+}
+
 // describeLinks tells the process where the other hosts are and how long the way to them is.
 func (h *Host) describeLinks() error {
 	for _, other := range h.deployment.Hosts {
--- a/standin/deployment/prepare.go
+++ b/standin/deployment/prepare.go
@@ -79,6 +79,11 @@
 	return d.options.WeakMilliCPU
 }
 
+// StrongMilliCPU returns what strong hosts say of their processor time.
+func (d *Deployment) StrongMilliCPU() int {
+	return d.options.StrongMilliCPU
+}
+
 // front returns the address that stands for a server: that of a proxy, if the deployment has proxies.
 func (d *Deployment) front(place, server string) (string, error) {
 	if !d.options.Proxies {
