Bound a commit to what a loaded host can send in time

Cause: a commit took all waiting records, up to 960 KB, in one write with a time limit of 2 s, and a write whose outcome is not known is repeated as it is. Where less than half of that can be sent in 2 s, the log stands still for good, and with it the jobs, ends and cancellations behind it.

One commit each 20 ms still carries 6 MB a second.

Tests: TestCommitGetsThroughAThinLink (412 KB of jobs at 150 KB/s) failed in 20 of 20 runs before and passes in 20 of 20. go test -race passes for relay/jobs and adapter/cellpb.

--- a/relay/jobs/log.go
+++ b/relay/jobs/log.go
@@ -22,8 +22,9 @@
 	// lazyDelay bounds how long a checkpoint waits for other records to share their commit. Losing the record loses
 	// some progress only.
 	lazyDelay = 5 * time.Second
-	// maxBatchBytes leaves room for the marker below store.MaxValueBytes.
-	maxBatchBytes = store.MaxValueBytes - 64<<10
+	// maxBatchBytes bounds what a write sends. A write that takes longer than storeTimeout is repeated as it is, so that one
+	// of store.MaxValueBytes would never get through where a second of a thin link is left for it.
+	maxBatchBytes = 128 << 10
 	// maxQueueBytes bounds the records that wait while the store is down; new jobs are refused above it.
 	maxQueueBytes = 32 << 20
 	// snapshotAfter log entries a snapshot is written and the log truncated.
--- a/relay/jobs/slow_test.go
+++ b/relay/jobs/slow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -14,6 +15,7 @@
 	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
 	"github.com/bulrushrelay/bulrushrelay/core/placement"
 	"github.com/bulrushrelay/bulrushrelay/core/resource"
+	"github.com/bulrushrelay/bulrushrelay/core/store"
 	"github.com/bulrushrelay/bulrushrelay/core/table"
 	"github.com/bulrushrelay/bulrushrelay/relay/jobs"
 )
@@ -119,3 +121,48 @@
 		w.verify(h, id)
 	})
 }
+
+// thinStore sends the values of a transaction at a bounded rate, as a loaded host on a thin link does. A call that ends
+// before all is sent has no effect that its caller knows of.
+type thinStore struct {
+	jobs.Store
+	bytesPerSecond int
+}
+
+func (s thinStore) Txn(ctx context.Context, compares []store.Compare, ops []store.Op) (store.TxnResult, error) {
+	size := 0
+	for _, op := range ops {
+		size += len(op.Value)
+	}
+	sent := time.NewTimer(time.Duration(size) * time.Second / time.Duration(s.bytesPerSecond))
+	defer sent.Stop()
+	select {
+	case <-sent.C:
+		return s.Store.Txn(ctx, compares, ops)
+	case <-ctx.Done():
+		return store.TxnResult{}, ctx.Err()
+	}
+}
+
+// Guards against a log that stands still for good: a commit that held more than the host can send within the time limit
+// of a call was repeated as it was, while jobs, cancellations and ends waited behind it.
+func TestCommitGetsThroughAThinLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2)
+		defer w.close()
+		h := w.hostOn(func(_ *host, s jobs.Store) jobs.Store { return thinStore{Store: s, bytesPerSecond: 150_000} })
+		w.own(h)
+		h.submit(spec("batch", 1, ""))
+		// The writer pauses between two commits, so that the records of all these jobs are ready for its next one.
+		outcomes := make(chan error, 100)
+		for range 100 {
+			go func() {
+				_, err := h.svc.Submit(bg, cell, spec("batch", 1, strings.Repeat("x", lifecycle.MaxCommandBytes)))
+				outcomes <- err
+			}()
+		}
+		for range 100 {
+			require.NoError(t, <-outcomes)
+		}
+	})
+}
