Take nothing for gone while a worker has not listed all ends

Cause: a worker lists at most 500 ends until these are acknowledged, which needs their records. An attempt that was neither among them nor running counted as lost without a result, or after a stop as never started, and its task was started again although it was done; after a change of owner the tasks that the owner held were freed in the same way. A worker that completes 8 tasks a second has 500 ends after a minute without the store.

Change: a report says that its list of ends may be shortened. Then no attempt is taken for gone, and a successor keeps what it holds until the worker has listed all. While inventories are awaited, no time is named at which the cell has something to do, so that the loop rests.

--- a/core/lifecycle/answer_test.go
+++ b/core/lifecycle/answer_test.go
@@ -112,3 +112,59 @@
 	req, _ := f.c.SyncRequest("w1")
 	require.Contains(t, req.Acks, r)
 }
+
+// Guards against a task that runs again although it is done: its end was not in a report, because a worker lists only so
+// many ends at a time until the earlier ones are acknowledged.
+func TestShortenedListOfEndsProvesNothing(t *testing.T) {
+	f := newFixture(t, 7, "w1")
+	id := f.submit(2)
+	first := f.running(ident.TaskID{Job: id, Index: 0}, "w1")
+	second := f.running(ident.TaskID{Job: id, Index: 1}, "w1")
+	f.cmds = nil
+	report := func(partial bool, ended ...Ended) {
+		req, _ := f.c.SyncRequest("w1")
+		f.apply(f.c.Synced(f.now, "w1", req.Seq, "p1", req.Acks, Report{Token: "token", Ended: ended, Partial: partial}))
+	}
+	report(true, Ended{Run: first, End: EndDone})
+	require.Empty(t, commandsOf[Enqueue](f), "the second task is to start again")
+	report(false, Ended{Run: second, End: EndDone})
+	require.Equal(t, Done, f.view(id, 1).State)
+	require.Empty(t, commandsOf[Enqueue](f))
+}
+
+// Guards against the same after a change of owner: the inventory holds only the first ends.
+func TestShortenedInventoryFreesNothing(t *testing.T) {
+	old := newFixture(t, 7, "w1")
+	id := old.submit(2)
+	first := old.place(ident.TaskID{Job: id, Index: 0}, "w1")
+	second := old.place(ident.TaskID{Job: id, Index: 1}, "w1")
+	for name, clean := range map[string]bool{"owner lost": false, "hand-over": true} {
+		t.Run(name, func(t *testing.T) {
+			f := &fixture{t: t, c: NewCell(1, 9, old.c.table), now: old.now}
+			f.c.RestoreSnapshot(old.c.Snapshot(old.now, clean))
+			f.c.SetAuthority(f.now, true, true)
+			f.apply(f.c.Recover(f.now, clean, []Member{{ID: "w1"}}))
+			f.claim("w1", Report{Ended: []Ended{{Run: first, End: EndDone}}, Partial: true})
+			require.Empty(t, commandsOf[Enqueue](f), "the second task is to start again")
+			require.True(t, f.c.Recovering())
+			f.sync("w1", nil, Ended{Run: second, End: EndDone})
+			require.False(t, f.c.Recovering())
+			require.Equal(t, Done, f.view(id, 1).State)
+			require.Empty(t, commandsOf[Enqueue](f))
+		})
+	}
+}
+
+// Guards against a loop that does not rest: a time that has passed is named as the next one while inventories are awaited.
+func TestNoTickIsDueWhileInventoriesAreAwaited(t *testing.T) {
+	f := &fixture{t: t, c: NewCell(1, 9, newFixture(t, 7).c.table), now: start0}
+	f.c.SetAuthority(f.now, true, true)
+	f.apply(f.c.Recover(f.now, false, []Member{{ID: "w1"}}))
+	require.Zero(t, f.c.NextTick(), "the claim is not answered yet")
+	f.c.CallFailed("w1")
+	require.Equal(t, start0.Add(LeaseDuration+LeaseMargin), f.c.NextTick())
+	f.claim("w1", Report{Partial: true})
+	f.tickUntil(f.now.Add(time.Hour))
+	require.True(t, f.c.Recovering())
+	require.Zero(t, f.c.NextTick(), "the worker has not listed everything")
+}
--- a/core/lifecycle/report.go
+++ b/core/lifecycle/report.go
@@ -22,7 +22,13 @@
 	for _, e := range r.Ended {
 		c.attemptEnded(now, w, e, eff)
 	}
+	completed := w.partial && !r.Partial
+	w.partial = r.Partial
 	c.compareActive(now, w, seq, r.Active, eff)
+	if completed {
+		c.releaseLeftOn(now, w.member.ID, eff)
+		c.finishRecovery(now, eff)
+	}
 }
 
 // compareActive stops what should not run, and finds attempts that are gone without a result.
@@ -50,7 +56,9 @@
 		}
 		switch {
 		case r.phase == phaseActive || r.phase == phaseEvicting:
-			c.lose(now, t, eff)
+			if !w.partial {
+				c.lose(now, t, eff)
+			}
 		case c.repeatStop(now, r):
 			stops = append(stops, r.Run)
 		}
--- a/core/lifecycle/restore.go
+++ b/core/lifecycle/restore.go
@@ -285,10 +285,10 @@
 
 // finishRecovery releases the held tasks once none of them can run unseen.
 func (c *Cell) finishRecovery(now time.Time, eff *Effects) {
-	if !c.recovering || c.doubt {
+	if !c.recovering || c.doubt || c.awaitsInventories() {
 		return
 	}
-	lapsed := !c.recoverFrom.IsZero() && !now.Before(c.recoverFrom.Add(c.policy.lapse())) && !c.awaitsClaims()
+	lapsed := !c.recoverFrom.IsZero() && !now.Before(c.recoverFrom.Add(c.policy.lapse()))
 	for _, w := range c.workers {
 		if !w.claimed && !lapsed {
 			return
@@ -314,11 +314,10 @@
 	}
 }
 
-// awaitsClaims reports whether a worker may still answer the claim of this owner, or has answered a claim whose inventory
-// is not taken over yet.
-func (c *Cell) awaitsClaims() bool {
+// awaitsInventories reports whether the inventory of a worker is on its way, waits to be taken over, or is not complete.
+func (c *Cell) awaitsInventories() bool {
 	for _, w := range c.workers {
-		if !w.claimed && !w.unanswered {
+		if w.claimed && w.partial || !w.claimed && !w.unanswered {
 			return true
 		}
 	}
--- a/core/lifecycle/tick.go
+++ b/core/lifecycle/tick.go
@@ -132,7 +132,7 @@
 	for _, t := range c.waiting {
 		earliest(t.run.startedAt.Add(logWait))
 	}
-	if c.recovering && !c.recoverFrom.IsZero() && !c.doubt && !c.awaitsClaims() {
+	if c.recovering && !c.recoverFrom.IsZero() && !c.doubt && !c.awaitsInventories() {
 		earliest(c.recoverFrom.Add(c.policy.lapse()))
 	}
 	return next
--- a/core/lifecycle/types.go
+++ b/core/lifecycle/types.go
@@ -348,4 +348,6 @@
 	Token  string
 	Active []Active
 	Ended  []Ended
+	// Partial is set if more attempts may have ended than Ended holds.
+	Partial bool
 }
--- a/core/lifecycle/worker.go
+++ b/core/lifecycle/worker.go
@@ -31,9 +31,11 @@
 	// unanswered is set while the latest call for a report has failed. A worker is given up only then: an answer that has
 	// arrived and waits for its turn, or a call in progress, may tell that a task has ended.
 	unanswered bool
-	runs       map[ident.TaskID]*task
-	acks       map[Run]struct{}
-	health     health
+	// partial is set while more attempts may have ended than the reports have listed.
+	partial bool
+	runs    map[ident.TaskID]*task
+	acks    map[Run]struct{}
+	health  health
 }
 
 // SyncRequest is what the owner sends in a sync.
@@ -294,7 +296,10 @@
 	if len(orphans) > 0 {
 		eff.do(StopTasks{Worker: id, Runs: orphans})
 	}
-	c.releaseLeftOn(now, id, &eff)
+	w.partial = report.Partial
+	if !w.partial {
+		c.releaseLeftOn(now, id, &eff)
+	}
 	c.finishRecovery(now, &eff)
 	return eff
 }
