Order the inventory of a claim by when it was asked for

Cause: a worker that is claimed again, because it has moved or restarted, answers with an inventory. The owner numbered it when it was taken over. An attempt that started after the inventory was made, and was confirmed while the inventory waited for its turn, counted as gone, and its task was started a second time while it ran (TWICE).

Change: the number is taken before the claim is sent, as for syncs.

Tests: TestInventoryOfASecondClaimIsOlderThanLaterStarts fails with the number taken at the end.

--- a/core/lifecycle/answer_test.go
+++ b/core/lifecycle/answer_test.go
@@ -168,3 +168,19 @@
 	require.True(t, f.c.Recovering())
 	require.Zero(t, f.c.NextTick(), "the worker has not listed everything")
 }
+
+// Guards against two runs of a task at a time: a worker was claimed again at a new address, and an attempt that started
+// there after the inventory was taken, but was confirmed first, counted as gone.
+func TestInventoryOfASecondClaimIsOlderThanLaterStarts(t *testing.T) {
+	f := newFixture(t, 7, "w1")
+	before := f.running(ident.TaskID{Job: f.submit(1)}, "w1")
+	id := f.submit(1)
+	f.apply(f.c.SetMembers(f.now, []Member{{ID: "w1", Address: "moved"}}))
+	require.Len(t, commandsOf[ClaimWorker](f), 2)
+	seq := f.c.ClaimSeq()
+	f.running(ident.TaskID{Job: id}, "w1")
+	f.cmds = nil
+	f.apply(f.c.Claimed(f.now, "w1", seq, "p1", Report{Token: "token"}))
+	require.Equal(t, Running, f.view(id, 0).State)
+	require.Equal(t, Queued, f.view(before.Task.Job, 0).State, "the attempt ran before the claim and is gone")
+}
--- a/core/lifecycle/cell_test.go
+++ b/core/lifecycle/cell_test.go
@@ -47,7 +47,7 @@
 func (f *fixture) claim(id ident.WorkerID, r Report) {
 	r.Capacity = capacity
 	r.Token = "token"
-	f.apply(f.c.Claimed(f.now, id, "p1", r))
+	f.apply(f.c.Claimed(f.now, id, f.c.ClaimSeq(), "p1", r))
 }
 
 func (f *fixture) apply(eff Effects) {
--- a/core/lifecycle/groups_test.go
+++ b/core/lifecycle/groups_test.go
@@ -188,7 +188,7 @@
 		next.c.Replay(r)
 	}
 	next.apply(next.c.Recover(next.now, false, nil))
-	next.apply(next.c.Claimed(next.now, "w", "p1", Report{Token: "token"}))
+	next.apply(next.c.Claimed(next.now, "w", next.c.ClaimSeq(), "p1", Report{Token: "token"}))
 	next.cmds = nil
 	next.apply(next.c.SetMembers(next.now, []Member{{ID: "w", Pool: "p", Capacity: capacity}}))
 	put := PutWorker{Worker: placement.Worker{ID: "w", Pool: "p", Labels: []string{}, Capacity: capacity}}
--- a/core/lifecycle/memory_test.go
+++ b/core/lifecycle/memory_test.go
@@ -54,7 +54,7 @@
 	}
 	commit(c.Recover(start0, false, members))
 	for _, m := range members {
-		commit(c.Claimed(start0, m.ID, "p1", Report{Capacity: capacity, Token: "token"}))
+		commit(c.Claimed(start0, m.ID, c.ClaimSeq(), "p1", Report{Capacity: capacity, Token: "token"}))
 	}
 	for begun := 0; begun < n; begun += tasksPerJob {
 		job, eff, err := c.Accept(start0, JobSpec{
--- a/core/lifecycle/worker.go
+++ b/core/lifecycle/worker.go
@@ -252,8 +252,16 @@
 	return false
 }
 
-// Claimed takes over the inventory of a worker that accepted the epoch of this owner.
-func (c *Cell) Claimed(now time.Time, id ident.WorkerID, incarnation string, report Report) Effects {
+// ClaimSeq returns the sequence number of a claim that is about to be sent.
+func (c *Cell) ClaimSeq() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seq++
+	return c.seq
+}
+
+// Claimed takes over the inventory of a worker that accepted the epoch of this owner with the claim of the given number.
+func (c *Cell) Claimed(now time.Time, id ident.WorkerID, seq uint64, incarnation string, report Report) Effects {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var eff Effects
@@ -262,9 +270,8 @@
 		return eff
 	}
 	if w.claimed {
-		// The worker restarted: what it ran before is gone.
-		c.seq++
-		c.takeReport(now, w, c.seq, incarnation, report, &eff)
+		// The worker restarted or has moved. What it ran before the claim and does not list is gone.
+		c.takeReport(now, w, seq, incarnation, report, &eff)
 		return eff
 	}
 	w.claimed = true
--- a/relay/jobs/calls.go
+++ b/relay/jobs/calls.go
@@ -134,6 +134,7 @@
 	pause := firstRetry
 	for ctx.Err() == nil {
 		if o.authority() != ownership.None {
+			seq := o.cell.ClaimSeq()
 			call, cancel := context.WithTimeout(ctx, callTimeout)
 			c := o.cfg.Workers.Claim(call, m, o.cellID, o.epoch)
 			cancel()
@@ -142,7 +143,7 @@
 				o.note(EventWorkerClaimed, Fields{
 					FieldWorker: m.ID, FieldLife: c.Incarnation, FieldRunning: len(c.Report.Active), FieldEnded: len(c.Report.Ended),
 				})
-				return o.call(ctx, func() { o.apply(o.cell.Claimed(o.now(), m.ID, c.Incarnation, c.Report)) })
+				return o.call(ctx, func() { o.apply(o.cell.Claimed(o.now(), m.ID, seq, c.Incarnation, c.Report)) })
 			}
 			if c.Reason == lifecycle.ReasonFenced {
 				o.replaced("worker " + string(m.ID) + " was claimed with a higher epoch")
