--- a/core/lifecycle/owner_bench_test.go
+++ b/core/lifecycle/owner_bench_test.go
@@ -88,7 +88,7 @@
 	}
 	l.apply(l.c.Recover(l.now, false, members))
 	for _, w := range l.workers {
-		l.apply(l.c.Claimed(l.now, w.id, "p1", Report{Token: "token"}))
+		l.apply(l.c.Claimed(l.now, w.id, l.c.ClaimSeq(), "p1", Report{Token: "token"}))
 	}
 	l.commit()
 	for n := 0; n < loadLasting*workers/loadWorkers; n += loadPerJob {
--- a/core/lifecycle/tick.go
+++ b/core/lifecycle/tick.go
@@ -120,7 +120,7 @@
 	if t := c.oldestWaiting(); t != nil {
 		earliest(t.run.startedAt.Add(logWait))
 	}
-	if c.recovering && !c.recoverFrom.IsZero() && !c.doubt && !c.awaitsClaims() {
+	if c.recovering && !c.recoverFrom.IsZero() && !c.doubt && !c.awaitsInventories() {
 		earliest(c.recoverFrom.Add(c.policy.lapse()))
 	}
 	return next
--- a/core/lifecycle/worker.go
+++ b/core/lifecycle/worker.go
@@ -31,9 +31,11 @@
 	// unanswered is set while the latest call for a report has failed. A worker is given up only then: an answer that has
 	// arrived and waits for its turn, or a call in progress, may tell that a task has ended.
 	unanswered bool
-	runs       map[ident.TaskID]*task
-	acks       map[Run]struct{}
-	health     health
+	// partial is set while more attempts may have ended than the reports have listed.
+	partial bool
+	runs    map[ident.TaskID]*task
+	acks    map[Run]struct{}
+	health  health
 	// tickAt is not after the time at which Tick has something to do for the worker; tickPos is its place in the queue.
 	tickAt  time.Time
 	tickPos int
@@ -270,8 +272,16 @@
 	}
 }
 
-// Claimed takes over the inventory of a worker that accepted the epoch of this owner.
-func (c *Cell) Claimed(now time.Time, id ident.WorkerID, incarnation string, report Report) Effects {
+// ClaimSeq returns the sequence number of a claim that is about to be sent.
+func (c *Cell) ClaimSeq() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seq++
+	return c.seq
+}
+
+// Claimed takes over the inventory of a worker that accepted the epoch of this owner with the claim of the given number.
+func (c *Cell) Claimed(now time.Time, id ident.WorkerID, seq uint64, incarnation string, report Report) Effects {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var eff Effects
@@ -280,9 +290,8 @@
 		return eff
 	}
 	if w.claimed {
-		// The worker restarted: what it ran before is gone.
-		c.seq++
-		c.takeReport(now, w, c.seq, incarnation, report, &eff)
+		// The worker restarted or has moved. What it ran before the claim and does not list is gone.
+		c.takeReport(now, w, seq, incarnation, report, &eff)
 		return eff
 	}
 	w.claimed = true
@@ -315,7 +324,10 @@
 	if len(orphans) > 0 {
 		eff.do(StopTasks{Worker: id, Runs: orphans})
 	}
-	c.releaseLeftOn(now, id, &eff)
+	w.partial = report.Partial
+	if !w.partial {
+		c.releaseLeftOn(now, id, &eff)
+	}
 	c.finishRecovery(now, &eff)
 	return eff
 }
