--- a/core/placement/node.go
+++ b/core/placement/node.go
@@ -18,9 +18,8 @@
 	known bool
 
 	tasks []*task
-	// booked is the sum of the tasks' bookings, kept the part of it that cannot be evicted and forLasting the part that
-	// lasting tasks have.
-	booked, kept, forLasting resource.Vector
+	// booked is the sum of the tasks' bookings, kept the part of it that cannot be evicted.
+	booked, kept resource.Vector
 	// over is the sum of what tasks should have booked and could not.
 	over resource.Vector
 	// claims are the tasks that wait for resources of this worker, urgent ones and restarts first; held is the sum of what
@@ -104,7 +103,13 @@
 
 // ending returns what is free or held by tasks that end, less what is already claimed.
 func (n *node) ending() resource.Vector {
-	return n.worker.Capacity.Sub(n.forLasting).Sub(n.claimed)
+	left := n.worker.Capacity.Sub(n.claimed)
+	for _, t := range n.tasks {
+		if t.lasting {
+			left = left.Sub(t.booked)
+		}
+	}
+	return left
 }
 
 // add books a task, as far as it fits.
@@ -197,9 +202,6 @@
 	if t.class.urgent || t.lasting {
 		n.kept = n.kept.Add(delta)
 	}
-	if t.lasting {
-		n.forLasting = n.forLasting.Add(delta)
-	}
 	n.over = n.over.Add(want.Sub(booked)).Sub(t.want.Sub(t.booked))
 	n.load(t.class).MilliCPU += delta.MilliCPU
 	t.want, t.booked = want, booked
