Leave the events of an owner as much time as its planner

Cause: the loop performs the events that wait until a Plan is due. A Plan is due 10 ms after the last one began, if an event has changed something: on a host without processor time a Plan takes longer than that, so that each end of a task was followed by a Plan of its own while the other events waited. The more workers, the more ends wait, and the owner never catches up.

Change: events that wait get as much time as the last Plan took before the next one, also after the timer. Without waiting events the planner runs as before.

--- a/relay/jobs/calls.go
+++ b/relay/jobs/calls.go
@@ -135,6 +135,20 @@
 	}
 }
 
+// wakeSyncs wakes the syncs that wait for a record of an end on their worker.
+func (o *owner) wakeSyncs(workers []ident.WorkerID) {
+	for _, id := range workers {
+		c, ok := o.conns[id]
+		if !ok {
+			continue
+		}
+		select {
+		case c.acked <- struct{}{}:
+		default:
+		}
+	}
+}
+
 func (o *owner) claim(ctx context.Context, m lifecycle.Member) bool {
 	pause := firstRetry
 	for ctx.Err() == nil {
--- a/relay/jobs/load_test.go
+++ b/relay/jobs/load_test.go
@@ -122,3 +122,30 @@
 		require.Equal(t, jobs.Load{}, h.svc.Load())
 	})
 }
+
+// Guards against an owner that plans again after each end of a task, because a Plan takes longer than the time between two
+// Plans on a host without processor time: with many workers the ends come much faster than they are performed.
+func TestSlowPlansLeaveHalfOfTheTimeToEvents(t *testing.T) {
+	scenario(t, 60, func(w *world, h *host) {
+		w.kill(h)
+		var takes atomic.Int64
+		m := &meter{}
+		h = w.hostWith(func(cfg *jobs.Config) {
+			cfg.Meter = m
+			cfg.NewPlanner = func(ident.CellID, *table.Table) placement.Planner {
+				return slowPlanner{placement.NewCell(1, placement.Options{Cell: cell}), &takes}
+			}
+		})
+		w.own(h)
+		time.Sleep(5 * time.Second)
+		const plan = 20 * time.Millisecond
+		takes.Store(int64(plan))
+		m.longest()
+		id := h.submit(spec("batch", 1000, "work=500ms"))
+		h.finished(10*time.Minute, id)
+		loop, _ := m.longest()
+		// An event may come at the beginning of a Plan, and wait for those that came before it.
+		require.LessOrEqual(t, loop, 3*plan)
+		w.verify(h, id)
+	})
+}
--- a/relay/jobs/owner.go
+++ b/relay/jobs/owner.go
@@ -69,6 +69,8 @@
 	// planMore is set while the planner has work left that it does between other events.
 	planMore   bool
 	plannedAt  time.Time
+	// drainUntil is until when events that wait go before a Plan that is due.
+	drainUntil time.Time
 	recovered  bool
 	full       bool
 	confirmed  bool
@@ -140,7 +142,6 @@
 		select {
 		case e := <-o.mailbox:
 			o.turn(o.now(), e)
-			o.drainMailbox()
 		case <-timer.C:
 			// A timer that fires late tells of a host that gets no processor time, also when no event waits.
 			o.longestWait = max(o.longestWait, o.now().Sub(o.wakeAt))
@@ -149,6 +150,7 @@
 			o.stopConns()
 			return
 		}
+		o.drainMailbox()
 		o.checkAuthority()
 		o.apply(o.cell.Tick(o.now()))
 		o.plan()
@@ -164,11 +166,12 @@
 }
 
 // drainMailbox performs the events that wait already, so that planning happens once for all of them. It ends when the
-// planner is due: a wave of events must not delay it.
+// planner is due, because a wave of events must not delay it, but not before the events have had as much time as the last
+// Plan took: on a host without processor time a Plan takes longer than planInterval, and the planner is always due.
 func (o *owner) drainMailbox() {
 	for range mailboxSize {
 		now := o.now()
-		if o.planDue(now) {
+		if o.planDue(now) && !now.Before(o.drainUntil) {
 			return
 		}
 		select {
@@ -273,6 +276,8 @@
 	o.planDirty = false
 	o.planMore = false
 	p := o.planner.Plan(now, planLimit)
+	ended := o.now()
+	o.drainUntil = ended.Add(ended.Sub(now))
 	o.stats.Planned.Add(int64(len(p.Starts)))
 	o.apply(o.cell.Planned(now, p))
 	o.planMore = p.More
@@ -350,20 +355,6 @@
 	})
 }
 
-// wakeSyncs wakes the syncs that wait for a record of an end on their worker.
-func (o *owner) wakeSyncs(workers []ident.WorkerID) {
-	for _, id := range workers {
-		c, ok := o.conns[id]
-		if !ok {
-			continue
-		}
-		select {
-		case c.acked <- struct{}{}:
-		default:
-		}
-	}
-}
-
 // takeSnapshot returns the state after every commit that was reported before.
 func (o *owner) takeSnapshot(clean bool) (lifecycle.Snapshot, bool) {
 	var s lifecycle.Snapshot
