--- a/adapter/decisionlog/format.go
+++ b/adapter/decisionlog/format.go
@@ -24,7 +24,7 @@
 
 // Format implements logrus.Formatter.
 func (f *Formatter) Format(e *logrus.Entry) ([]byte, error) {
-	if e.HasCaller() || clashes(e.Data) {
+	if e.Caller != nil || clashes(e.Data) {
 		return f.whole.Format(e)
 	}
 	keys := keyPool.Get().(*[]string)
--- a/core/lifecycle/owner_bench_test.go
+++ b/core/lifecycle/owner_bench_test.go
@@ -56,9 +56,9 @@
 	jobs      int
 	syncs     float64
 	submits   float64
-	// events and starts count what happened; planTime and cellTime are what the planner and the cell took.
+	// events and starts count what happened; planTime is what the planner took.
 	events, starts, finished int
-	planTime, cellTime       time.Duration
+	planTime                 time.Duration
 	// digest covers every command, so that two versions can be compared.
 	digest uint64
 	watch  bool
@@ -227,7 +227,7 @@
 	for _, command := range eff.Commands {
 		if l.watch {
 			h := fnv.New64a()
-			fmt.Fprintf(h, "%d %T%+v", l.digest, command, command)
+			_, _ = fmt.Fprintf(h, "%d %T%+v", l.digest, command, command)
 			l.digest = h.Sum64()
 		}
 		l.perform(command)
--- a/relay/jobs/owner.go
+++ b/relay/jobs/owner.go
@@ -67,8 +67,8 @@
 	cancelling map[ident.JobID]*item
 	planDirty  bool
 	// planMore is set while the planner has work left that it does between other events.
-	planMore   bool
-	plannedAt  time.Time
+	planMore  bool
+	plannedAt time.Time
 	// drainUntil is until when events that wait go before a Plan that is due.
 	drainUntil time.Time
 	recovered  bool
