--- a/relay/jobs/owner.go
+++ b/relay/jobs/owner.go
@@ -70,8 +70,10 @@
 	cancelling map[ident.JobID]*item
 	planDirty  bool
 	// planMore is set while the planner has work left that it does between other events.
-	planMore   bool
-	plannedAt  time.Time
+	planMore  bool
+	plannedAt time.Time
+	// drainUntil is until when events that wait go before a Plan that is due.
+	drainUntil time.Time
 	recovered  bool
 	full       bool
 	confirmed  bool
@@ -152,10 +154,8 @@
 		select {
 		case e := <-o.priority:
 			o.turn(o.now(), e)
-			o.drain()
 		case e := <-o.mailbox:
 			o.turn(o.now(), e)
-			o.drain()
 		case <-timer.C:
 			// A timer that fires late tells of a host that gets no processor time, also when no event waits.
 			o.longestWait = max(o.longestWait, o.now().Sub(o.wakeAt))
@@ -164,6 +164,7 @@
 			o.stopConns()
 			return
 		}
+		o.drain()
 		o.checkAuthority()
 		o.apply(o.cell.Tick(o.now()))
 		o.plan()
@@ -179,12 +180,14 @@
 }
 
 // drain performs the events that wait already, so that planning happens once for all of them. It ends when the planner is
-// due: a wave of events must not delay it. Where each event makes the planner due, one of the priority lane goes first.
+// due, because a wave of events must not delay it, but not before the events have had as much time as the last Plan took:
+// on a host without processor time a Plan takes longer than planInterval, and the planner is always due. One event of the
+// priority lane is performed in any case.
 func (o *owner) drain() {
 	for range mailboxSize {
 		now := o.now()
 		soon := o.performNext(now, o.priority)
-		if o.planDue(now) {
+		if o.planDue(now) && !now.Before(o.drainUntil) {
 			return
 		}
 		if !o.performNext(now, o.mailbox) && !soon {
@@ -297,6 +300,8 @@
 	o.planDirty = false
 	o.planMore = false
 	p := o.planner.Plan(now, planLimit)
+	ended := o.now()
+	o.drainUntil = ended.Add(ended.Sub(now))
 	o.stats.Planned.Add(int64(len(p.Starts)))
 	o.apply(o.cell.Planned(now, p))
 	o.planMore = p.More
@@ -374,20 +379,6 @@
 	})
 }
 
-// wakeSyncs wakes the syncs that wait for a record of an end on their worker.
-func (o *owner) wakeSyncs(workers []ident.WorkerID) {
-	for _, id := range workers {
-		c, ok := o.conns[id]
-		if !ok {
-			continue
-		}
-		select {
-		case c.acked <- struct{}{}:
-		default:
-		}
-	}
-}
-
 // takeSnapshot returns the state after every commit that was reported before.
 func (o *owner) takeSnapshot(clean bool) (lifecycle.Snapshot, bool) {
 	var s lifecycle.Snapshot
