Write no request to a connection that the host has closed

The client of net/http notices the end of an idle connection later than the kernel. The connections of the load look for it before they write; a request of which nothing was written counts as unsent. What refusals and errors said is recorded with the answer.

--- a/history/event.go
+++ b/history/event.go
@@ -22,7 +22,7 @@
 const (
 	// CallSent: Operation, Attempt, Class, Host, Idempotent, TimeoutMS. A caller sent an attempt of an operation to Host.
 	CallSent Kind = "call_sent"
-	// CallAnswered: Operation, Attempt, Verdict, Answer, Open, Broken. Answer is the operation named in the body of the answer.
+	// CallAnswered: Operation, Attempt, Verdict, Answer, Open, Broken, Reason. Answer is the operation named in the body of the answer.
 	CallAnswered Kind = "call_answered"
 	// RunStarted: Operation, Target, InProgress, Capacity. A target began to run an operation.
 	RunStarted Kind = "run_started"
--- a/load/load.go
+++ b/load/load.go
@@ -122,6 +122,7 @@
 	if options.Dial != nil {
 		transport.DialContext = dialing(options.Dial)
 	}
+	transport.DialContext = watching(transport.DialContext)
 	g := &Generator{
 		options: options,
 		client:  &http.Client{Transport: transport},
--- a/load/open.go
+++ b/load/open.go
@@ -34,6 +34,7 @@
 	if g.options.Dial != nil {
 		transport.DialContext = dialing(g.options.Dial)
 	}
+	transport.DialContext = watching(transport.DialContext)
 	defer transport.CloseIdleConnections()
 	client := &http.Client{Transport: transport}
 	end := time.Now().Add(g.options.Duration)
--- a/load/open_test.go
+++ b/load/open_test.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -78,3 +79,25 @@
 	require.Error(t, err)
 	require.True(t, strings.Contains(err.Error(), "idempotent"))
 }
+
+// Guards against a request that is lost on a connection that the host had closed before, which would look like a request
+// that the host cut off.
+func TestClosedConnectionIsNotWritten(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	c, err := watching((&net.Dialer{}).DialContext)(t.Context(), "tcp", l.Addr().String())
+	require.NoError(t, err)
+	host, err := l.Accept()
+	require.NoError(t, err)
+	_, err = c.Write([]byte("first"))
+	require.NoError(t, err)
+	conn := c.(*callerConn)
+	u := &use{conn: conn, before: conn.written.Load()}
+	require.NoError(t, host.Close())
+	require.Eventually(t, conn.closedByHost, 10*time.Second, time.Millisecond)
+	_, err = c.Write([]byte("second"))
+	require.ErrorIs(t, err, errHostClosed)
+	require.True(t, u.unwritten())
+	require.False(t, (&use{conn: conn}).unwritten(), "the first request was written")
+}
--- a/load/operation.go
+++ b/load/operation.go
@@ -22,6 +22,8 @@
 	verdictMayHaveRun = "may-have-run"
 	// operationPrefix precedes the operation in the body of a request. The stand-in target repeats the body in its answer.
 	operationPrefix = "operation="
+	// maxReason bounds the bytes of a refusal that are recorded.
+	maxReason = 160
 )
 
 // operate runs one operation to its end: attempts with the same key until it is answered or the attempts are used up.
@@ -110,7 +112,9 @@
 	// open is set if the connection had served another request before.
 	open bool
 	// broken is set if the request was sent and no answer came.
-	broken     bool
+	broken bool
+	// reason is what a refusal or an error said.
+	reason     string
 	verdict    string
 	retryAfter time.Duration
 }
@@ -126,7 +130,7 @@
 		said = history.VerdictUnsent
 	}
 	g.options.Recorder.Add(history.Event{
-		Kind: history.CallAnswered, Operation: op.id, Attempt: attempt, Verdict: said, Answer: answer, Open: result.open, Broken: result.broken,
+		Kind: history.CallAnswered, Operation: op.id, Attempt: attempt, Verdict: said, Answer: answer, Open: result.open, Broken: result.broken, Reason: result.reason,
 	})
 	return result
 }
@@ -137,9 +141,15 @@
 	unknown := attemptResult{verdict: verdictMayHaveRun, broken: true}
 	ctx, cancel := context.WithTimeout(ctx, op.class.Timeout+5*time.Second)
 	defer cancel()
-	var open atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) { open.Store(c.Reused) }})
-	defer func() { result.open = open.Load() }()
+	var last atomic.Pointer[use]
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) {
+		u := &use{open: c.Reused}
+		if conn, ok := c.Conn.(*callerConn); ok {
+			u.conn, u.before = conn, conn.written.Load()
+		}
+		last.Store(u)
+	}})
+	defer func() { result.open = last.Load() != nil && last.Load().open }()
 	url := fmt.Sprintf("%s/v1/run/%s/work?service=%s", g.options.Hosts[host], op.class.Name, op.service)
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(op.body()))
 	if err != nil {
@@ -155,20 +165,26 @@
 	g.running[host].Add(1)
 	defer g.running[host].Add(-1)
 	response, err := op.client.Do(r)
-	if notConnected(err) {
-		return attemptResult{verdict: verdictNotRun, unsent: true}, ""
+	if notConnected(err) || (err != nil && last.Load().unwritten()) {
+		return attemptResult{verdict: verdictNotRun, unsent: true, reason: err.Error()}, ""
 	}
 	if err != nil {
 		g.results[op.class.Name].noAnswer.Add(1)
+		unknown.reason = err.Error()
 		return unknown, ""
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
 		g.results[op.class.Name].noAnswer.Add(1)
+		unknown.reason = err.Error()
 		return unknown, ""
 	}
 	v := g.verdictOf(response)
 	seconds, _ := strconv.Atoi(response.Header.Get("Retry-After"))
-	return attemptResult{verdict: v, retryAfter: time.Duration(seconds) * time.Second}, answeredOperation(string(body))
+	result = attemptResult{verdict: v, retryAfter: time.Duration(seconds) * time.Second}
+	if v != verdictRan {
+		result.reason = string(body[:min(len(body), maxReason)])
+	}
+	return result, answeredOperation(string(body))
 }
