--- a/history/requests.go
+++ b/history/requests.go
@@ -6,9 +6,8 @@
 )
 
 const (
-	verdictRan        = "ran"
-	verdictNotRun     = "not-run"
-	verdictMayHaveRun = "may-have-run"
+	verdictRan    = "ran"
+	verdictNotRun = "not-run"
 
 	// VerdictUnsent is recorded for an attempt for which the caller got no connection: no relay host said anything, and
 	// the attempt cannot have run.
--- a/load/operation.go
+++ b/load/operation.go
@@ -23,7 +23,7 @@
 	// operationPrefix precedes the operation in the body of a request. The stand-in target repeats the body in its answer.
 	operationPrefix = "operation="
 	// maxReason bounds the bytes of a refusal that are recorded.
-	maxReason = 160
+	maxReason = 240
 )
 
 // operate runs one operation to its end: attempts with the same key until it is answered or the attempts are used up.
