--- a/relay/jobs/load_test.go
+++ b/relay/jobs/load_test.go
@@ -116,18 +116,18 @@
 func TestSlowPlansLeaveHalfOfTheTimeToEvents(t *testing.T) {
 	scenario(t, 60, func(w *world, h *host) {
 		w.kill(h)
-		var takes atomic.Int64
+		var slow slowness
 		m := &meter{}
 		h = w.hostWith(func(cfg *jobs.Config) {
 			cfg.Meter = m
 			cfg.NewPlanner = func(ident.CellID, *table.Table) placement.Planner {
-				return slowPlanner{placement.NewCell(1, placement.Options{Cell: cell}), &takes}
+				return slowPlanner{Planner: placement.NewCell(1, placement.Options{Cell: cell}), slow: &slow}
 			}
 		})
 		w.own(h)
 		time.Sleep(5 * time.Second)
 		const plan = 20 * time.Millisecond
-		takes.Store(int64(plan))
+		slow.each.Store(int64(plan))
 		m.longest()
 		id := h.submit(spec("batch", 1000, "work=500ms"))
 		h.finished(10*time.Minute, id)
