Keep the schedules of the seeds that run in one process

The new kinds of failures of soak runs changed the schedule of every seed, also of those of explore, where hosts are no processes: seed 5, which KNOWN-RED.txt names, started a host twice and did not end. They are drawn only for processes now; the seeds of explore give the same schedules as before.

--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -52,7 +52,10 @@
 type Size struct {
 	Hosts []string
 	// Strong are the hosts that are preferred as owners of cells.
-	Strong      []string
+	Strong []string
+	// Processes says that the hosts are processes of their own behind proxies, so that failures of one host may overlap. The
+	// schedules without it stay as they are: seeds of explore name them.
+	Processes   bool
 	DataCentres []string
 	Targets     int
 	Workers     int
@@ -66,7 +69,8 @@
 	// their owners.
 	shortest = 300 * time.Millisecond
 	longest  = 14 * time.Second
-	// replaceTime is longer than a planned stop and a start, also of a host that was paused meanwhile.
+	// stopTime is longer than a planned stop and a start, and replaceTime also of a host that was paused meanwhile.
+	stopTime    = 40 * time.Second
 	replaceTime = 60 * time.Second
 	resolution  = 10 * time.Millisecond
 )
@@ -92,7 +96,9 @@
 	kinds := []func(end time.Duration){
 		g.stopHost, g.stopHost, g.pauseHost, g.pauseHost, g.replaceHost, g.cutLinks, g.breakStore, g.breakStore,
 		g.breakTarget, g.breakTarget, g.leave, g.breakWorker, g.breakWorker, g.flood, g.cancel, g.race, g.race,
-		g.proxy, g.proxy, g.proxy, g.proxy, g.hangUp, g.disturbStop, g.series, g.loseStrong, g.strengthen,
+	}
+	if size.Processes {
+		kinds = append(kinds, g.proxy, g.proxy, g.proxy, g.proxy, g.hangUp, g.disturbStop, g.series, g.loseStrong, g.strengthen)
 	}
 	for {
 		g.now += min(4*meanPause, time.Duration(g.random.ExpFloat64()*float64(meanPause))).Round(resolution)
@@ -146,7 +152,11 @@
 }
 
 func (g *generator) replaceHost(time.Duration) {
-	if name, ok := g.host(g.now + replaceTime); ok {
+	reserved := stopTime
+	if g.size.Processes {
+		reserved = replaceTime
+	}
+	if name, ok := g.host(g.now + reserved); ok {
 		g.add(g.now, "replace", name)
 	}
 }
