Do not end a quarantine by a task that was started before it

Cause: while a quarantined worker was to be probed, the success of any task there ended the quarantine, also of one that had been running before.

Change: only an attempt that was started in the quarantine ends it.

Test: TestEarlierSuccessDoesNotEndTheQuarantine ("Should be true" before: the worker was trusted).

--- a/core/lifecycle/attempt.go
+++ b/core/lifecycle/attempt.go
@@ -300,7 +300,7 @@
 	}
 	switch e.End {
 	case EndDone:
-		c.completed(now, w, t, e, eff)
+		c.completed(now, w, t, e, r, eff)
 	case EndFailed:
 		c.failed(now, w, t, e, eff)
 	case EndEvicted:
@@ -317,11 +317,12 @@
 	}
 }
 
-func (c *Cell) completed(now time.Time, w *worker, t *task, e Ended, eff *Effects) {
+// completed takes over the success of the attempt r, which is nil if it no longer is the present one.
+func (c *Cell) completed(now time.Time, w *worker, t *task, e Ended, r *run, eff *Effects) {
 	t.settled = true
 	t.wait = WaitLog
 	c.unlogged[e.Run] = unloggedEnd{worker: w.member.ID}
-	c.clearBlame(w, eff)
+	c.clearBlame(w, r, eff)
 	c.provenGood(now, t.job, eff)
 	eff.log(TaskDone{Run: e.Run, At: now})
 	t.close()
--- a/core/lifecycle/failure.go
+++ b/core/lifecycle/failure.go
@@ -249,10 +249,10 @@
 	w.health.probes++
 }
 
-// clearBlame ends the suspicion against a worker on which an attempt succeeded. Work that was running there before
-// the quarantine does not end it; a probe does.
-func (c *Cell) clearBlame(w *worker, eff *Effects) {
-	if w.health.quarantined && !w.health.probing {
+// clearBlame ends the suspicion against a worker on which the attempt r succeeded. Work that was running there before
+// the quarantine does not end it; what was started in it does.
+func (c *Cell) clearBlame(w *worker, r *run, eff *Effects) {
+	if w.health.quarantined && !w.startedInQuarantine(r) {
 		return
 	}
 	c.trust(w, eff)
@@ -261,11 +261,17 @@
 // noteProven ends the quarantine of a worker on which an attempt goes on that was started in it: a lasting probe never ends,
 // and a filler may stand still.
 func (c *Cell) noteProven(now time.Time, w *worker, r *run, eff *Effects) {
-	if w.health.quarantined && r.startedAt.After(w.health.since) && now.Sub(r.startedAt) >= provenAfter {
+	if w.startedInQuarantine(r) && now.Sub(r.startedAt) >= provenAfter {
 		c.trust(w, eff)
 	}
 }
 
+// startedInQuarantine reports whether an attempt was started after its worker had been quarantined. A late end comes without
+// its attempt, so that this is not known.
+func (w *worker) startedInQuarantine(r *run) bool {
+	return w.health.quarantined && r != nil && r.startedAt.After(w.health.since)
+}
+
 func (c *Cell) trust(w *worker, eff *Effects) {
 	lifted := w.health.quarantined
 	w.health = health{trusted: true}
--- a/core/lifecycle/late.go
+++ b/core/lifecycle/late.go
@@ -33,7 +33,7 @@
 	t.maySent = true
 	t.next = max(t.next, e.Attempt+1)
 	c.giveUpPlace(now, t, eff)
-	c.completed(now, w, t, e, eff)
+	c.completed(now, w, t, e, nil, eff)
 }
 
 // giveUpPlace takes a task that has ended without its present attempt out of the queue, or ends that attempt.
--- a/core/lifecycle/quarantine_test.go
+++ b/core/lifecycle/quarantine_test.go
@@ -124,3 +124,20 @@
 		require.Equal(t, ranFor == 0, f.c.workers["w"].health.quarantined, "ran for %v", ranFor)
 	}
 }
+
+// Guards against a quarantine that is lifted by a task that was running before it and is done while the worker is probed: the
+// worker still fails what it starts.
+func TestEarlierSuccessDoesNotEndTheQuarantine(t *testing.T) {
+	f := newFixture(t, 1, "w")
+	earlier := f.running(ident.TaskID{Job: f.submit(1)}, "w")
+	f.now = f.now.Add(time.Second)
+	f.ends("w")
+	f.quarantine("w")
+	f.untilProbed("w")
+	f.ends("w", Ended{Run: earlier, End: EndDone})
+	require.True(t, f.c.workers["w"].health.quarantined)
+	probe := f.running(ident.TaskID{Job: f.submit(1)}, "w")
+	f.now = f.now.Add(time.Second)
+	f.ends("w", Ended{Run: probe, End: EndDone})
+	require.False(t, f.c.workers["w"].health.quarantined)
+}
