End the idle connections of a planned stop with an answer

The host now writes 408 with Connection: close to each idle connection of callers, which clients take as the end of the connection and a request under way gets as its answer, and waits up to 300 ms for callers to close before it closes them.

The connections of the load take data before a request for the end, as they do a close.

--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -112,6 +112,7 @@
 		h.peers.GracefulStop()
 		close(stopped)
 	}()
+	h.callers.idle.dismiss(ctx)
 	err := errors.Join(h.callers.shutdown(ctx), h.operators.shutdown(ctx))
 	select {
 	case <-stopped:
--- a/daemon/httpserver.go
+++ b/daemon/httpserver.go
@@ -59,6 +59,7 @@
 	server   *http.Server
 	echo     *echo.Echo
 	done     chan struct{}
+	idle     *idleConns
 }
 
 // newHTTPServer returns a server without routes on a listener. Connections above the limit wait until others close.
@@ -71,13 +72,16 @@
 	e.HideBanner = true
 	e.HidePort = true
 	e.Use(middleware.Recover())
+	idle := newIdleConns()
 	return &httpServer{
 		listener: listener,
+		idle:     idle,
 		echo:     e,
 		done:     make(chan struct{}),
 		server: &http.Server{
 			Handler:           e,
 			ConnContext:       callerhttp.ConnContext,
+			ConnState:         idle.track,
 			ReadHeaderTimeout: limits.readHeader,
 			ReadTimeout:       limits.read,
 			WriteTimeout:      limits.write,
--- a/load/conn.go
+++ b/load/conn.go
@@ -54,8 +54,9 @@
 	// Control and not Read: the client's reading in the background holds the lock of Read.
 	err := c.raw.Control(func(fd uintptr) {
 		var next [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), next[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		closed = err == nil && n == 0 || errors.Is(err, syscall.ECONNRESET)
+		_, _, err := syscall.Recvfrom(int(fd), next[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		// Data before the request is the last word of the host on an idle connection.
+		closed = err == nil || errors.Is(err, syscall.ECONNRESET)
 	})
 	return closed || err != nil
 }
