End connections that were never used with an answer too

Clients keep connections that they opened for a request which another connection then took; the server closes such a connection at a stop once it is 5 s old, and it did not count as idle. Likely, not shown: the lost request was on one of these. They now get the same last answer; the test has one.

--- a/daemon/farewell.go
+++ b/daemon/farewell.go
@@ -18,7 +18,7 @@
 	farewellTime = 300 * time.Millisecond
 )
 
-// idleConns are the connections of a server that wait for their next request.
+// idleConns are the connections of a server that wait for their first or next request.
 type idleConns struct {
 	// mu guards the fields below.
 	mu    sync.Mutex
@@ -38,7 +38,8 @@
 	defer i.mu.Unlock()
 	delete(i.conns, c)
 	switch state {
-	case http.StateIdle:
+	case http.StateNew, http.StateIdle:
+		// Clients keep connections for later that they opened for a request which another connection then took.
 		i.conns[c] = true
 	case http.StateClosed, http.StateHijacked:
 		delete(i.told, c)
--- a/daemon/farewell_test.go
+++ b/daemon/farewell_test.go
@@ -34,7 +34,9 @@
 		conns[i], err = net.Dial("tcp", server.listener.Addr().String())
 		require.NoError(t, err)
 		readers[i] = bufio.NewReader(conns[i])
-		require.Equal(t, http.StatusOK, request(i).StatusCode)
+		if i < callers-1 { // the last one has not been used yet
+			require.Equal(t, http.StatusOK, request(i).StatusCode)
+		}
 	}
 	idle := func() bool {
 		server.idle.mu.Lock()
