--- a/soak/hosts.go
+++ b/soak/hosts.go
@@ -70,7 +70,7 @@
 // restart stops a host as planned and starts it again. A planned stop that runs out of time is counted by the host and
 // allowed beside other failures; whether it cut off requests is for the checker.
 func (r *runner) restart(h *deployment.Host) {
-	ctx, cancel := context.WithTimeout(context.Background(), replaceTime)
+	ctx, cancel := context.WithTimeout(context.Background(), pausedReplaceTime)
 	defer cancel()
 	if !h.Running() {
 		r.note("restart %s: it does not run", h.ID())
--- a/soak/run_test.go
+++ b/soak/run_test.go
@@ -40,7 +40,8 @@
 func shortSize(o deployment.Options) Size {
 	strong := []string{"nelson-1", "richmond-1", "motueka-1"}
 	return Size{
-		Hosts: append(strong, "nelson-2", "richmond-2", "motueka-2"), Strong: strong, DataCentres: o.DataCentres, Targets: o.Targets, Workers: o.Workers,
+		Processes: true,
+		Hosts:     append(strong, "nelson-2", "richmond-2", "motueka-2"), Strong: strong, DataCentres: o.DataCentres, Targets: o.Targets, Workers: o.Workers,
 	}
 }
 
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -56,6 +56,9 @@
 	DataCentres []string
 	Targets     int
 	Workers     int
+	// Processes adds the failures that only processes with proxies between them have, and series of steps that overlap
+	// on one host.
+	Processes bool
 }
 
 const (
@@ -66,9 +69,11 @@
 	// their owners.
 	shortest = 300 * time.Millisecond
 	longest  = 14 * time.Second
-	// replaceTime is longer than a planned stop and a start, also of a host that was paused meanwhile.
-	replaceTime = 60 * time.Second
-	resolution  = 10 * time.Millisecond
+	// replaceTime is longer than a planned stop and a start, and pausedReplaceTime than those of a host that is paused
+	// meanwhile.
+	replaceTime       = 40 * time.Second
+	pausedReplaceTime = 60 * time.Second
+	resolution        = 10 * time.Millisecond
 )
 
 // generator makes a schedule. Each failure takes its resources for the time that it lasts.
@@ -92,7 +97,9 @@
 	kinds := []func(end time.Duration){
 		g.stopHost, g.stopHost, g.pauseHost, g.pauseHost, g.replaceHost, g.cutLinks, g.breakStore, g.breakStore,
 		g.breakTarget, g.breakTarget, g.leave, g.breakWorker, g.breakWorker, g.flood, g.cancel, g.race, g.race,
-		g.proxy, g.proxy, g.proxy, g.proxy, g.hangUp, g.disturbStop, g.series, g.loseStrong, g.strengthen,
+	}
+	if size.Processes {
+		kinds = append(kinds, g.proxy, g.proxy, g.proxy, g.proxy, g.hangUp, g.disturbStop, g.series, g.loseStrong, g.strengthen)
 	}
 	for {
 		g.now += min(4*meanPause, time.Duration(g.random.ExpFloat64()*float64(meanPause))).Round(resolution)
@@ -119,6 +126,14 @@
 	return true
 }
 
+// replaceTime returns how long a replacement holds its host.
+func (g *generator) replaceTime() time.Duration {
+	if g.size.Processes {
+		return pausedReplaceTime
+	}
+	return replaceTime
+}
+
 // host reserves a host. One host is left alone at any time, so that the deployment is never empty.
 func (g *generator) host(end time.Duration) (string, bool) {
 	down := 0
@@ -146,7 +161,7 @@
 }
 
 func (g *generator) replaceHost(time.Duration) {
-	if name, ok := g.host(g.now + replaceTime); ok {
+	if name, ok := g.host(g.now + g.replaceTime()); ok {
 		g.add(g.now, "replace", name)
 	}
 }
--- a/soak/schedule_test.go
+++ b/soak/schedule_test.go
@@ -17,7 +17,8 @@
 
 func testSize() Size {
 	return Size{
-		Hosts: []string{"a-1", "b-1", "c-1", "a-2", "b-2", "c-2"}, Strong: []string{"a-1", "b-1", "c-1"}, DataCentres: []string{"a", "b", "c"}, Targets: 6, Workers: 6,
+		Processes: true,
+		Hosts:     []string{"a-1", "b-1", "c-1", "a-2", "b-2", "c-2"}, Strong: []string{"a-1", "b-1", "c-1"}, DataCentres: []string{"a", "b", "c"}, Targets: 6, Workers: 6,
 	}
 }
 
@@ -111,3 +112,16 @@
 		}
 	}
 }
+
+// Guards against steps that hosts in one process cannot take, and against schedules of recorded failures that change with
+// the steps for processes.
+func TestScheduleWithoutProcesses(t *testing.T) {
+	size := testSize()
+	size.Processes = false
+	for seed := range uint64(50) {
+		for _, s := range Generate(seed, 5*time.Minute, size) {
+			require.NotContains(t, []string{"proxy", "rolling", "churn"}, s.Words[0])
+			require.NotContains(t, []string{"hang-up", "strong"}, s.Words[1])
+		}
+	}
+}
--- a/soak/series.go
+++ b/soak/series.go
@@ -43,7 +43,7 @@
 // disturbStop pauses or kills a host in the middle of its planned stop.
 func (g *generator) disturbStop(end time.Duration) {
 	lag := time.Duration(g.random.Int64N(int64(stopLag))).Round(resolution)
-	name, ok := g.host(max(end, g.now+lag) + replaceTime)
+	name, ok := g.host(max(end, g.now+lag) + g.replaceTime())
 	if !ok {
 		return
 	}
@@ -60,7 +60,7 @@
 // series replaces all hosts one after another while the table changes all the time, one host gets hang-ups, and another
 // one is paused. The replacement does not look at what else is done to its hosts.
 func (g *generator) series(end time.Duration) {
-	if !g.take("series", end+replaceTime) {
+	if !g.take("series", end+g.replaceTime()) {
 		return
 	}
 	g.add(g.now, append([]string{"rolling"}, g.size.Hosts...)...)
@@ -91,7 +91,7 @@
 
 // strengthen changes a setting of a host, which takes effect by a planned stop and a start.
 func (g *generator) strengthen(time.Duration) {
-	if name, ok := g.host(g.now + replaceTime); ok {
+	if name, ok := g.host(g.now + g.replaceTime()); ok {
 		g.add(g.now, "host", "strong", name)
 		g.add(g.now, "replace", name)
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -117,7 +117,7 @@
 }
 
 func (r *runner) size() Size {
-	s := Size{DataCentres: r.options.Deployment.DataCentres, Targets: r.options.Deployment.Targets, Workers: r.options.Deployment.Workers}
+	s := Size{Processes: true, DataCentres: r.options.Deployment.DataCentres, Targets: r.options.Deployment.Targets, Workers: r.options.Deployment.Workers}
 	for _, h := range r.actions.Deployment.Hosts {
 		s.Hosts = append(s.Hosts, h.ID())
 		if r.strong(h) {
