--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -52,13 +52,13 @@
 type Size struct {
 	Hosts []string
 	// Strong are the hosts that are preferred as owners of cells.
-	Strong []string
-	// Processes says that the hosts are processes of their own behind proxies, so that failures of one host may overlap. The
-	// schedules without it stay as they are: seeds of explore name them.
-	Processes   bool
+	Strong      []string
 	DataCentres []string
 	Targets     int
 	Workers     int
+	// Processes adds the failures that only processes with proxies between them have, and series of steps that overlap
+	// on one host.
+	Processes bool
 }
 
 const (
@@ -69,10 +69,11 @@
 	// their owners.
 	shortest = 300 * time.Millisecond
 	longest  = 14 * time.Second
-	// stopTime is longer than a planned stop and a start, and replaceTime also of a host that was paused meanwhile.
-	stopTime    = 40 * time.Second
-	replaceTime = 60 * time.Second
-	resolution  = 10 * time.Millisecond
+	// replaceTime is longer than a planned stop and a start, and pausedReplaceTime than those of a host that is paused
+	// meanwhile.
+	replaceTime       = 40 * time.Second
+	pausedReplaceTime = 60 * time.Second
+	resolution        = 10 * time.Millisecond
 )
 
 // generator makes a schedule. Each failure takes its resources for the time that it lasts.
@@ -125,6 +126,14 @@
 	return true
 }
 
+// replaceTime returns how long a replacement holds its host.
+func (g *generator) replaceTime() time.Duration {
+	if g.size.Processes {
+		return pausedReplaceTime
+	}
+	return replaceTime
+}
+
 // host reserves a host. One host is left alone at any time, so that the deployment is never empty.
 func (g *generator) host(end time.Duration) (string, bool) {
 	down := 0
@@ -152,11 +161,7 @@
 }
 
 func (g *generator) replaceHost(time.Duration) {
-	reserved := stopTime
-	if g.size.Processes {
-		reserved = replaceTime
-	}
-	if name, ok := g.host(g.now + reserved); ok {
+	if name, ok := g.host(g.now + g.replaceTime()); ok {
 		g.add(g.now, "replace", name)
 	}
 }
