--- a/core/lifecycle/attempt.go
+++ b/core/lifecycle/attempt.go
@@ -89,6 +89,7 @@
 	}
 	t.wait = WaitLog
 	c.waiting[t.run.Run] = t
+	c.waitOrder = append(c.waitOrder, waitingStart{t.run.Run, t})
 	eff.log(CheckpointConsumed{Run: t.run.Run, Checkpoint: t.checkpoint.ID})
 }
 
@@ -105,6 +106,15 @@
 	})
 }
 
+// WantsStart reports whether a start that was decided is still to be sent: not if the task has ended, the attempt was
+// given up, or the cancellation of the job was asked for since.
+func (c *Cell) WantsStart(id ident.WorkerID, r Run) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.current(id, r)
+	return t != nil && t.run.phase == phaseStarting && !t.settled && !t.job.cancelling
+}
+
 // StartAnswered takes over the answer to a start.
 func (c *Cell) StartAnswered(now time.Time, id ident.WorkerID, r Run, a Answer) Effects {
 	c.mu.Lock()
@@ -129,7 +139,7 @@
 	case Refused:
 		t.maySent = t.run.priorSent
 		t.refusals++
-		pause := min(retryPause<<min(t.refusals-1, 6), maxRefusalPause)
+		pause := t.refusalPause()
 		c.endRun(now, t, &eff)
 		c.requeue(now, t, pause, WaitRefused, &eff)
 	default:
@@ -275,7 +285,7 @@
 		c.lateEnd(now, w, t, e, eff)
 		return
 	}
-	preempted := t.run.preempted
+	r := t.run
 	if e.End == EndNeverStarted {
 		t.maySent = t.run.priorSent
 	} else {
@@ -289,38 +299,40 @@
 		w.acks[e.Run] = struct{}{}
 		return
 	}
-	c.afterEnd(now, w, t, e, preempted, eff)
+	c.afterEnd(now, w, t, e, r, eff)
 }
 
-func (c *Cell) afterEnd(now time.Time, w *worker, t *task, e Ended, preempted bool, eff *Effects) {
+// afterEnd decides what follows from the end of the attempt r.
+func (c *Cell) afterEnd(now time.Time, w *worker, t *task, e Ended, r *run, eff *Effects) {
 	if t.group.Lasting && (e.End == EndDone || e.End == EndFailed) {
-		c.restart(now, w, t, e, eff)
+		c.restart(now, w, t, e, r, eff)
 		return
 	}
 	switch e.End {
 	case EndDone:
-		c.completed(now, w, t, e, eff)
+		c.completed(now, w, t, e, r, eff)
 	case EndFailed:
 		c.failed(now, w, t, e, eff)
 	case EndEvicted:
-		c.unlogged[e.Run] = unloggedEnd{worker: w.member.ID}
-		if preempted {
+		c.awaitLog(e.Run, unloggedEnd{worker: w.member.ID})
+		if r.preempted {
 			t.evictions++
 		}
 		t.wait = WaitLog
 		c.setState(now, t, Queued)
-		eff.log(TaskEvicted{Run: e.Run, Checkpoint: t.checkpoint, Preempted: preempted, At: now})
+		eff.log(TaskEvicted{Run: e.Run, Checkpoint: t.checkpoint, Preempted: r.preempted, At: now})
 	default:
 		w.acks[e.Run] = struct{}{}
 		c.cancelOrRequeue(now, t, eff)
 	}
 }
 
-func (c *Cell) completed(now time.Time, w *worker, t *task, e Ended, eff *Effects) {
+// completed takes over the success of the attempt r, which is nil if it no longer is the present one.
+func (c *Cell) completed(now time.Time, w *worker, t *task, e Ended, r *run, eff *Effects) {
 	t.settled = true
 	t.wait = WaitLog
-	c.unlogged[e.Run] = unloggedEnd{worker: w.member.ID}
-	c.clearBlame(w, eff)
+	c.awaitLog(e.Run, unloggedEnd{worker: w.member.ID})
+	c.clearBlame(w, r, eff)
 	c.provenGood(now, t.job, eff)
 	eff.log(TaskDone{Run: e.Run, At: now})
 	t.close()
--- a/core/lifecycle/cell.go
+++ b/core/lifecycle/cell.go
@@ -45,14 +45,25 @@
 	// held holds the tasks that may still run on a worker that has not answered since the takeover.
 	held    map[ident.TaskID]*task
 	delayed delayQueue
-	// waiting holds the starts that wait for their log record.
-	waiting map[Run]*task
+	// deadlines orders the workers by what Tick has to do for them.
+	deadlines deadlineQueue
+	// waiting holds the starts that wait for their log record, and waitOrder the same in order, with others that wait no more.
+	waiting   map[Run]*task
+	waitOrder []waitingStart
 	// unlogged holds the ended attempts whose record is not durable yet; the worker must keep them until then.
 	unlogged map[Run]unloggedEnd
-	changed  map[ident.JobID]struct{}
+	// unloggedOn counts them by worker.
+	unloggedOn map[ident.WorkerID]int
+	changed    map[ident.JobID]struct{}
+	// finished lists the jobs that have come to an end since TakeFinished, and acked the workers that can be told of ends
+	// since TakeAcked.
+	finished []*job
+	acked    []ident.WorkerID
 
 	// seq orders the answers of a worker against its reports.
-	seq        uint64
+	seq uint64
+	// reports numbers the reports of all workers.
+	reports    uint64
 	recovering bool
 	// takenOver is set once the Takeover record is durable; nothing is started before.
 	takenOver bool
@@ -74,18 +85,19 @@
 // NewCell returns an empty cell for the owner with the given epoch.
 func NewCell(id ident.CellID, epoch ident.Epoch, t *table.Table) *Cell {
 	return &Cell{
-		id:       id,
-		epoch:    epoch,
-		table:    t,
-		policy:   DefaultPolicy(),
-		jobs:     make(map[ident.JobID]*job),
-		tokens:   make(map[string]accepted),
-		workers:  make(map[ident.WorkerID]*worker),
-		logged:   make(map[ident.WorkerID]string),
-		held:     make(map[ident.TaskID]*task),
-		waiting:  make(map[Run]*task),
-		unlogged: make(map[Run]unloggedEnd),
-		changed:  make(map[ident.JobID]struct{}),
+		id:         id,
+		epoch:      epoch,
+		table:      t,
+		policy:     DefaultPolicy(),
+		jobs:       make(map[ident.JobID]*job),
+		tokens:     make(map[string]accepted),
+		workers:    make(map[ident.WorkerID]*worker),
+		logged:     make(map[ident.WorkerID]string),
+		held:       make(map[ident.TaskID]*task),
+		waiting:    make(map[Run]*task),
+		unlogged:   make(map[Run]unloggedEnd),
+		unloggedOn: make(map[ident.WorkerID]int),
+		changed:    make(map[ident.JobID]struct{}),
 	}
 }
 
@@ -219,11 +231,15 @@
 	if t.state == s {
 		return
 	}
+	before := t.job.final()
 	t.job.counts[t.state]--
 	t.state = s
 	t.job.counts[s]++
 	if t.job.final() {
 		t.job.finishedAt = now
+		if !before {
+			c.finished = append(c.finished, t.job)
+		}
 	}
 	c.touch(t.job)
 }
--- a/core/lifecycle/failure.go
+++ b/core/lifecycle/failure.go
@@ -18,13 +18,18 @@
 	// retryPause and maxRefusalPause bound the pause after a start that certainly did not run.
 	retryPause      = 200 * time.Millisecond
 	maxRefusalPause = 10 * time.Second
+	// maxLastingPause is the most for a lasting task, which has 6 s to run again and may have to try several workers.
+	maxLastingPause = time.Second
 	// maxMessageBytes bounds what is kept of the reason of a failure.
 	maxMessageBytes = 200
 	// quarantineAfter failures without a success a worker is quarantined. Two can still be chance or one job.
 	quarantineAfter = 3
-	// The pause before a quarantined worker is probed doubles from firstProbe to maxProbe.
-	firstProbe = 10 * time.Second
-	maxProbe   = 5 * time.Minute
+	// The pause before a quarantined worker is probed doubles from firstProbe to maxProbe. An attempt that was started in
+	// quarantine and has run for provenAfter shows that the worker does not fail all it starts, although it has not ended. Both
+	// together leave 1 s of the 6 s within which a lasting task has to run again while there is room.
+	firstProbe  = 2 * time.Second
+	provenAfter = 3 * time.Second
+	maxProbe    = 5 * time.Minute
 )
 
 // health tells a worker that fails everything it starts from a worker that met a bad job.
@@ -34,9 +39,11 @@
 	// trusted is set once the worker completed a task, until it is quarantined.
 	trusted     bool
 	quarantined bool
-	probing     bool
-	probeAt     time.Time
-	probes      int
+	// since is when the quarantine began.
+	since   time.Time
+	probing bool
+	probeAt time.Time
+	probes  int
 }
 
 // suspect reports whether the job fails everywhere: it never succeeded, and failed on two workers that completed other
@@ -93,7 +100,7 @@
 	c.blame(now, w, t.job, eff)
 	charged = c.chargedFailures(t)
 	final = charged > c.retries(t)
-	c.unlogged[e.Run] = unloggedEnd{worker: w.member.ID}
+	c.awaitLog(e.Run, unloggedEnd{worker: w.member.ID})
 	if final && t.job.spec.FailFast && !t.job.cancelling {
 		c.beginFailing(t.job, eff)
 	}
@@ -118,15 +125,25 @@
 	return min(c.policy.FirstBackoff<<min(max(failures-1, 0), 10), c.policy.MaxBackoff)
 }
 
+// refusalPause returns the pause after refused starts, which doubles with each one in a row.
+func (t *task) refusalPause() time.Duration {
+	most := maxRefusalPause
+	if t.group.Lasting {
+		most = maxLastingPause
+	}
+	return min(retryPause<<min(t.refusals-1, 6), most)
+}
+
 // restart starts a lasting task again, whether it ended by itself or failed. The end needs no record: the next attempt
-// is not a repeat of finished work.
-func (c *Cell) restart(now time.Time, w *worker, t *task, e Ended, eff *Effects) {
+// is not a repeat of finished work. A lasting task may fail at any time by itself: only one that fails soon is blamed on its
+// worker, as one that fails all it starts would do.
+func (c *Cell) restart(now time.Time, w *worker, t *task, e Ended, r *run, eff *Effects) {
 	w.acks[e.Run] = struct{}{}
 	if t.job.cancelled {
 		c.setState(now, t, Cancelled)
 		return
 	}
-	if e.End == EndFailed {
+	if e.End == EndFailed && now.Sub(r.startedAt) < provenAfter {
 		c.blame(now, w, t.job, eff)
 	}
 	t.checkpoint = Checkpoint{}
@@ -180,6 +197,7 @@
 		return
 	}
 	w.health.quarantined = true
+	w.health.since = now
 	w.health.trusted = false
 	c.scheduleProbe(now, w)
 	c.putWorker(w, eff)
@@ -229,14 +247,33 @@
 	w.health.probing = false
 	w.health.probeAt = now.Add(min(firstProbe<<min(w.health.probes, 10), maxProbe))
 	w.health.probes++
+	c.schedule(w)
 }
 
-// clearBlame ends the suspicion against a worker on which an attempt succeeded. Work that was running there before
-// the quarantine does not end it; a probe does.
-func (c *Cell) clearBlame(w *worker, eff *Effects) {
-	if w.health.quarantined && !w.health.probing {
+// clearBlame ends the suspicion against a worker on which the attempt r succeeded. Work that was running there before
+// the quarantine does not end it; what was started in it does.
+func (c *Cell) clearBlame(w *worker, r *run, eff *Effects) {
+	if w.health.quarantined && !w.startedInQuarantine(r) {
 		return
 	}
+	c.trust(w, eff)
+}
+
+// noteProven ends the quarantine of a worker on which an attempt goes on that was started in it: a lasting probe never ends,
+// and a filler may stand still.
+func (c *Cell) noteProven(now time.Time, w *worker, r *run, eff *Effects) {
+	if w.startedInQuarantine(r) && now.Sub(r.startedAt) >= provenAfter {
+		c.trust(w, eff)
+	}
+}
+
+// startedInQuarantine reports whether an attempt was started after its worker had been quarantined. A late end comes without
+// its attempt, so that this is not known.
+func (w *worker) startedInQuarantine(r *run) bool {
+	return w.health.quarantined && r != nil && r.startedAt.After(w.health.since)
+}
+
+func (c *Cell) trust(w *worker, eff *Effects) {
 	lifted := w.health.quarantined
 	w.health = health{trusted: true}
 	if lifted {
--- a/core/lifecycle/groups_test.go
+++ b/core/lifecycle/groups_test.go
@@ -188,7 +188,7 @@
 		next.c.Replay(r)
 	}
 	next.apply(next.c.Recover(next.now, false, nil))
-	next.apply(next.c.Claimed(next.now, "w", "p1", Report{Token: "token"}))
+	next.apply(next.c.Claimed(next.now, "w", next.c.ClaimSeq(), "p1", Report{Token: "token"}))
 	next.cmds = nil
 	next.apply(next.c.SetMembers(next.now, []Member{{ID: "w", Pool: "p", Capacity: capacity}}))
 	put := PutWorker{Worker: placement.Worker{ID: "w", Pool: "p", Labels: []string{}, Capacity: capacity}}
@@ -276,6 +276,7 @@
 	next.claim("w", Report{Active: []Active{{Run: runs}}})
 	require.Equal(t, []ident.TaskID{taskOf(id, 0, 2)}, next.queuedWith(), "the task that the worker no longer runs")
 	require.True(t, next.c.Recovering(), "task %v may still run on the worker that does not answer", left.Task)
+	next.c.CallFailed("gone")
 	next.now = next.now.Add(LeaseDuration + LeaseMargin)
 	next.ends("w")
 	next.cmds = nil
--- a/core/lifecycle/report.go
+++ b/core/lifecycle/report.go
@@ -10,27 +10,34 @@
 
 func (c *Cell) takeReport(now time.Time, w *worker, seq uint64, incarnation string, r Report, eff *Effects) {
 	w.contactAt = now
+	w.unanswered = false
 	w.incarnation = incarnation
 	c.takeToken(now, w, r)
 	if size := w.size(r.Capacity); w.silent || w.capacity != size {
 		w.silent = false
 		w.capacity = size
+		c.schedule(w)
 		c.putWorker(w, eff)
 		c.reviveImpossible(now)
 	}
 	for _, e := range r.Ended {
 		c.attemptEnded(now, w, e, eff)
 	}
+	completed := w.partial && !r.Partial
+	w.partial = r.Partial
 	c.compareActive(now, w, seq, r.Active, eff)
+	if completed {
+		c.releaseLeftOn(now, w.member.ID, eff)
+		c.finishRecovery(now, eff)
+	}
 }
 
 // compareActive stops what should not run, and finds attempts that are gone without a result.
 func (c *Cell) compareActive(now time.Time, w *worker, seq uint64, active []Active, eff *Effects) {
-	seen := make(map[Run]struct{}, len(active))
 	var stops []Run
-	var observed []placement.Observation
+	observed := make([]placement.Observation, 0, len(active))
+	c.reports++
 	for _, a := range active {
-		seen[a.Run] = struct{}{}
 		t := w.runs[a.Task]
 		switch {
 		case t == nil || t.run.Attempt != a.Attempt:
@@ -39,17 +46,18 @@
 		case c.repeatStop(now, t.run):
 			stops = append(stops, a.Run)
 		}
+		c.noteProven(now, w, t.run, eff)
+		t.run.listedIn = c.reports
 		c.repeatThrottle(t, eff)
 		observed = c.observe(now, t, a, observed, eff)
 	}
-	for _, t := range w.sortedRuns() {
+	for _, t := range w.unlisted(c.reports, seq) {
 		r := t.run
-		if _, ok := seen[r.Run]; ok || r.confirmedSeq >= seq {
-			continue
-		}
 		switch {
 		case r.phase == phaseActive || r.phase == phaseEvicting:
-			c.lose(now, t, eff)
+			if !w.partial {
+				c.lose(now, t, eff)
+			}
 		case c.repeatStop(now, r):
 			stops = append(stops, r.Run)
 		}
@@ -62,6 +70,19 @@
 	}
 }
 
+// unlisted returns the tasks of a worker that a report does not list although it was asked for after they were confirmed,
+// in a fixed order.
+func (w *worker) unlisted(report, seq uint64) []*task {
+	var tasks []*task
+	for _, t := range w.runs {
+		if t.run.listedIn != report && t.run.confirmedSeq < seq {
+			tasks = append(tasks, t)
+		}
+	}
+	sortTasks(tasks)
+	return tasks
+}
+
 // repeatStop reports whether a stop is to be sent again, because the last one was answered a while ago.
 func (c *Cell) repeatStop(now time.Time, r *run) bool {
 	if r.phase != phaseStopping || r.stopping || now.Sub(r.stoppedAt) < c.policy.StopRepeat {
--- a/core/lifecycle/restore.go
+++ b/core/lifecycle/restore.go
@@ -262,6 +262,11 @@
 	var eff Effects
 	regained := c.doubt && full
 	c.doubt = !full
+	if regained {
+		for _, w := range c.workers {
+			c.schedule(w)
+		}
+	}
 	if regained && !c.recovering {
 		for _, w := range c.sortedWorkers() {
 			if w.claimed && w.leaving() {
@@ -285,7 +290,7 @@
 
 // finishRecovery releases the held tasks once none of them can run unseen.
 func (c *Cell) finishRecovery(now time.Time, eff *Effects) {
-	if !c.recovering || c.doubt {
+	if !c.recovering || c.doubt || c.awaitsInventories() {
 		return
 	}
 	lapsed := !c.recoverFrom.IsZero() && !now.Before(c.recoverFrom.Add(c.policy.lapse()))
@@ -314,6 +319,16 @@
 	}
 }
 
+// awaitsInventories reports whether the inventory of a worker is on its way, waits to be taken over, or is not complete.
+func (c *Cell) awaitsInventories() bool {
+	for _, w := range c.workers {
+		if w.claimed && w.partial || !w.claimed && !w.unanswered {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *Cell) runningOf(t *task) placement.Running {
 	return placement.Running{
 		Pending:        c.pending(t),
--- a/core/lifecycle/worker.go
+++ b/core/lifecycle/worker.go
@@ -28,9 +28,17 @@
 	tokenAt     time.Time
 	sentTokenAt time.Time
 	contactAt   time.Time
-	runs        map[ident.TaskID]*task
-	acks        map[Run]struct{}
-	health      health
+	// unanswered is set while the latest call for a report has failed. A worker is given up only then: an answer that has
+	// arrived and waits for its turn, or a call in progress, may tell that a task has ended.
+	unanswered bool
+	// partial is set while more attempts may have ended than the reports have listed.
+	partial bool
+	runs    map[ident.TaskID]*task
+	acks    map[Run]struct{}
+	health  health
+	// tickAt is not after the time at which Tick has something to do for the worker; tickPos is its place in the queue.
+	tickAt  time.Time
+	tickPos int
 }
 
 // SyncRequest is what the owner sends in a sync.
@@ -112,9 +120,10 @@
 
 func (c *Cell) addWorker(m Member) *worker {
 	w := &worker{
-		member: m,
-		runs:   make(map[ident.TaskID]*task),
-		acks:   make(map[Run]struct{}),
+		member:  m,
+		runs:    make(map[ident.TaskID]*task),
+		acks:    make(map[Run]struct{}),
+		tickPos: notQueued,
 	}
 	c.workers[m.ID] = w
 	c.sorted = nil
@@ -180,6 +189,7 @@
 		Leaving:     w.leaving(),
 		Quarantined: w.health.quarantined || w.silent,
 		Probe:       w.health.probing && !w.silent,
+		LastResort:  w.health.quarantined && !w.silent,
 	}})
 	if !added {
 		return
@@ -199,11 +209,8 @@
 	}
 	c.seq++
 	req = SyncRequest{Token: w.token, Seq: c.seq}
-	for _, t := range w.sortedRuns() {
-		// A stopping attempt is not renewed, so that it ends with its lease if the stop never arrives.
-		if t.run.phase != phaseLogging && t.run.phase != phaseStopping {
-			req.Renewals = append(req.Renewals, t.run.Run)
-		}
+	if !c.policy.RenewsWhole {
+		req.Renewals = w.renewals()
 	}
 	for r := range w.acks {
 		req.Acks = append(req.Acks, r)
@@ -212,24 +219,69 @@
 	return req, true
 }
 
+// renewals lists the attempts whose leases are to be renewed.
+func (w *worker) renewals() []Run {
+	runs := make([]Run, 0, len(w.runs))
+	for _, t := range w.sortedRuns() {
+		// A stopping attempt is not renewed, so that it ends with its lease if the stop never arrives.
+		if t.run.phase != phaseLogging && t.run.phase != phaseStopping {
+			runs = append(runs, t.run.Run)
+		}
+	}
+	return runs
+}
+
+// CallAnswered notes that a claim or a sync of a worker was answered. It is called when the answer arrives, which may be
+// long before the report in it is taken over.
+func (c *Cell) CallAnswered(id ident.WorkerID) {
+	c.noteCall(id, false)
+}
+
+// CallFailed notes that a claim or a sync of a worker was not answered.
+func (c *Cell) CallFailed(id ident.WorkerID) {
+	c.noteCall(id, true)
+}
+
+func (c *Cell) noteCall(id ident.WorkerID, unanswered bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if w, ok := c.workers[id]; ok && w.unanswered != unanswered {
+		w.unanswered = unanswered
+		c.schedule(w)
+	}
+}
+
 // AwaitsLog reports whether the worker listed ends of which no record is durable yet and none can be acknowledged.
 func (c *Cell) AwaitsLog(id ident.WorkerID) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	w, ok := c.workers[id]
-	if !ok || len(w.acks) > 0 {
-		return false
-	}
-	for _, end := range c.unlogged {
-		if end.worker == id {
-			return true
-		}
+	return ok && len(w.acks) == 0 && c.unloggedOn[id] > 0
+}
+
+// awaitLog notes an end whose record is on its way into the log.
+func (c *Cell) awaitLog(r Run, end unloggedEnd) {
+	c.unlogged[r] = end
+	c.unloggedOn[end.worker]++
+}
+
+// leaveLog forgets on which worker an end without a durable record happened.
+func (c *Cell) leaveLog(id ident.WorkerID) {
+	if c.unloggedOn[id]--; c.unloggedOn[id] <= 0 {
+		delete(c.unloggedOn, id)
 	}
-	return false
 }
 
-// Claimed takes over the inventory of a worker that accepted the epoch of this owner.
-func (c *Cell) Claimed(now time.Time, id ident.WorkerID, incarnation string, report Report) Effects {
+// ClaimSeq returns the sequence number of a claim that is about to be sent.
+func (c *Cell) ClaimSeq() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seq++
+	return c.seq
+}
+
+// Claimed takes over the inventory of a worker that accepted the epoch of this owner with the claim of the given number.
+func (c *Cell) Claimed(now time.Time, id ident.WorkerID, seq uint64, incarnation string, report Report) Effects {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var eff Effects
@@ -238,9 +290,8 @@
 		return eff
 	}
 	if w.claimed {
-		// The worker restarted: what it ran before is gone.
-		c.seq++
-		c.takeReport(now, w, c.seq, incarnation, report, &eff)
+		// The worker restarted or has moved. What it ran before the claim and does not list is gone.
+		c.takeReport(now, w, seq, incarnation, report, &eff)
 		return eff
 	}
 	w.claimed = true
@@ -248,6 +299,8 @@
 	w.silent = false
 	w.incarnation = incarnation
 	w.contactAt = now
+	w.unanswered = false
+	c.schedule(w)
 	c.takeToken(now, w, report)
 	// Leases of adopted tasks were renewed by the predecessor with tokens that this owner has not seen, but none
 	// newer than the one issued by the claim.
@@ -271,7 +324,10 @@
 	if len(orphans) > 0 {
 		eff.do(StopTasks{Worker: id, Runs: orphans})
 	}
-	c.releaseLeftOn(now, id, &eff)
+	w.partial = report.Partial
+	if !w.partial {
+		c.releaseLeftOn(now, id, &eff)
+	}
 	c.finishRecovery(now, &eff)
 	return eff
 }
@@ -329,8 +385,7 @@
 	return eff
 }
 
-// sortedWorkers lists the workers by id. The list does not change while a caller goes through it. It is kept, because
-// each event of the cell needs it.
+// sortedWorkers lists the workers by id. The list does not change while a caller goes through it.
 func (c *Cell) sortedWorkers() []*worker {
 	if c.sorted != nil {
 		return c.sorted
@@ -339,19 +394,25 @@
 	for _, w := range c.workers {
 		all = append(all, w)
 	}
-	slices.SortFunc(all, func(a, b *worker) int {
-		return strings.Compare(string(a.member.ID), string(b.member.ID))
-	})
+	slices.SortFunc(all, compareWorkers)
 	c.sorted = all
 	return all
 }
 
+func compareWorkers(a, b *worker) int {
+	return strings.Compare(string(a.member.ID), string(b.member.ID))
+}
+
 // sortedRuns returns the tasks of a worker in a fixed order, so that equal events give equal commands.
 func (w *worker) sortedRuns() []*task {
 	all := make([]*task, 0, len(w.runs))
 	for _, t := range w.runs {
 		all = append(all, t)
 	}
-	slices.SortFunc(all, func(a, b *task) int { return compareTasks(a.id, b.id) })
+	sortTasks(all)
 	return all
 }
+
+func sortTasks(tasks []*task) {
+	slices.SortFunc(tasks, func(a, b *task) int { return compareTasks(a.id, b.id) })
+}
--- a/core/placement/cell.go
+++ b/core/placement/cell.go
@@ -59,6 +59,7 @@
 	priced     []priced
 	giving     taking
 	loads      []Load
+	unseenUses []unseenUse
 	// images numbers the images of tasks in the order of their first use, and quiet holds by that number the usual tail of
 	// serving tasks without fillers, as a part of the target.
 	images map[string]int
@@ -307,6 +308,17 @@
 	}
 }
 
+// Queued counts the tasks that wait for a worker.
+func (c *Cell) Queued() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	queued := 0
+	for _, cl := range c.shares.classes {
+		queued += cl.queued
+	}
+	return queued
+}
+
 // Booked returns what is booked on a worker.
 func (c *Cell) Booked(id ident.WorkerID) resource.Vector {
 	c.mu.Lock()
--- a/daemon/host.go
+++ b/daemon/host.go
@@ -214,6 +214,7 @@
 		Ownership:     h.ownershipConfig(),
 		PeerAddress:   h.settings.Advertised(),
 		CallerAddress: h.settings.CallerAddress,
+		MilliCPU:      int64(h.settings.MilliCPU),
 		Seeds:         h.settings.Seeds,
 		Store:         h.agreed,
 		Transport:     peergrpc.NewGossipClient(h.self, h.pool),
@@ -240,6 +241,7 @@
 		NewPlanner:     h.newPlanner,
 		CommitInterval: commitInterval(h.settings.Cells),
 		Logger:         h.log.Logger,
+		Meter:          newOwnerMeter(h.metrics),
 	}, table.New(0, nil))
 	router := &cellRouter{
 		self:      h.self,
--- a/daemon/jobhost.go
+++ b/daemon/jobhost.go
@@ -84,6 +84,8 @@
 	members *members
 	jobs    *jobs.Service
 	fleet   *fleet
+	// outside holds the workers that are in no cell; only the goroutine that follows the workers uses it.
+	outside map[ident.WorkerID]ident.DataCentre
 
 	health   health
 	hasTable atomic.Bool
@@ -154,6 +156,7 @@
 		Cells:          h.settings.Cells,
 		Logger:         h.log.Logger,
 		Journal:        h.ports.Journal,
+		Meter:          newOwnerMeter(h.metrics),
 		Latency: func(class ident.ClassName, took time.Duration) {
 			h.metrics.Histogram("job_ms", telemetry.Label{Name: "class", Value: string(class)}).Update(took.Milliseconds())
 		},
@@ -292,15 +295,7 @@
 
 // takeWorkers divides the workers over the cells.
 func (h *JobHost) takeWorkers(list []lifecycle.Member) {
-	next := &hosts{workers: make(map[ident.CellID][]lifecycle.Member)}
-	for _, m := range list {
-		id, ok := h.cellMap.Cell(h.settings.Regions[m.DataCentre], m.Rack)
-		if !ok {
-			h.log.WithFields(logrus.Fields{"worker": m.ID, "data_centre": m.DataCentre}).Warn("a worker is in no cell")
-			continue
-		}
-		next.workers[id] = append(next.workers[id], m)
-	}
+	next := h.divide(list)
 	h.fleet.current.Store(next)
 	for _, id := range CellIDs(h.settings.Cells) {
 		h.jobs.SetMembers(id, next.workers[id])
@@ -308,6 +303,24 @@
 	h.metrics.Gauge("workers_listed").Update(int64(len(list)))
 }
 
+// divide logs a worker that is in no cell once and not with each later change of any worker.
+func (h *JobHost) divide(list []lifecycle.Member) *hosts {
+	next := &hosts{workers: make(map[ident.CellID][]lifecycle.Member)}
+	outside := make(map[ident.WorkerID]ident.DataCentre)
+	for _, m := range list {
+		if id, ok := h.cellMap.Cell(h.settings.Regions[m.DataCentre], m.Rack); ok {
+			next.workers[id] = append(next.workers[id], m)
+			continue
+		}
+		outside[m.ID] = m.DataCentre
+		if before, known := h.outside[m.ID]; !known || before != m.DataCentre {
+			h.log.WithFields(logrus.Fields{"worker": m.ID, "data_centre": m.DataCentre}).Warn("a worker is in no cell")
+		}
+	}
+	h.outside = outside
+	return next
+}
+
 // publish gossips the cells of this host and copies the counters of the services into the metrics.
 func (h *JobHost) publish() {
 	var local cluster.Local
@@ -317,6 +330,7 @@
 	h.cluster.SetLocal(local)
 	exportCluster(h.metrics, h.cluster, h.settings.Cells)
 	exportJobs(h.metrics, h.jobs.Stats())
+	exportLoad(h.metrics, h.jobs.Load())
 }
 
 // grantChanged returns the listener that starts and ends the work in cells.
@@ -338,6 +352,19 @@
 	}
 }
 
+// leaveAndClose hands the cells over by leave and ends the calls of callers by shutdown once notice is over, also if the
+// cells are handed over slowly: a call that is taken shortly before the process ends would be cut off unanswered.
+func leaveAndClose(ctx context.Context, notice <-chan time.Time, leave, shutdown func(context.Context) error) error {
+	left := make(chan error, 1)
+	go func() { left <- leave(ctx) }()
+	select {
+	case <-notice:
+	case <-ctx.Done():
+	}
+	err := shutdown(ctx)
+	return errors.Join(err, <-left)
+}
+
 // drain stops the host as planned: it reports that it stops, hands its cells over, and finishes the calls of callers.
 func (h *JobHost) drain() error {
 	h.health.set(phaseDraining)
@@ -346,12 +373,7 @@
 	defer cancel()
 	notice := time.NewTimer(unhealthyNotice)
 	defer notice.Stop()
-	err := h.cluster.Leave(ctx)
-	select {
-	case <-notice.C:
-	case <-ctx.Done():
-	}
-	err = errors.Join(err, h.callers.shutdown(ctx))
+	err := leaveAndClose(ctx, notice.C, h.cluster.Leave, h.callers.shutdown)
 	h.peers.Stop()
 	for _, s := range []*httpServer{h.callers, h.status, h.counters} {
 		_ = s.server.Close()
--- a/load/operation.go
+++ b/load/operation.go
@@ -7,8 +7,10 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/bulrushrelay/bulrushrelay/history"
@@ -20,6 +22,8 @@
 	verdictMayHaveRun = "may-have-run"
 	// operationPrefix precedes the operation in the body of a request. The stand-in target repeats the body in its answer.
 	operationPrefix = "operation="
+	// maxReason bounds the bytes of a refusal that are recorded.
+	maxReason = 240
 )
 
 // operate runs one operation to its end: attempts with the same key until it is answered or the attempts are used up.
@@ -30,6 +34,7 @@
 		id:      fmt.Sprintf("%s%s-%d", g.options.ID, c.Name, g.next.Add(1)),
 		class:   c,
 		service: time.Duration(random.ExpFloat64() * float64(c.Service)),
+		client:  g.client,
 	}
 	if !c.Idempotent {
 		key, err := g.keys.take(ctx)
@@ -81,6 +86,8 @@
 	key   string
 	// service is the time that the target is asked to take.
 	service time.Duration
+	// client sends the requests.
+	client *http.Client
 }
 
 // body returns the body of the requests of the operation: its name, padded to the size of the class.
@@ -101,7 +108,13 @@
 
 type attemptResult struct {
 	// unsent is set if no connection was made: the verdict is then the caller's own and not that of a relay host.
-	unsent     bool
+	unsent bool
+	// open is set if the connection had served another request before.
+	open bool
+	// broken is set if the request was sent and no answer came.
+	broken bool
+	// reason is what a refusal or an error said.
+	reason     string
 	verdict    string
 	retryAfter time.Duration
 }
@@ -117,17 +130,26 @@
 		said = history.VerdictUnsent
 	}
 	g.options.Recorder.Add(history.Event{
-		Kind: history.CallAnswered, Operation: op.id, Attempt: attempt, Verdict: said, Answer: answer,
+		Kind: history.CallAnswered, Operation: op.id, Attempt: attempt, Verdict: said, Answer: answer, Open: result.open, Broken: result.broken, Reason: result.reason,
 	})
 	return result
 }
 
 // send returns the verdict, and the operation named by the answer. Without a verdict of the service the caller only
 // knows that its request may have run.
-func (g *Generator) send(ctx context.Context, op *operation, host string) (attemptResult, string) {
-	unknown := attemptResult{verdict: verdictMayHaveRun}
+func (g *Generator) send(ctx context.Context, op *operation, host string) (result attemptResult, answer string) {
+	unknown := attemptResult{verdict: verdictMayHaveRun, broken: true}
 	ctx, cancel := context.WithTimeout(ctx, op.class.Timeout+5*time.Second)
 	defer cancel()
+	var last atomic.Pointer[use]
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) {
+		u := &use{open: c.Reused}
+		if conn, ok := c.Conn.(*callerConn); ok {
+			u.conn, u.before = conn, conn.written.Load()
+		}
+		last.Store(u)
+	}})
+	defer func() { result.open = last.Load() != nil && last.Load().open }()
 	url := fmt.Sprintf("%s/v1/run/%s/work?service=%s", g.options.Hosts[host], op.class.Name, op.service)
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(op.body()))
 	if err != nil {
@@ -142,21 +164,27 @@
 	}
 	g.running[host].Add(1)
 	defer g.running[host].Add(-1)
-	response, err := g.client.Do(r)
-	if notConnected(err) {
-		return attemptResult{verdict: verdictNotRun, unsent: true}, ""
+	response, err := op.client.Do(r)
+	if notConnected(err) || (err != nil && last.Load().unwritten()) {
+		return attemptResult{verdict: verdictNotRun, unsent: true, reason: err.Error()}, ""
 	}
 	if err != nil {
 		g.results[op.class.Name].noAnswer.Add(1)
+		unknown.reason = err.Error()
 		return unknown, ""
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
 		g.results[op.class.Name].noAnswer.Add(1)
+		unknown.reason = err.Error()
 		return unknown, ""
 	}
 	v := g.verdictOf(response)
 	seconds, _ := strconv.Atoi(response.Header.Get("Retry-After"))
-	return attemptResult{verdict: v, retryAfter: time.Duration(seconds) * time.Second}, answeredOperation(string(body))
+	result = attemptResult{verdict: v, retryAfter: time.Duration(seconds) * time.Second}
+	if v != verdictRan {
+		result.reason = string(body[:min(len(body), maxReason)])
+	}
+	return result, answeredOperation(string(body))
 }
--- a/relay/jobs/calls.go
+++ b/relay/jobs/calls.go
@@ -81,6 +81,11 @@
 			}
 			continue
 		}
+		select {
+		case <-acked:
+			// Told of an earlier record.
+		default:
+		}
 		if o.cell.AwaitsLog(m.ID) {
 			// The worker lists an end until it is acknowledged, so that a sync before that would return at once.
 			o.awaitAck(ctx, acked)
@@ -130,18 +135,34 @@
 	}
 }
 
+// wakeSyncs wakes the syncs that wait for a record of an end on their worker.
+func (o *owner) wakeSyncs(workers []ident.WorkerID) {
+	for _, id := range workers {
+		c, ok := o.conns[id]
+		if !ok {
+			continue
+		}
+		select {
+		case c.acked <- struct{}{}:
+		default:
+		}
+	}
+}
+
 func (o *owner) claim(ctx context.Context, m lifecycle.Member) bool {
 	pause := firstRetry
 	for ctx.Err() == nil {
 		if o.authority() != ownership.None {
+			seq := o.cell.ClaimSeq()
 			call, cancel := context.WithTimeout(ctx, callTimeout)
 			c := o.cfg.Workers.Claim(call, m, o.cellID, o.epoch)
 			cancel()
+			o.noteReport(ctx, m, c.Answer)
 			if c.Outcome == lifecycle.Applied {
 				o.note(EventWorkerClaimed, Fields{
 					FieldWorker: m.ID, FieldLife: c.Incarnation, FieldRunning: len(c.Report.Active), FieldEnded: len(c.Report.Ended),
 				})
-				return o.call(ctx, func() { o.apply(o.cell.Claimed(o.now(), m.ID, c.Incarnation, c.Report)) })
+				return o.call(ctx, func() { o.apply(o.cell.Claimed(o.now(), m.ID, seq, c.Incarnation, c.Report)) })
 			}
 			if c.Reason == lifecycle.ReasonFenced {
 				o.replaced("worker " + string(m.ID) + " was claimed with a higher epoch")
@@ -160,7 +181,10 @@
 func (o *owner) sync(ctx context.Context, m lifecycle.Member, req lifecycle.SyncRequest) bool {
 	call, cancel := context.WithTimeout(ctx, o.cfg.SyncWait+callTimeout)
 	defer cancel()
+	o.syncing.Add(1)
 	c := o.cfg.Workers.Sync(call, m, o.epoch, req, o.cfg.SyncWait)
+	o.syncing.Add(-1)
+	o.noteReport(ctx, m, c.Answer)
 	if c.Reason == lifecycle.ReasonFenced {
 		o.replaced("worker " + string(m.ID) + " was claimed with a higher epoch")
 		return false
@@ -176,6 +200,17 @@
 	})
 }
 
+// noteReport tells the cell at once whether a worker answered: the event that takes the report over may wait for its turn
+// for longer than a lease lasts.
+func (o *owner) noteReport(ctx context.Context, m lifecycle.Member, a lifecycle.Answer) {
+	switch {
+	case a.Outcome == lifecycle.Applied:
+		o.cell.CallAnswered(m.ID)
+	case ctx.Err() == nil:
+		o.cell.CallFailed(m.ID)
+	}
+}
+
 // enqueueCall adds a command for a worker and sends it if the bound allows.
 func (o *owner) enqueueCall(id ident.WorkerID, command lifecycle.Command) {
 	c, ok := o.conns[id]
@@ -184,6 +219,7 @@
 		return
 	}
 	c.outbox = append(c.outbox, command)
+	o.unsent.Add(1)
 	o.pump(c)
 }
 
@@ -195,6 +231,7 @@
 			return
 		}
 		c.outbox = c.outbox[1:]
+		o.unsent.Add(-1)
 		c.inFlight++
 		if throttles {
 			c.throttling++
@@ -242,6 +279,9 @@
 		ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
 		defer cancel()
 		a := o.cfg.Workers.Stop(ctx, m, o.epoch, c.Runs)
+		if a.Outcome == lifecycle.Applied {
+			o.cell.CallAnswered(m.ID)
+		}
 		o.noteFence(m, a.Answer)
 		return func() lifecycle.Effects {
 			return o.cell.StopAnswered(o.now(), m.ID, c.Runs, a.Answer, a.Incarnation, a.Ends)
@@ -270,10 +310,10 @@
 	return func() lifecycle.Effects { return lifecycle.Effects{} }
 }
 
-// sendStart sends a start only under full authority. A pause between this check and the call is covered by the token,
-// which the worker refuses after 10 s.
+// sendStart sends a start only under full authority, and only if it is still wanted: it may have waited for earlier calls
+// to the worker. A pause between these checks and the call is covered by the token, which the worker refuses after 10 s.
 func (o *owner) sendStart(m lifecycle.Member, c lifecycle.StartTask) lifecycle.Answer {
-	if o.authority() != ownership.Full {
+	if o.authority() != ownership.Full || !o.cell.WantsStart(m.ID, c.Run) {
 		return unsent
 	}
 	ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
--- a/relay/jobs/log.go
+++ b/relay/jobs/log.go
@@ -22,8 +22,9 @@
 	// lazyDelay bounds how long a checkpoint waits for other records to share their commit. Losing the record loses
 	// some progress only.
 	lazyDelay = 5 * time.Second
-	// maxBatchBytes leaves room for the marker below store.MaxValueBytes.
-	maxBatchBytes = store.MaxValueBytes - 64<<10
+	// maxBatchBytes bounds what a write sends. A write that takes longer than storeTimeout is repeated as it is, so that one
+	// of store.MaxValueBytes would never get through where a second of a thin link is left for it.
+	maxBatchBytes = 128 << 10
 	// maxQueueBytes bounds the records that wait while the store is down; new jobs are refused above it.
 	maxQueueBytes = 32 << 20
 	// snapshotAfter log entries a snapshot is written and the log truncated.
@@ -37,8 +38,9 @@
 
 // item is a record on its way into the log.
 type item struct {
-	record lifecycle.Record
-	size   int
+	record   lifecycle.Record
+	size     int
+	queuedAt time.Time
 	// done is closed when the record is durable or withdrawn; durable says which.
 	done    chan struct{}
 	durable bool
@@ -59,11 +61,14 @@
 	committed func([]lifecycle.Record)
 	snapshot  func() (lifecycle.Snapshot, bool)
 	lost      func(why string)
+	meter     Meter
 
 	// mu guards the queue, which callers fill and the writer empties.
 	mu    sync.Mutex
 	queue []*item
 	bytes int
+	// last is the record that was queued last.
+	last *item
 	// failingSince is when the commit in progress failed first; zero if the last one succeeded.
 	failingSince time.Time
 	// busy is set while the writer has a batch that is not resolved.
@@ -87,30 +92,18 @@
 	garbage   []string
 }
 
-func ownKey(cell ident.CellID) string  { return fmt.Sprintf("/own/%d", cell) }
-func headKey(cell ident.CellID) string { return fmt.Sprintf("/cell/%d/snap", cell) }
-func logPrefix(c ident.CellID) string  { return fmt.Sprintf("/cell/%d/log/", c) }
-func partPrefix(c ident.CellID) string { return fmt.Sprintf("/cell/%d/part/", c) }
-
-// The sequence number is padded so that keys sort in its order.
-func logKey(cell ident.CellID, seq uint64) string {
-	return fmt.Sprintf("%s%020d", logPrefix(cell), seq)
-}
-
-func partKey(cell ident.CellID, id string, n int) string {
-	return fmt.Sprintf("%s%s/%06d", partPrefix(cell), id, n)
-}
-
 // append queues records and returns their items.
 func (l *cellLog) append(records []lifecycle.Record) []*item {
 	items := make([]*item, len(records))
+	now := time.Now()
 	for i, r := range records {
-		items[i] = &item{record: r, size: l.codec.RecordSize(r), done: make(chan struct{})}
+		items[i] = &item{record: r, size: l.codec.RecordSize(r), queuedAt: now, done: make(chan struct{})}
 	}
 	l.mu.Lock()
 	for _, it := range items {
 		l.queue = append(l.queue, it)
 		l.bytes += it.size
+		l.last = it
 	}
 	shareWait := l.shareWait(records)
 	if shareWait > 0 {
@@ -230,34 +223,6 @@
 	l.dropAbandoned()
 }
 
-// empty reports whether every record is durable.
-func (l *cellLog) empty() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.queue) == 0 && !l.busy
-}
-
-// flush waits until every queued record is durable.
-func (l *cellLog) flush(ctx context.Context) error {
-	l.mu.Lock()
-	if len(l.queue) == 0 && !l.busy {
-		l.mu.Unlock()
-		return nil
-	}
-	if l.idle == nil {
-		l.idle = make(chan struct{})
-	}
-	idle := l.idle
-	l.mu.Unlock()
-	l.writeNow()
-	select {
-	case <-idle:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // run writes until ctx ends or the owner is replaced.
 func (l *cellLog) run(ctx context.Context) {
 	defer close(l.ended)
@@ -387,6 +352,7 @@
 	l.seq++
 	l.sinceSnap++
 	l.committed(records)
+	l.meter.Durable(longestQueued(time.Now(), batch))
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.busy = false
--- a/relay/jobs/owner.go
+++ b/relay/jobs/owner.go
@@ -40,8 +40,11 @@
 
 	ctx     context.Context
 	cancel  context.CancelFunc
-	mailbox chan func()
-	wg      sync.WaitGroup
+	mailbox chan event
+	// priority holds the events that must not wait behind the others: cancellations and what is durable. The loop takes
+	// events of both lanes in turn, so that neither holds the other up.
+	priority chan event
+	wg       sync.WaitGroup
 	// gone is set once the store or a worker proved that another owner has the cell.
 	gone     atomic.Bool
 	draining atomic.Bool
@@ -52,6 +55,11 @@
 
 	watch watchers
 
+	// waiting counts the events that wait for the loop, unsent the calls that wait in the outboxes, and syncing the syncs
+	// in progress. late is what lateness last decided.
+	waiting, unsent, syncing atomic.Int64
+	late                     atomic.Bool
+
 	// learnt is what is stored of what the planner has learnt. It belongs to recall and then to keepLearnt.
 	learnt []byte
 
@@ -62,39 +70,60 @@
 	cancelling map[ident.JobID]*item
 	planDirty  bool
 	// planMore is set while the planner has work left that it does between other events.
-	planMore   bool
-	plannedAt  time.Time
+	planMore  bool
+	plannedAt time.Time
+	// drainUntil is until when events that wait go before a Plan that is due.
+	drainUntil time.Time
 	recovered  bool
 	full       bool
 	confirmed  bool
 	shareShift uint8
 	isQuiet    bool
+	lateness   lifecycle.Lateness
+	// longestWait is the longest wait of an event in the present run of the loop.
+	longestWait time.Duration
+	// wakeAt is when the timer of the loop is due.
+	wakeAt time.Time
 	// quarantined holds the workers whose quarantine is noted.
 	quarantined map[ident.WorkerID]struct{}
 }
 
 // post runs f in the loop; false if the owner has stopped.
 func (o *owner) post(f func()) bool {
+	o.waiting.Add(1)
 	select {
-	case o.mailbox <- f:
+	case o.mailbox <- event{f, o.now()}:
 		return true
 	case <-o.ctx.Done():
+		o.waiting.Add(-1)
 		return false
 	}
 }
 
 // call runs f in the loop and waits for it; false proves that f has not run and never will.
 func (o *owner) call(ctx context.Context, f func()) bool {
+	return o.callOn(ctx, o.mailbox, f)
+}
+
+// callSoon is call for events of the priority lane.
+func (o *owner) callSoon(ctx context.Context, f func()) bool {
+	return o.callOn(ctx, o.priority, f)
+}
+
+func (o *owner) callOn(ctx context.Context, lane chan<- event, f func()) bool {
 	done := make(chan struct{})
 	wrapped := func() {
 		defer close(done)
 		f()
 	}
+	o.waiting.Add(1)
 	select {
-	case o.mailbox <- wrapped:
+	case lane <- event{wrapped, o.now()}:
 	case <-o.ctx.Done():
+		o.waiting.Add(-1)
 		return false
 	case <-ctx.Done():
+		o.waiting.Add(-1)
 		return false
 	}
 	select {
@@ -120,49 +149,68 @@
 	defer o.wg.Done()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	o.wakeAt = o.now()
 	for {
 		select {
-		case f := <-o.mailbox:
-			f()
-			o.drainMailbox()
+		case e := <-o.priority:
+			o.turn(o.now(), e)
+		case e := <-o.mailbox:
+			o.turn(o.now(), e)
 		case <-timer.C:
+			// A timer that fires late tells of a host that gets no processor time, also when no event waits.
+			o.longestWait = max(o.longestWait, o.now().Sub(o.wakeAt))
 		case <-o.ctx.Done():
 			close(o.ended)
 			o.stopConns()
 			return
 		}
+		o.drain()
 		o.checkAuthority()
 		o.apply(o.cell.Tick(o.now()))
 		o.plan()
-		changed := o.cell.TakeChanged()
-		o.noteFinished(changed)
-		o.watch.notify(changed)
+		o.noteFinished(o.cell.TakeFinished())
+		o.watch.notify(o.cell.TakeChanged())
 		o.checkQuiet()
-		timer.Reset(o.nextWake())
+		now := o.now()
+		o.noteLateness(now)
+		wake := o.nextWake(now)
+		o.wakeAt = now.Add(wake)
+		timer.Reset(wake)
 	}
 }
 
-// drainMailbox performs the events that wait already, so that planning happens once for all of them. It ends when the
-// planner is due: a wave of events must not delay it.
-func (o *owner) drainMailbox() {
+// drain performs the events that wait already, so that planning happens once for all of them. It ends when the planner is
+// due, because a wave of events must not delay it, but not before the events have had as much time as the last Plan took:
+// on a host without processor time a Plan takes longer than planInterval, and the planner is always due. One event of the
+// priority lane is performed in any case.
+func (o *owner) drain() {
 	for range mailboxSize {
-		if o.planDue(o.now()) {
+		now := o.now()
+		soon := o.performNext(now, o.priority)
+		if o.planDue(now) && !now.Before(o.drainUntil) {
 			return
 		}
-		select {
-		case f := <-o.mailbox:
-			f()
-		default:
+		if !o.performNext(now, o.mailbox) && !soon {
 			return
 		}
 	}
 }
 
-func (o *owner) nextWake() time.Duration {
+// performNext performs one event of a lane; false if none waits.
+func (o *owner) performNext(now time.Time, lane <-chan event) bool {
+	select {
+	case e := <-lane:
+		o.turn(now, e)
+		return true
+	default:
+		return false
+	}
+}
+
+func (o *owner) nextWake(now time.Time) time.Duration {
 	if o.planMore {
 		return 0
 	}
-	now := o.now()
 	d := authorityInterval
 	if next := o.cell.NextTick(); !next.IsZero() {
 		d = min(d, next.Sub(now))
@@ -252,6 +300,8 @@
 	o.planDirty = false
 	o.planMore = false
 	p := o.planner.Plan(now, planLimit)
+	ended := o.now()
+	o.drainUntil = ended.Add(ended.Sub(now))
 	o.stats.Planned.Add(int64(len(p.Starts)))
 	o.apply(o.cell.Planned(now, p))
 	o.planMore = p.More
@@ -313,7 +363,7 @@
 	o.stats.Commits.Add(1)
 	o.stats.Records.Add(int64(len(records)))
 	// The log writer waits, so that a caller who is told of the commit also sees its effect.
-	o.call(o.ctx, func() {
+	o.callSoon(o.ctx, func() {
 		o.apply(o.cell.Committed(o.now(), records))
 		now := o.now()
 		for _, r := range records {
@@ -325,19 +375,14 @@
 				delete(o.cancelling, typed.Job)
 			}
 		}
-		for _, c := range o.conns {
-			select {
-			case c.acked <- struct{}{}:
-			default:
-			}
-		}
+		o.wakeSyncs(o.cell.TakeAcked())
 	})
 }
 
 // takeSnapshot returns the state after every commit that was reported before.
 func (o *owner) takeSnapshot(clean bool) (lifecycle.Snapshot, bool) {
 	var s lifecycle.Snapshot
-	ok := o.call(o.ctx, func() { s = o.cell.Snapshot(o.now(), clean) })
+	ok := o.callSoon(o.ctx, func() { s = o.cell.Snapshot(o.now(), clean) })
 	return s, ok
 }
 
--- a/relay/jobs/service.go
+++ b/relay/jobs/service.go
@@ -54,6 +54,8 @@
 	// Journal takes the decisions of owners; nil drops them. Latency takes how long each finished job took; nil drops it.
 	Journal Journal
 	Latency func(class ident.ClassName, took time.Duration)
+	// Meter takes what owners measure of themselves; nil drops it.
+	Meter Meter
 	// Replaced is called when the store or a worker proves that another host owns a cell; it must not block.
 	Replaced func(cell ident.CellID, epoch ident.Epoch)
 }
@@ -88,9 +90,15 @@
 	if cfg.Policy == (lifecycle.Policy{}) {
 		cfg.Policy = lifecycle.DefaultPolicy()
 	}
+	if r, ok := cfg.Workers.(WholeRenewer); ok {
+		cfg.Policy.RenewsWhole = r.RenewsWhole()
+	}
 	if cfg.Journal == nil {
 		cfg.Journal = noJournal{}
 	}
+	if cfg.Meter == nil {
+		cfg.Meter = noMeter{}
+	}
 	if cfg.Latency == nil {
 		cfg.Latency = func(ident.ClassName, time.Duration) {}
 	}
@@ -153,6 +161,7 @@
 	o.apply(o.cell.Recover(o.now(), h.clean(), members))
 	// What the predecessor did is no change.
 	o.cell.TakeChanged()
+	o.cell.TakeFinished()
 	o.checkAuthority()
 	o.wg.Add(3)
 	go o.loop()
@@ -178,7 +187,8 @@
 		planner: s.cfg.NewPlanner(g.Cell, t),
 		logger:  s.cfg.Logger.WithFields(logrus.Fields{"cell": g.Cell, "epoch": g.Epoch}),
 		ctx:     ctx, cancel: cancel,
-		mailbox:    make(chan func(), mailboxSize),
+		mailbox:    make(chan event, mailboxSize),
+		priority:   make(chan event),
 		ended:      make(chan struct{}),
 		quiet:      make(chan struct{}),
 		conns:      make(map[ident.WorkerID]*conn),
@@ -192,6 +202,7 @@
 		store: s.cfg.Store, codec: s.cfg.Codec, cell: g.Cell, epoch: g.Epoch,
 		interval:  s.cfg.CommitInterval,
 		committed: o.onCommitted,
+		meter:     s.cfg.Meter,
 		snapshot:  func() (lifecycle.Snapshot, bool) { return o.takeSnapshot(false) },
 		lost:      o.replaced,
 		wake:      make(chan struct{}, 1),
@@ -260,12 +271,20 @@
 	return nil
 }
 
-// finish ends the loop and the log writer at a moment when every record is durable, and returns the state then.
+// finish ends the loop and the log writer at a moment when every record is durable, and returns the state then. Once
+// the store has answered, no report of a worker is taken any more: the ends in it would make records without end, and
+// the worker keeps them for the next owner.
 func (o *owner) finish(ctx context.Context) (lifecycle.Snapshot, error) {
 	var (
 		snapshot lifecycle.Snapshot
 		taken    bool
 	)
+	if err := o.log.settle(ctx); err != nil {
+		return snapshot, verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeDeadline, "drain cell %d: records", o.cellID)
+	}
+	if !o.call(ctx, o.stopConns) {
+		return snapshot, errStopped(o.cellID)
+	}
 	for !taken {
 		if err := o.log.flush(ctx); err != nil {
 			return snapshot, verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeDeadline, "drain cell %d: flush the log", o.cellID)
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -15,7 +15,8 @@
 // Step is one action of a schedule, at a time since the start of the load.
 type Step struct {
 	At time.Duration
-	// Words are an action of package action, or one of this package: replace HOST, flood CLASS RATE TIME, race N.
+	// Words are an action of package action, or one of this package: replace HOST, rolling HOST..., churn TIME INTERVAL,
+	// flood CLASS RATE TIME, race N.
 	Words []string
 }
 
@@ -49,10 +50,15 @@
 
 // Size is what a schedule can act on.
 type Size struct {
-	Hosts       []string
+	Hosts []string
+	// Strong are the hosts that are preferred as owners of cells.
+	Strong      []string
 	DataCentres []string
 	Targets     int
 	Workers     int
+	// Processes adds the failures that only processes with proxies between them have, and series of steps that overlap
+	// on one host.
+	Processes bool
 }
 
 const (
@@ -63,9 +69,11 @@
 	// their owners.
 	shortest = 300 * time.Millisecond
 	longest  = 14 * time.Second
-	// replaceTime is longer than a planned stop and a start.
-	replaceTime = 40 * time.Second
-	resolution  = 10 * time.Millisecond
+	// replaceTime is longer than a planned stop and a start, and pausedReplaceTime than those of a host that is paused
+	// meanwhile.
+	replaceTime       = 40 * time.Second
+	pausedReplaceTime = 60 * time.Second
+	resolution        = 10 * time.Millisecond
 )
 
 // generator makes a schedule. Each failure takes its resources for the time that it lasts.
@@ -75,17 +83,24 @@
 	steps  []Step
 	busy   map[string]time.Duration
 	now    time.Duration
+	// duration is that of the run.
+	duration time.Duration
 	// left counts the targets that leave for good.
 	left int
 }
 
 // Generate returns the schedule of a seed. All failures but crashes and leaving targets end before the duration is over.
 func Generate(seed uint64, duration time.Duration, size Size) []Step {
-	g := &generator{random: rand.New(rand.NewPCG(seed, 0)), size: size, busy: make(map[string]time.Duration), now: warmUp}
+	g := &generator{
+		random: rand.New(rand.NewPCG(seed, 0)), size: size, busy: make(map[string]time.Duration), now: warmUp, duration: duration,
+	}
 	kinds := []func(end time.Duration){
 		g.stopHost, g.stopHost, g.pauseHost, g.pauseHost, g.replaceHost, g.cutLinks, g.breakStore, g.breakStore,
 		g.breakTarget, g.breakTarget, g.leave, g.breakWorker, g.breakWorker, g.flood, g.cancel, g.race, g.race,
 	}
+	if size.Processes {
+		kinds = append(kinds, g.proxy, g.proxy, g.proxy, g.proxy, g.hangUp, g.disturbStop, g.series, g.loseStrong, g.strengthen)
+	}
 	for {
 		g.now += min(4*meanPause, time.Duration(g.random.ExpFloat64()*float64(meanPause))).Round(resolution)
 		if g.now+shortest >= duration {
@@ -111,6 +126,14 @@
 	return true
 }
 
+// replaceTime returns how long a replacement holds its host.
+func (g *generator) replaceTime() time.Duration {
+	if g.size.Processes {
+		return pausedReplaceTime
+	}
+	return replaceTime
+}
+
 // host reserves a host. One host is left alone at any time, so that the deployment is never empty.
 func (g *generator) host(end time.Duration) (string, bool) {
 	down := 0
@@ -138,7 +161,7 @@
 }
 
 func (g *generator) replaceHost(time.Duration) {
-	if name, ok := g.host(g.now + replaceTime); ok {
+	if name, ok := g.host(g.now + g.replaceTime()); ok {
 		g.add(g.now, "replace", name)
 	}
 }
