--- a/relay/jobs/load.go
+++ b/relay/jobs/load.go
@@ -20,13 +20,6 @@
 func (noMeter) LoopDelay(time.Duration) {}
 func (noMeter) Durable(time.Duration)   {}
 
-// event is one step of the loop.
-type event struct {
-	run func()
-	// at is when the event was posted.
-	at time.Time
-}
-
 // Load is what waits in the cells of this host.
 type Load struct {
 	// Late counts the cells whose owner does not keep up with its events.
