Let a host relieve an owner only if it has twice its processor time

Groups of strength begin at powers of two: a host with 0.512 of a core took the cell from one with 0.511 four seconds after each of its restarts. The order of claims stays as it is.

--- a/core/ownership/rank.go
+++ b/core/ownership/rank.go
@@ -25,12 +25,17 @@
 	Leaving  bool
 }
 
-// strength groups hosts by their processor time: those within a factor of two of each other are equal, so that cells
-// spread over them.
+// strength groups hosts by their processor time, so that cells spread over those of a group. Each group begins at a power of
+// two thousandths of a core: hosts of a group differ by less than a factor of two, and hosts of adjacent groups may be similar.
 func (m Member) strength() int {
 	return bits.Len64(uint64(max(m.MilliCPU, 0)))
 }
 
+// relieves reports whether a host has at least twice the processor time of another one, whatever their groups.
+func (m Member) relieves(owner Member) bool {
+	return m.strength() > owner.strength() && m.MilliCPU/2 >= owner.MilliCPU
+}
+
 // Rank orders the members that may own the cell, most preferred first: members of the cell's data centre before all
 // others, then stronger hosts before weaker ones, and equal ones by rendezvous hashing, so that a change of one member
 // moves only that member's cells.
--- a/core/ownership/step.go
+++ b/core/ownership/step.go
@@ -253,7 +253,7 @@
 		return false
 	}
 	after := m.cfg.HandOverAfter
-	if ranked[0].strength() > m.self().strength() {
+	if ranked[0].relieves(m.self()) {
 		after = m.cfg.RelieveAfter
 	}
 	return !now.Before(m.firstSeen[ranked[0].Instance].Add(after))
--- a/core/ownership/strength_test.go
+++ b/core/ownership/strength_test.go
@@ -79,3 +79,15 @@
 	}
 	require.Empty(t, m.Step(at(7)))
 }
+
+// Guards against a host that is hardly stronger than the owner and takes the cell from it after each of its restarts: 511
+// and 512 thousandths of a core lie in different groups.
+func TestHostInTheNextGroupRelievesNobodyOfSimilarStrength(t *testing.T) {
+	m := owner("a")
+	m.cfg.HandOverAfter, m.cfg.RelieveAfter = 100*m.cfg.TTL, 5*time.Second
+	m.SetMembers([]Member{
+		{Instance: instance("a"), DataCentre: "dc", MilliCPU: 500},
+		{Instance: instance("b"), DataCentre: "dc", MilliCPU: 520},
+	}, at(1))
+	require.Empty(t, m.Step(at(7)))
+}
