Do not answer a cancellation as for an unknown job while its submission is in progress

The submission could wait in the loop, or its record for the store: the cancellation got not-found, and the job was accepted and ran. The cancellation now waits for the decision on the submission.

--- a/relay/jobs/api.go
+++ b/relay/jobs/api.go
@@ -157,6 +157,27 @@
 	if !ok || o.authority() == ownership.None {
 		return errStopped(id.Cell)
 	}
+	err := o.cancelJob(ctx, id)
+	if err == nil || verdict.From(err).Code != verdict.CodeNotFound {
+		return err
+	}
+	// The priority lane overtakes submissions, and an accepted job is known only once its record is durable.
+	var accepting *item
+	if !o.call(ctx, func() { accepting = o.accepting[id] }) {
+		return errCancelOpen(id)
+	}
+	if accepting != nil && !o.awaitDurable(ctx, accepting) {
+		return errCancelOpen(id)
+	}
+	return o.cancelJob(ctx, id)
+}
+
+// errCancelOpen says that a job that is being submitted may be accepted without its cancellation.
+func errCancelOpen(id ident.JobID) error {
+	return verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "the submission of job %s is not decided", id)
+}
+
+func (o *owner) cancelJob(ctx context.Context, id ident.JobID) error {
 	var (
 		it      *item
 		pending bool
--- /dev/null
+++ b/relay/jobs/cancel_test.go
@@ -0,0 +1,38 @@
+package jobs_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bulrushrelay/bulrushrelay/core/ident"
+	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
+)
+
+// Guards against a cancellation that overtakes the submission of its job: it is answered as for an unknown job, and the job
+// runs nevertheless.
+func TestCancellationDoesNotOvertakeTheSubmission(t *testing.T) {
+	slowScenario(t, 2, func(w *world, h *host, slow *slowness) {
+		time.Sleep(time.Second)
+		slow.next.Store(int64(time.Second))
+		h.svc.SetMembers(cell, w.labelled(1))
+		time.Sleep(100 * time.Millisecond)
+		// The owner is in Plan. An event of another kind, the submission and the cancellation wait for it, in this order.
+		h.svc.SetMembers(cell, w.labelled(2))
+		s := spec("batch", 4, "work=1s")
+		s.Number = 7
+		submitted := make(chan error, 1)
+		go func() {
+			_, err := h.svc.Submit(bg, cell, s)
+			submitted <- err
+		}()
+		time.Sleep(100 * time.Millisecond)
+		id := ident.ChosenJobID(cell, 7)
+		cancelled := h.svc.Cancel(bg, id)
+		require.NoError(t, <-submitted)
+		time.Sleep(time.Minute)
+		require.NoError(t, cancelled)
+		require.Equal(t, lifecycle.Cancelled, h.get(id).State)
+	})
+}
