Count how long an attempt has run from when it is known to run

The time counted from the decision to start it. A start that waited to be sent for 3 s lifted the quarantine of its worker at once, and a worker that failed such starts at once was not blamed.

--- a/core/lifecycle/attempt.go
+++ b/core/lifecycle/attempt.go
@@ -129,6 +129,7 @@
 	case Applied:
 		c.seq++
 		t.run.confirmedSeq = c.seq
+		t.run.seen(now)
 		t.ran(r.Attempt)
 		t.refusals = 0
 		if t.run.phase == phaseStarting {
--- a/core/lifecycle/failure.go
+++ b/core/lifecycle/failure.go
@@ -143,7 +143,7 @@
 		c.setState(now, t, Cancelled)
 		return
 	}
-	if e.End == EndFailed && now.Sub(r.startedAt) < provenAfter {
+	if e.End == EndFailed && r.ranFor(now) < provenAfter {
 		c.blame(now, w, t.job, eff)
 	}
 	t.checkpoint = Checkpoint{}
@@ -262,11 +262,26 @@
 // noteProven ends the quarantine of a worker on which an attempt goes on that was started in it: a lasting probe never ends,
 // and a filler may stand still.
 func (c *Cell) noteProven(now time.Time, w *worker, r *run, eff *Effects) {
-	if w.startedInQuarantine(r) && now.Sub(r.startedAt) >= provenAfter {
+	if w.startedInQuarantine(r) && r.ranFor(now) >= provenAfter {
 		c.trust(w, eff)
 	}
 }
 
+// seen notes that an attempt runs.
+func (r *run) seen(now time.Time) {
+	if r.seenAt.IsZero() {
+		r.seenAt = now
+	}
+}
+
+// ranFor returns how long an attempt is known to have run.
+func (r *run) ranFor(now time.Time) time.Duration {
+	if r.seenAt.IsZero() {
+		return 0
+	}
+	return now.Sub(r.seenAt)
+}
+
 // startedInQuarantine reports whether an attempt was started after its worker had been quarantined. A late end comes without
 // its attempt, so that this is not known.
 func (w *worker) startedInQuarantine(r *run) bool {
--- a/core/lifecycle/job.go
+++ b/core/lifecycle/job.go
@@ -99,6 +99,8 @@
 	phase     phase
 	booked    resource.Vector
 	startedAt time.Time
+	// seenAt is when the attempt was first known to run: its start may have waited to be sent. It is zero before.
+	seenAt time.Time
 	// incarnation is the worker process to which the start was sent.
 	incarnation string
 	// priorSent is maySent of the task before this attempt.
--- a/core/lifecycle/report.go
+++ b/core/lifecycle/report.go
@@ -46,6 +46,7 @@
 		case c.repeatStop(now, t.run):
 			stops = append(stops, a.Run)
 		}
+		t.run.seen(now)
 		c.noteProven(now, w, t.run, eff)
 		t.run.listedIn = c.reports
 		c.repeatThrottle(t, eff)
--- a/core/lifecycle/worker.go
+++ b/core/lifecycle/worker.go
@@ -355,7 +355,7 @@
 	t.ran(a.Attempt)
 	t.wait = WaitNone
 	t.run = &run{
-		Run: a.Run, worker: w.member.ID, phase: phaseActive, booked: a.Booked, startedAt: now,
+		Run: a.Run, worker: w.member.ID, phase: phaseActive, booked: a.Booked, startedAt: now, seenAt: now,
 		incarnation: w.incarnation, priorSent: true, confirmedSeq: c.seq,
 	}
 	if a.Checkpoint.ID != "" {
