Let only reasons that traces have shown pass beside a planned stop

Beside other failures, P8 let every whole answer pass whose reason did not name the stop, wider than the traces behind it. It names the reasons of the traces now: a target's connection that was reset, a peer without a reply, keys of unreachable issuers or unknown outcome. TestOtherCauseDuringAPlannedStop has an unknown reason, which fails.

--- a/history/check.go
+++ b/history/check.go
@@ -15,7 +15,7 @@
 	// Complete is set if the run ended by itself, so that evicted work must have resumed by the end of the record.
 	Complete bool
 	// OtherFailures is set if planned stops happened beside other failures. A request that was still without an answer at
-	// its caller's limit, or that got a whole answer with another reason than the stop, then does not count as cut off by
+	// its caller's limit, or that got a whole answer for a reason which traces have shown to be another failure, then does not count as cut off by
 	// the stop: another host, or a connection to a target, may have failed with it.
 	OtherFailures bool
 }
--- a/history/check_test.go
+++ b/history/check_test.go
@@ -125,13 +125,15 @@
 func TestOtherCauseDuringAPlannedStop(t *testing.T) {
 	whole := answered(1, "may-have-run")
 	whole.Reason = "the connection broke before the answer"
+	unknown := answered(1, "may-have-run")
+	unknown.Reason = "a reason that no trace has shown"
 	stopping := answered(1, "may-have-run")
 	stopping.Reason = "an earlier attempt under this key may have run: this host is draining"
 	for _, tc := range []struct {
 		answer Event
 		others bool
 		broken int
-	}{{whole, true, 0}, {whole, false, 1}, {stopping, true, 1}, {broken, true, 1}} {
+	}{{whole, true, 0}, {whole, false, 1}, {unknown, true, 1}, {stopping, true, 1}, {broken, true, 1}} {
 		bounds := DefaultBounds()
 		bounds.OtherFailures = tc.others
 		trace := at(sent(1, false), Event{Kind: DrainStarted, Host: "h1"}, tc.answer)
--- a/history/drain.go
+++ b/history/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 )
@@ -56,12 +57,22 @@
 // reasonStop is in the reason of an answer that a host gives because it is being stopped.
 const reasonStop = "draining"
 
+// otherReasons are in the reasons of answers that traces have shown to come from another failure than a planned stop beside
+// them: a connection to a target that was reset, a peer that was paused or cut off and failed the calls of all hosts at that
+// moment, and keys whose issuer was paused or whose entry host had no table yet.
+var otherReasons = []string{
+	"the connection broke before the answer", "no reply from peer", "under this key", "the issuer of the key", "the outcome",
+}
+
 // hasOtherCause reports whether the attempt has a cause of its own beside the stop, in a run with other failures: it had
-// reached its caller's limit, or it got a whole answer that gives another reason than the stop, such as a connection to a
-// target that was reset at that moment, or a table that its host did not have yet.
+// reached its caller's limit, or it got a whole answer that gives one of the other reasons, and not the stop.
 func (a *callAttempt) hasOtherCause() bool {
+	if a.reachedLimit() {
+		return true
+	}
 	said := a.answered.Reason
-	return a.reachedLimit() || (!a.answered.Broken && said != "" && !strings.Contains(said, reasonStop))
+	return !a.answered.Broken && !strings.Contains(said, reasonStop) &&
+		slices.ContainsFunc(otherReasons, func(r string) bool { return strings.Contains(said, r) })
 }
 
 // checkDrain checks P8: a request that reaches a host before its planned stop, or during it over an open connection, is
