Log when the time of day of a host is set

The decision log could not tell a planner whose time stands still from one that finds no worker: nothing said that the time of day had changed. Each host compares the time of day with the monotonic clock once a second.

--- a/daemon/jobhost.go
+++ b/daemon/jobhost.go
@@ -258,6 +258,7 @@
 		func(ctx context.Context) { h.ports.FollowTable(ctx, h.setTable) },
 		func(ctx context.Context) { h.ports.FollowWorkers(ctx, h.workerUpdateInterval, h.setWorkers) },
 		every(metricsInterval, h.publishState),
+		every(clockCheckInterval, newClockMonitor(h.log, h.metrics).check),
 	} {
 		group.Go(func() error {
 			loop(background)
--- a/daemon/loops.go
+++ b/daemon/loops.go
@@ -21,6 +21,7 @@
 	localStateInterval   = 200 * time.Millisecond
 	ledgerExpiryInterval = time.Minute
 	metricsInterval      = time.Second
+	clockCheckInterval   = time.Second
 	acquireRetryInterval = 500 * time.Millisecond
 )
 
@@ -33,6 +34,7 @@
 		every(localStateInterval, h.publishLocalState),
 		every(ledgerExpiryInterval, h.expireLedgers),
 		every(metricsInterval, h.exportMetrics),
+		every(clockCheckInterval, newClockMonitor(h.log, h.metrics).check),
 		func(ctx context.Context) { h.cells.RunLoans(ctx, h.loanRouter) },
 	}
 }
--- a/relay/jobs/eventlist.go
+++ b/relay/jobs/eventlist.go
@@ -29,6 +29,7 @@
 	EventOwnerOnTime        EventName = "owner_on_time"
 	EventDependencyLost     EventName = "dependency_lost"
 	EventDependencyRegained EventName = "dependency_regained"
+	EventClockSet           EventName = "clock_set"
 	EventLinesDropped       EventName = "lines_dropped"
 )
 
@@ -76,6 +77,7 @@
 	FieldDependency  FieldName = "dependency"
 	FieldFailures    FieldName = "failures"
 	FieldLostMs      FieldName = "lost_ms"
+	FieldStepMs      FieldName = "step_ms"
 )
 
 // EventKind describes a kind of event.
@@ -135,6 +137,7 @@
 			FieldDependency, FieldFailures, FieldReason,
 		}},
 		{EventDependencyRegained, "a call to a lost dependency succeeded", []FieldName{FieldDependency, FieldFailures, FieldLostMs}},
+		{EventClockSet, "the time of day of the host was set, or jumped because the host was suspended", []FieldName{FieldStepMs}},
 		{EventLinesDropped, "events above the rate limit were not logged; one field for each kind of event holds their number", nil},
 	}
 }
@@ -179,6 +182,7 @@
 	FieldDependency:  "name of the dependency",
 	FieldFailures:    "number of consecutive calls that failed",
 	FieldLostMs:      "milliseconds during which the dependency was lost",
+	FieldStepMs:      "milliseconds by which the time of day changed beyond the time that has passed",
 }
 
 // EventReference returns the reference of all events and fields as Markdown.
