Keep the planner's time apart from the time of day

Cause: core/placement reduced each time to nanoseconds of the time of day and kept the maximum, so that after a step back by x its time stood still for x. What waits for time to pass then waited for x. Class of fault: a duration taken from the time of day.

Now the planner counts the time that passes between its Plans. Times with a monotonic reading are compared by it, so that neither a step back nor one ahead changes a wait; without one, a step back counts as no time.

--- a/core/placement/cell.go
+++ b/core/placement/cell.go
@@ -77,8 +77,7 @@
 	measuredNodes []*node
 	// fillerMisses holds, for each signature of fillers, when a search last found no worker.
 	fillerMisses map[taskSignature]stamp
-	// now is the time of the last Plan call.
-	now stamp
+	clock
 }
 
 var _ Planner = (*Cell)(nil)
@@ -171,7 +170,7 @@
 	lost := make([]Running, 0, len(n.tasks))
 	for len(n.tasks) > 0 {
 		t := n.tasks[0]
-		lost = append(lost, t.running())
+		lost = append(lost, c.running(t))
 		c.unbook(t)
 		c.resubmit(t.id)
 	}
@@ -194,17 +193,17 @@
 			return
 		}
 		if t.node != nil && r.Attempt == t.attempt && t.node.worker.ID == r.Worker {
-			t.startedAt = stampOf(r.StartedAt)
-			t.checkpointedAt = max(t.checkpointedAt, stampOf(r.CheckpointedAt))
+			t.startedAt = c.stampOf(r.StartedAt)
+			t.checkpointedAt = max(t.checkpointedAt, c.stampOf(r.CheckpointedAt))
 			return
 		}
 		c.removeTask(t)
 	}
 	cl := c.shares.class(r.Class, r.Kind)
-	t := newTask(r.Pending, cl)
+	t := c.newTask(r.Pending, cl)
 	t.image = c.imageOf(r.Constraints)
-	t.startedAt = stampOf(r.StartedAt)
-	t.checkpointedAt = stampOf(r.CheckpointedAt)
+	t.startedAt = c.stampOf(r.StartedAt)
+	t.checkpointedAt = c.stampOf(r.CheckpointedAt)
 	// The pace that the previous owner of the cell set is unknown.
 	t.paceKnown = false
 	c.track(t)
@@ -234,7 +233,7 @@
 		}
 		c.removeTask(old)
 	}
-	t := newTask(p, c.shares.class(p.Class, p.Kind))
+	t := c.newTask(p, c.shares.class(p.Class, p.Kind))
 	t.image = c.imageOf(p.Constraints)
 	t.queuedAt = c.now
 	c.track(t)
@@ -286,7 +285,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if t, ok := c.tasks[id]; ok && t.node != nil {
-		t.checkpointedAt = max(t.checkpointedAt, stampOf(at))
+		t.checkpointedAt = max(t.checkpointedAt, c.stampOf(at))
 	}
 }
 
@@ -303,7 +302,7 @@
 			t.usedMilliCPU = min(max(o.Usage.MilliCPU, 0), maxAmount)
 			c.noteMeasured(t.node)
 		case o.TailRatio > 0:
-			t.tail, t.tailAt = o.TailRatio, stampOf(o.At)
+			t.tail, t.tailAt = o.TailRatio, c.stampOf(o.At)
 			serving = append(serving, t)
 			c.noteMeasured(t.node)
 		default:
--- a/core/placement/explore.go
+++ b/core/placement/explore.go
@@ -76,7 +76,7 @@
 // learnSlowdown updates the estimates with a measured slowdown. The neighbours at the time of the measurement are
 // not recorded: if tasks have come or gone since, the present neighbours stand in for them, with a higher variance.
 func (c *Cell) learnSlowdown(t *task, o Observation) {
-	at := stampOf(o.At)
+	at := c.stampOf(o.At)
 	if o.Slowdown < 1 || at < t.startedAt || c.now.since(at) > maxObservationAge || t.unthrottledCPU > 0 {
 		return
 	}
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -68,7 +68,7 @@
 	if c.shares.keysStale {
 		c.shares.recomputeKeys()
 	}
-	c.now = max(c.now, stampOf(now))
+	c.advance(now)
 	c.shares.now = c.now
 	r := &planRun{Cell: c, limit: limit, maxBatchShare: c.shares.maxBatchShare()}
 	if c.shares.cyclePlans == 0 {
--- a/core/placement/task.go
+++ b/core/placement/task.go
@@ -24,34 +24,6 @@
 	evicting
 )
 
-// noTime stands for the zero time.Time in a stamp.
-const noTime = stamp(math.MinInt64)
-
-// stamp is a time in nanoseconds since 1970. It takes a third of the memory of a time.Time.
-type stamp int64
-
-func stampOf(t time.Time) stamp {
-	if t.IsZero() {
-		return noTime
-	}
-	return stamp(t.UnixNano())
-}
-
-func (s stamp) time() time.Time {
-	if s == noTime {
-		return time.Time{}
-	}
-	return time.Unix(0, int64(s))
-}
-
-// since returns the time from o to s, at least 0.
-func (s stamp) since(o stamp) time.Duration {
-	if o == noTime {
-		return 0
-	}
-	return max(0, time.Duration(s-o))
-}
-
 // task is a task known to the planner.
 type task struct {
 	id      ident.TaskID
@@ -122,7 +94,7 @@
 	claim *claim
 }
 
-func newTask(p Pending, cl *class) *task {
+func (c *Cell) newTask(p Pending, cl *class) *task {
 	demand := int64(0)
 	if p.Constraints.Filler {
 		demand = min(max(p.Need.MilliCPU, 0), maxAmount)
@@ -147,8 +119,8 @@
 		tailAt:         noTime,
 		comparedAt:     noTime,
 		lasting:        p.Lasting,
-		submittedAt:    stampOf(p.SubmittedAt),
-		deadline:       stampOf(p.Deadline.At),
+		submittedAt:    c.stampOf(p.SubmittedAt),
+		deadline:       c.stampOf(p.Deadline.At),
 
 		objective:      p.Deadline.Objective,
 		criticalPath:   p.Deadline.CriticalPath,
@@ -162,7 +134,7 @@
 }
 
 // pending returns the task as it was submitted.
-func (t *task) pending() Pending {
+func (c *Cell) pending(t *task) Pending {
 	need := t.declared
 	need.MilliCPU += t.demandMilliCPU
 	return Pending{
@@ -176,19 +148,19 @@
 		Pool:        t.pool,
 		Constraints: t.constraints,
 		Lasting:     t.lasting,
-		SubmittedAt: t.submittedAt.time(),
-		Deadline:    Deadline{At: t.deadline.time(), Objective: t.objective, CriticalPath: t.criticalPath, JobStarted: t.jobStarted},
+		SubmittedAt: c.timeOf(t.submittedAt),
+		Deadline:    Deadline{At: c.timeOf(t.deadline), Objective: t.objective, CriticalPath: t.criticalPath, JobStarted: t.jobStarted},
 		Evictions:   int(t.evictions),
 		Avoid:       t.avoid,
 	}
 }
 
-func (t *task) running() Running {
+func (c *Cell) running(t *task) Running {
 	return Running{
-		Pending:        t.pending(),
+		Pending:        c.pending(t),
 		Worker:         t.node.worker.ID,
-		StartedAt:      t.startedAt.time(),
-		CheckpointedAt: t.checkpointedAt.time(),
+		StartedAt:      c.timeOf(t.startedAt),
+		CheckpointedAt: c.timeOf(t.checkpointedAt),
 	}
 }
 
