Leave a cell to the owner under the latest grant

What callers would see: after a host has lost and regained the grant of a cell while the store is slow, it refuses every new job of the cell until its owner changes, and the tasks of accepted jobs find no workers that were added since.

Cause: each grant starts an acquisition of its own, which reads the state of the cell from the store. If the one under the earlier grant ended last, its owner replaced the one under the present grant in the service. The latter ran on unseen, with its calls to workers and its log, but got no jobs, no tables and no workers any more, and nothing stopped it. An acquisition that ended after the cell was lost left an owner behind in the same way.

Now an owner is installed only while its grant is the present one, checked under the lock that StopCell takes, and an acquisition stops only owners under earlier or equal epochs.

--- a/relay/jobs/fixture_test.go
+++ b/relay/jobs/fixture_test.go
@@ -160,15 +160,22 @@
 // giveCellShare gives the cell to a host that may use only part of its share of the limits, because its predecessor
 // may still be active.
 func (fx *fixture) giveCellShare(h *host, shift uint8) {
+	fx.grantCell(h)
+	h.setGrant(func(g *ownership.Grant) { g.ShareShift = shift })
+	require.NoError(fx.t, h.svc.Acquire(bg, h.Grant(cell), fx.members()))
+}
+
+// grantCell grants the cell to a host with a new epoch, and returns the grant.
+func (fx *fixture) grantCell(h *host) ownership.Grant {
 	key := fmt.Sprintf("/own/%d", cell)
 	_, err := fx.engine.Txn(bg, nil, []store.Op{{Key: key, Delete: true}})
 	require.NoError(fx.t, err)
 	res, err := fx.engine.Txn(bg, nil, []store.Op{{Key: key, Value: []byte(h.name)}})
 	require.NoError(fx.t, err)
 	h.setGrant(func(g *ownership.Grant) {
-		*g = ownership.Grant{Cell: cell, Epoch: ident.Epoch(res.Revision), Authority: ownership.Full, ShareShift: shift}
+		*g = ownership.Grant{Cell: cell, Epoch: ident.Epoch(res.Revision), Authority: ownership.Full}
 	})
-	require.NoError(fx.t, h.svc.Acquire(bg, h.Grant(cell), fx.members()))
+	return h.Grant(cell)
 }
 
 // kill stops a host without a hand-over.
--- a/relay/jobs/service.go
+++ b/relay/jobs/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -146,9 +147,10 @@
 }
 
 // Acquire starts to own a cell: it rebuilds the state from the store and claims the workers. After an error nothing
-// has been started, and the caller may try again under the same grant.
+// has been started, and the caller may try again under the same grant. If the host loses the grant meanwhile, the cell is
+// left to the acquisition under the next one.
 func (s *Service) Acquire(ctx context.Context, g ownership.Grant, members []lifecycle.Member) error {
-	s.StopCell(g.Cell)
+	s.stopOwner(g.Cell, g.Epoch)
 	state, err := readStoredState(ctx, s.cfg.Store, s.cfg.Codec, g.Cell)
 	if err != nil {
 		return verdict.Wrap(err, verdict.NotRun, verdict.CodeUnavailable, "acquire cell %d", g.Cell)
@@ -175,7 +177,26 @@
 		defer o.wg.Done()
 		o.log.run(o.ctx)
 	}()
-	s.owners.Set(g.Cell, o)
+	return s.install(o)
+}
+
+// install makes o the owner of its cell and stops the one under an earlier grant. If the host has lost the grant of o, it
+// stops o instead: the call of StopCell for that loss may have come before.
+func (s *Service) install(o *owner) error {
+	var replaced *owner
+	granted := false
+	s.owners.WithShard(o.cellID, func(entries map[ident.CellID]*owner) {
+		if granted = o.authority() != ownership.None; granted {
+			replaced, entries[o.cellID] = entries[o.cellID], o
+		}
+	})
+	if !granted {
+		o.stop()
+		return errNotOwned(o.cellID)
+	}
+	if replaced != nil {
+		replaced.stop()
+	}
 	return nil
 }
 
@@ -217,13 +238,20 @@
 
 // StopCell stops a cell at once, without a hand-over. Running tasks stay on their workers for the next owner.
 func (s *Service) StopCell(cell ident.CellID) {
-	var o *owner
+	s.stopOwner(cell, math.MaxUint64)
+}
+
+// stopOwner stops the owner of a cell if its epoch is at most latest.
+func (s *Service) stopOwner(cell ident.CellID, latest ident.Epoch) {
+	var stopped *owner
 	s.owners.WithShard(cell, func(entries map[ident.CellID]*owner) {
-		o = entries[cell]
-		delete(entries, cell)
+		if o, ok := entries[cell]; ok && o.epoch <= latest {
+			stopped = o
+			delete(entries, cell)
+		}
 	})
-	if o != nil {
-		o.stop()
+	if stopped != nil {
+		stopped.stop()
 	}
 }
 
