Move no task because the host list has not been read

Callers would see the running tasks of a whole cell stopped and started anew, lasting ones among them, after a change of owner: each loses the work since its last checkpoint, and for as long as the list is missing no worker takes a task.

Cause: a new owner took the workers that only the log names for workers that have left the host list, also while it had not read the list, and emptied them at the end of recovery. The daemon passed the unread list on as an empty one. A host that starts while the store is down owns a cell as soon as the store is back, and may read the list later.

Now the owner tells an unread list from an empty one: before the first SetMembers, workers that Recover did not get take no new tasks, as before, but are neither emptied nor forgotten. The first list is compared with all known workers.

--- a/core/lifecycle/cell.go
+++ b/core/lifecycle/cell.go
@@ -43,6 +43,8 @@
 	sortedCache []*worker
 	// loggedWorkers holds the addresses of the workers that are recorded in the log.
 	loggedWorkers map[ident.WorkerID]string
+	// hostListKnown is set once SetMembers has been called. Before that, a worker that Recover did not get may be listed.
+	hostListKnown bool
 	// heldTasks holds the tasks that may still run on a worker that has not answered since the takeover.
 	heldTasks map[ident.TaskID]*task
 	delayed   delayQueue
--- /dev/null
+++ b/core/lifecycle/hostlist_test.go
@@ -0,0 +1,53 @@
+package lifecycle
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against work that is stopped on healthy workers because their new owner has not read the host list yet.
+func TestOwnerWithoutHostListMovesNothing(t *testing.T) {
+	old := newFixture(t, 7, "w1", "w2")
+	job := old.submit(2)
+	first := old.startTask(taskID(job, 0, 0), "w1")
+	second := old.startTask(taskID(job, 0, 1), "w2")
+
+	f := &fixture{t: t, c: NewCell(1, 9, old.c.table), now: old.now}
+	for _, r := range old.log {
+		f.c.Replay(r)
+	}
+	f.c.SetAuthority(f.now, true, true)
+	f.apply(f.c.Recover(f.now, false, nil))
+	f.claim("w1", Report{Active: []ActiveAttempt{{AttemptID: first}}})
+	f.claim("w2", Report{Active: []ActiveAttempt{{AttemptID: second}}})
+	f.sync("w1", []AttemptID{first})
+	require.False(t, f.c.Recovering())
+	require.Empty(t, commandsOf[CheckpointTask](f))
+	require.Empty(t, commandsOf[StopTasks](f))
+	for _, put := range commandsOf[PutWorker](f) {
+		require.True(t, put.Worker.Leaving, "nothing starts on %s before its state is known", put.Worker.ID)
+	}
+
+	f.apply(f.c.SetMembers(f.now, []Member{{ID: "w1"}}))
+	require.Equal(t, []CheckpointTask{{AttemptID: second, Worker: "w2", Stop: true}}, commandsOf[CheckpointTask](f))
+	require.Equal(t, Running, f.taskView(job, 0).State)
+}
+
+// Guards against a worker that is forgotten, and its record removed, because the host list has not been read yet.
+func TestOwnerWithoutHostListForgetsNoWorker(t *testing.T) {
+	old := newFixture(t, 7, "w1")
+	f := &fixture{t: t, c: NewCell(1, 9, old.c.table), now: old.now}
+	for _, r := range old.log {
+		f.c.Replay(r)
+	}
+	f.c.SetAuthority(f.now, true, true)
+	f.apply(f.c.Recover(f.now, false, nil))
+	f.c.CallFailed("w1")
+	f.tickUntil(f.now.Add(LeaseDuration + LeaseMargin))
+	require.False(t, f.c.Recovering())
+	require.Empty(t, commandsOf[ForgetWorker](f))
+
+	f.apply(f.c.SetMembers(f.now, nil))
+	require.Equal(t, []ForgetWorker{{Worker: "w1"}}, commandsOf[ForgetWorker](f))
+}
--- a/core/lifecycle/worker.go
+++ b/core/lifecycle/worker.go
@@ -76,23 +76,31 @@
 	return w.member.Leaving || !w.listed
 }
 
+// certainlyLeaves reports whether the host list shows that the worker leaves, so that its tasks have to move.
+func (c *Cell) certainlyLeaves(w *worker) bool {
+	return w.member.Leaving || !w.listed && c.hostListKnown
+}
+
 // usable reports whether the planner may place any task on the worker.
 func (w *worker) usable() bool {
 	return w.inPlanner && !w.leaving() && !w.silent && !w.health.quarantined
 }
 
-// SetMembers applies the workers of the cell by the host list.
+// SetMembers applies the workers of the cell by the host list. It must be called only with a list that was read: a
+// worker that it lacks counts as gone.
 func (c *Cell) SetMembers(now time.Time, members []Member) Effects {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var eff Effects
+	first := !c.hostListKnown
+	c.hostListKnown = true
 	listed := make(map[ident.WorkerID]struct{}, len(members))
 	for _, m := range members {
 		listed[m.ID] = struct{}{}
 		c.setMember(now, m, &eff)
 	}
 	for _, w := range c.sortedWorkers() {
-		if _, ok := listed[w.member.ID]; ok || !w.listed {
+		if _, ok := listed[w.member.ID]; ok || !w.listed && !first {
 			continue
 		}
 		w.listed = false
@@ -148,7 +156,7 @@
 
 // evictFromLeaving checkpoints and stops the tasks of a leaving worker, so that they resume elsewhere.
 func (c *Cell) evictFromLeaving(now time.Time, w *worker, eff *Effects) {
-	if c.inDoubt || c.recovering {
+	if c.inDoubt || c.recovering || !c.certainlyLeaves(w) {
 		return
 	}
 	for _, t := range w.sortedTasks() {
@@ -165,7 +173,7 @@
 }
 
 func (c *Cell) forgetIfGone(w *worker, eff *Effects) {
-	if w.listed || w.claimed || !w.lapsed || len(w.running) > 0 {
+	if w.listed || !c.hostListKnown || w.claimed || !w.lapsed || len(w.running) > 0 {
 		return
 	}
 	id := w.member.ID
--- a/daemon/loops.go
+++ b/daemon/loops.go
@@ -125,9 +125,13 @@
 		if current := grants.Grant(g.Cell); current.Epoch != g.Epoch || current.Authority == ownership.None {
 			return
 		}
-		err := owned.Acquire(ctx, g, workers.workersOf(g.Cell))
+		members, _ := workers.workersOf(g.Cell)
+		err := owned.Acquire(ctx, g, members)
 		if err == nil {
-			owned.SetMembers(g.Cell, workers.workersOf(g.Cell))
+			// The host list may have been read or have changed meanwhile.
+			if members, known := workers.workersOf(g.Cell); known {
+				owned.SetMembers(g.Cell, members)
+			}
 			return
 		}
 		metrics.Counter("acquire_failures_total").Inc(1)
@@ -156,7 +160,8 @@
 	current atomic.Pointer[fleetSnapshot]
 }
 
-// fleetSnapshot holds the workers of each cell, and the number of slots of all targets.
+// fleetSnapshot holds the workers of each cell, which are nil before the host list was read, and the number of slots of
+// all targets.
 type fleetSnapshot struct {
 	workers map[ident.CellID][]lifecycle.Member
 	slots   int
@@ -168,8 +173,10 @@
 	return f
 }
 
-func (f *fleet) workersOf(id ident.CellID) []lifecycle.Member {
-	return f.current.Load().workers[id]
+// workersOf returns the workers of a cell; known is false if the host list has not been read yet.
+func (f *fleet) workersOf(id ident.CellID) (members []lifecycle.Member, known bool) {
+	workers := f.current.Load().workers
+	return workers[id], workers != nil
 }
 
 // Capacity implements operatorhttp.Fleet. It leaves out the workers, because the host list does not give their size.
--- a/relay/jobs/failure_test.go
+++ b/relay/jobs/failure_test.go
@@ -414,6 +414,25 @@
 	})
 }
 
+// Guards against tasks that a new owner stops on healthy workers because it has not read the host list yet.
+func TestNewOwnerWithoutHostListKeepsTasks(t *testing.T) {
+	scenario(t, 2, func(fx *fixture, h *host) {
+		id := h.submit(spec("batch", 8, "work=60s"))
+		time.Sleep(5 * time.Second)
+		fx.kill(h)
+		next := fx.host()
+		fx.hostListUnread = true
+		fx.giveCell(next)
+		time.Sleep(3 * time.Second)
+		require.False(t, next.svc.Recovering(cell))
+		require.Equal(t, 8, fx.fleet["w0"].RunningTasks()+fx.fleet["w1"].RunningTasks())
+		fx.hostListUnread = false
+		next.svc.SetMembers(cell, fx.members())
+		next.awaitDone(60*time.Second, id)
+		fx.verify(next, id)
+	})
+}
+
 // Guards against a hand-over that loses verdicts: the successor must keep the proof that a task was never sent.
 func TestDrainKeepsVerdicts(t *testing.T) {
 	scenario(t, 1, func(fx *fixture, h *host) {
--- a/relay/jobs/fixture_test.go
+++ b/relay/jobs/fixture_test.go
@@ -48,6 +48,8 @@
 	decisions *checkedDecisionLog
 	// unlistedWorker is a worker that the host list does not show yet.
 	unlistedWorker ident.WorkerID
+	// hostListUnread is set while the hosts have not read the host list.
+	hostListUnread bool
 }
 
 // host is a relay host that may own the cell.
@@ -114,6 +116,9 @@
 
 func (fx *fixture) members() []lifecycle.Member {
 	var all []lifecycle.Member
+	if fx.hostListUnread {
+		return nil
+	}
 	for id, x := range fx.fleet {
 		if id != fx.unlistedWorker {
 			all = append(all, x.Member())
