Keep finished jobs although clocks of owners differ

Callers would be told that an accepted job does not exist (410, LOST) shortly after it had finished or failed.

Cause: how long a finished job is kept was counted from the time in the log, which is a time of day of an earlier owner. Class of fault: an age taken from the time of day, and a missing time taken for an early one.

Now the age counts from the moment at which the present owner learnt that the job has finished, by its own clock, whose times have a monotonic reading. The number of finished jobs stays bounded by maxFinishedJobs.

--- a/core/lifecycle/cell.go
+++ b/core/lifecycle/cell.go
@@ -247,7 +247,7 @@
 	t.state = s
 	t.job.counts[s]++
 	if t.job.final() {
-		t.job.finishedAt = now
+		t.job.finishedAt, t.job.keptSince = now, now
 		if !before {
 			c.finishedJobs = append(c.finishedJobs, t.job)
 		}
--- a/core/lifecycle/job.go
+++ b/core/lifecycle/job.go
@@ -24,12 +24,16 @@
 
 // job is an accepted job and the progress of its tasks.
 type job struct {
-	id         ident.JobID
-	spec       JobSpec
+	id   ident.JobID
+	spec JobSpec
+	// acceptedAt and finishedAt are shown to callers. After a change of owner they are times of day of an earlier owner,
+	// so that no decision depends on them.
 	acceptedAt time.Time
 	finishedAt time.Time
-	tasks      []task
-	counts     [len(stateNames)]int
+	// keptSince is when this owner learnt that the job has finished.
+	keptSince time.Time
+	tasks     []task
+	counts    [len(stateNames)]int
 	// cancelling is set once a cancellation is requested, cancelled once its record is durable.
 	cancelling bool
 	cancelled  bool
--- a/core/lifecycle/restore.go
+++ b/core/lifecycle/restore.go
@@ -195,6 +195,7 @@
 	c.recovering = true
 	slices.SortFunc(c.jobOrder, compareJobs)
 	var idle []*task
+	c.adoptTimes(now)
 	for _, id := range c.jobOrder {
 		idle = append(idle, c.holdPossiblyRunningTasks(c.jobs[id], clean)...)
 	}
--- a/core/lifecycle/view.go
+++ b/core/lifecycle/view.go
@@ -9,7 +9,8 @@
 )
 
 const (
-	// FinishedRetention is how long a finished job stays available.
+	// FinishedRetention is how long a finished job stays available. It begins anew with each owner, because the clocks of
+	// two owners may differ by any amount.
 	FinishedRetention = 24 * time.Hour
 	// maxFinishedJobs is the largest number of finished jobs in a cell. It bounds the size of the snapshot.
 	maxFinishedJobs = 10_000
@@ -253,7 +254,7 @@
 	kept := c.jobOrder[:0]
 	for _, id := range c.jobOrder {
 		j := c.jobs[id]
-		old := j.final() && (finished > maxFinishedJobs || now.Sub(j.finishedAt) > FinishedRetention)
+		old := j.final() && (finished > maxFinishedJobs || now.Sub(j.keptSince) > FinishedRetention)
 		if !old || j.hasRunningAttempts() {
 			kept = append(kept, id)
 			continue
