Give restored tasks deadlines by the clock of their owner

Callers would see accepted jobs wait behind all newer ones after a change of owner, for as long as the cell is short of room, or newer jobs behind the restored ones; and no checkpoint of a task until the clock of the owner had caught up.

Cause: deadlines of tasks followed from the time of acceptance in the log, a time of day of the earlier owner, and were compared with the clock of the present one. On a host whose clock is an hour ahead every restored task counts as expired. As such a time has no monotonic reading, setting the time of day changed the deadlines of restored jobs later as well. The same held for the time of the last checkpoint.

Now an owner takes from the log only how much older a job is than the newest record, adds the time since then, at most a minute, and counts back from its own time at the takeover. Callers are shown the time of acceptance as before. A checkpoint counts as taken no later than the takeover.

Evidence: TestDeadlinesDoNotDependOnClockOfOwner, TestRestoredDeadlineHasMonotonicReading and TestCheckpointOfPredecessorWithClockAhead fail before and pass now.

--- a/core/lifecycle/cell.go
+++ b/core/lifecycle/cell.go
@@ -45,6 +45,8 @@
 	loggedWorkers map[ident.WorkerID]string
 	// hostListKnown is set once SetMembers has been called. Before that, a worker that Recover did not get may be listed.
 	hostListKnown bool
+	// newestLogTime is the latest time that the restored log and snapshot state.
+	newestLogTime time.Time
 	// heldTasks holds the tasks that may still run on a worker that has not answered since the takeover.
 	heldTasks map[ident.TaskID]*task
 	delayed   delayQueue
@@ -264,10 +266,10 @@
 	j := &job{
 		id:         id,
 		spec:       spec,
-		acceptedAt: at,
-		tasks:      make([]task, spec.TaskCount()),
-		failedOn:   make(map[ident.WorkerID]struct{}),
-		groups:     make([]groupState, len(spec.Groups)),
+		acceptedAt: at, queuedSince: at,
+		tasks:    make([]task, spec.TaskCount()),
+		failedOn: make(map[ident.WorkerID]struct{}),
+		groups:   make([]groupState, len(spec.Groups)),
 	}
 	chains, longest := spec.CriticalPaths()
 	j.objective = spec.Objective(longest)
--- a/core/lifecycle/job.go
+++ b/core/lifecycle/job.go
@@ -30,6 +30,8 @@
 	// so that no decision depends on them.
 	acceptedAt time.Time
 	finishedAt time.Time
+	// queuedSince is acceptedAt by the clock of this owner, as well as it is known.
+	queuedSince time.Time
 	// keptSince is when this owner learnt that the job has finished.
 	keptSince time.Time
 	tasks     []task
--- a/core/lifecycle/logtime_test.go
+++ b/core/lifecycle/logtime_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/bulrushrelay/bulrushrelay/core/ident"
 )
 
 // successor returns the next owner of the cell, on a host whose clock differs. It restores the snapshot of the cell, or
@@ -71,3 +73,86 @@
 	require.Equal(t, Failed, v.State)
 	require.Equal(t, next.now, v.FinishedAt)
 }
+
+// deadlines returns the time left of the queued tasks, by task.
+func (f *fixture) deadlines() map[ident.TaskID]time.Duration {
+	left := make(map[ident.TaskID]time.Duration)
+	for _, e := range commandsOf[Enqueue](f) {
+		for _, p := range e.Tasks {
+			left[p.Task] = p.Deadline.At.Sub(f.now)
+		}
+	}
+	return left
+}
+
+// Guards against accepted tasks that start after all newer ones, or before them, because the clock of the new owner
+// differs from that of the old one.
+func TestDeadlinesDoNotDependOnClockOfOwner(t *testing.T) {
+	for _, fromSnapshot := range []bool{false, true} {
+		for _, difference := range []time.Duration{-time.Hour, 0, time.Hour} {
+			f := newFixture(t, 1, "w")
+			spec := JobSpec{Grace: time.Minute, Groups: []TaskGroup{{Count: 1, Need: oneCore}}}
+			older := f.accept(spec)
+			f.now = f.now.Add(20 * time.Second)
+			newer := f.accept(spec)
+			left := f.successor(difference, fromSnapshot).deadlines()
+			require.Equal(t, 20*time.Second, left[taskID(newer, 0, 0)]-left[taskID(older, 0, 0)])
+			require.LessOrEqual(t, left[taskID(newer, 0, 0)], time.Minute)
+			require.GreaterOrEqual(t, left[taskID(newer, 0, 0)], time.Minute-maxUnownedTime)
+		}
+	}
+}
+
+// Guards against ranks of restored tasks that change when the time of day of the owner is set: only a time with a
+// monotonic reading is safe from that.
+func TestRestoredDeadlineHasMonotonicReading(t *testing.T) {
+	f := newFixture(t, 1, "w")
+	f.accept(JobSpec{Grace: time.Minute, Groups: []TaskGroup{{Count: 1, Need: oneCore}}})
+	f.now = time.Now()
+	next := f.successor(0, false)
+	for _, e := range commandsOf[Enqueue](next) {
+		for _, p := range e.Tasks {
+			require.NotEqual(t, p.Deadline.At, p.Deadline.At.Round(0))
+			require.NotEqual(t, p.SubmittedAt, p.SubmittedAt.Round(0))
+		}
+	}
+	require.NotEmpty(t, commandsOf[Enqueue](next))
+}
+
+// Guards against a task of which no checkpoint is taken until the clock of its owner has caught up with that of the
+// predecessor.
+func TestCheckpointOfPredecessorWithClockAhead(t *testing.T) {
+	f := newFixture(t, 1, "w")
+	id := f.submit(1)
+	attempt := f.startTask(taskID(id, 0, 0), "w")
+	active := ActiveAttempt{AttemptID: attempt, Checkpoint: Checkpoint{ID: "c"}}
+	f.apply(f.c.SyncAnswered(f.now, "w", 1<<40, "p1", nil, Report{Capacity: capacity, Token: "token", Active: []ActiveAttempt{active}}))
+
+	next := &fixture{t: t, c: NewCell(1, 2, f.c.table), now: f.now.Add(-time.Hour)}
+	for _, r := range f.log {
+		next.c.Replay(r)
+	}
+	next.c.SetAuthority(next.now, true, true)
+	next.apply(next.c.Recover(next.now, false, []Member{{ID: "w"}}))
+	next.claim("w", Report{Active: []ActiveAttempt{{AttemptID: attempt}}})
+	next.now = next.now.Add(checkpointInterval)
+	next.sync("w", []AttemptID{attempt})
+	require.Equal(t, []CheckpointTask{{AttemptID: attempt, Worker: "w"}}, commandsOf[CheckpointTask](next))
+}
+
+// Guards against a job whose record has no time and that counts as accepted in the year 1.
+func TestJobWithoutTimeOfAcceptance(t *testing.T) {
+	f := newFixture(t, 1, "w")
+	f.accept(JobSpec{Grace: time.Minute, Groups: []TaskGroup{{Count: 1, Need: oneCore}}})
+	for i, r := range f.log {
+		if accepted, ok := r.(JobAccepted); ok {
+			accepted.At = time.Time{}
+			f.log[i] = accepted
+		}
+	}
+	left := f.successor(0, false).deadlines()
+	require.Len(t, left, 1)
+	for _, d := range left {
+		require.GreaterOrEqual(t, d, time.Minute-maxUnownedTime)
+	}
+}
--- a/core/lifecycle/queue.go
+++ b/core/lifecycle/queue.go
@@ -20,14 +20,14 @@
 		Pool:        t.job.spec.Pool,
 		Constraints: t.group.Constraints,
 		Lasting:     t.group.Lasting,
-		SubmittedAt: t.job.acceptedAt,
+		SubmittedAt: t.job.queuedSince,
 		Evictions:   t.evictions,
 	}
 	if t.run != nil {
 		p.Attempt = t.run.Attempt
 	}
 	if j := t.job; j.objective > 0 {
-		p.Deadline = placement.Deadline{At: j.acceptedAt.Add(j.objective), Objective: j.objective, CriticalPath: j.groups[t.id.Group()].criticalPath, JobStarted: j.started}
+		p.Deadline = placement.Deadline{At: j.queuedSince.Add(j.objective), Objective: j.objective, CriticalPath: j.groups[t.id.Group()].criticalPath, JobStarted: j.started}
 	}
 	p.Avoid = c.workersToAvoid(t)
 	return p
--- a/core/lifecycle/restore.go
+++ b/core/lifecycle/restore.go
@@ -16,8 +16,11 @@
 		c.loggedWorkers[w.Worker] = w.Address
 	}
 	for _, js := range s.Jobs {
+		c.noteLogTime(js.AcceptedAt)
+		c.noteLogTime(js.FinishedAt)
 		j := c.insertJob(js.Job, js.Spec, js.AcceptedAt)
 		for _, ts := range js.Tasks {
+			c.noteLogTime(ts.Checkpoint.At)
 			if int(ts.Index) < len(j.tasks) {
 				j.restoreTask(&j.tasks[ts.Index], ts)
 			}
@@ -66,6 +69,7 @@
 func (c *Cell) Replay(record Record) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.noteLogTime(timeOf(record))
 	switch r := record.(type) {
 	case JobAccepted:
 		if _, ok := c.jobs[r.Job]; !ok {
--- a/core/lifecycle/view.go
+++ b/core/lifecycle/view.go
@@ -146,7 +146,7 @@
 	out := make([]FinishedJob, len(c.finishedJobs))
 	for i, j := range c.finishedJobs {
 		out[i] = FinishedJob{
-			Job: j.id, Class: j.spec.Class, State: j.state(), Elapsed: j.finishedAt.Sub(j.acceptedAt), Objective: j.objective,
+			Job: j.id, Class: j.spec.Class, State: j.state(), Elapsed: j.finishedAt.Sub(j.queuedSince), Objective: j.objective,
 		}
 	}
 	clear(c.finishedJobs)
