Keep steps of the time of day out of the cell log

A successor would rank jobs wrongly that were accepted before and after the time of day of its predecessor was set: the difference of their times in the log is that of the time of day, because a record keeps no monotonic reading.

Now the clock of the owners starts at the time of day of the host and then counts the time that passes. Steps of the time of day do not enter the log. Times that callers are shown stay by the time of day at the start of the process.

--- a/daemon/jobhost.go
+++ b/daemon/jobhost.go
@@ -147,7 +147,7 @@
 		Codec:          cellpb.Codec{},
 		Workers:        h.ports.Workers,
 		Grants:         h.cluster,
-		Clock:          jobs.SystemClock{},
+		Clock:          jobs.NewSystemClock(),
 		NewPlanner:     h.newPlanner,
 		CommitInterval: h.settings.commitInterval(),
 		Policy:         h.settings.policy(),
--- a/relay/jobs/service.go
+++ b/relay/jobs/service.go
@@ -81,7 +81,7 @@
 // New returns a service that owns no cell and starts with table t.
 func New(cfg Config, t *table.Table) *Service {
 	if cfg.Clock == nil {
-		cfg.Clock = SystemClock{}
+		cfg.Clock = NewSystemClock()
 	}
 	if cfg.Logger == nil {
 		cfg.Logger = logrus.StandardLogger()
