Hold only what missing ends may complete after a takeover

After a change of owner every held task waited until every worker had sent a complete inventory. A worker lists at most 500 ends at a time, and the rest once these are acknowledged, which takes a commit. Callers would see that a task that ran nowhere, lasting ones included, did not start for as long as any one worker kept ending tasks faster than that, and that no leaving worker was emptied meanwhile.

Cause: one condition stood for two questions. Whether a task may still run is answered by the list of running attempts, which is complete in each claim, or by a lapse. Whether it was completed is answered by the ends, which may be missing.

The recovery now has two steps. Once every worker has listed what it runs or has lapsed, lasting tasks start and move: no end completes them. All other tasks wait for the ends from before the claims. A worker lists ends in order, so these are known once it has listed everything, or once it lists the end of an attempt that still ran when it was claimed or that this owner started. New ends therefore cannot hold up the recovery any longer. After a clean hand-over a task waits only for the worker on which it was left: a lapse of that worker suffices, whatever the others have still to list.

A store that accepts no records still holds up the tasks that are not lasting if a worker has more than 500 ends, since these cannot be acknowledged; so does a worker one of whose ends has no number that can be read.

--- a/core/lifecycle/attempt.go
+++ b/core/lifecycle/attempt.go
@@ -172,7 +172,7 @@
 }
 
 func (c *Cell) evictIfLeaving(now time.Time, t *task, eff *Effects) {
-	if w := c.workers[t.run.worker]; w.leaving() && !c.inDoubt && !c.recovering {
+	if w := c.workers[t.run.worker]; w.leaving() && !c.inDoubt && !c.mustHold(t) {
 		c.evict(now, t, false, eff)
 	}
 }
--- a/core/lifecycle/cell.go
+++ b/core/lifecycle/cell.go
@@ -66,8 +66,9 @@
 	// a start was confirmed can be told from a later one.
 	callSeq uint64
 	// reportSeq numbers the reports of all workers.
-	reportSeq  uint64
-	recovering bool
+	reportSeq uint64
+	// recovering is set while tasks are held, and runsListed once none of them can run any more.
+	recovering, runsListed bool
 	// takeoverDurable is set once the Takeover record is durable. No task is started before that.
 	takeoverDurable bool
 	// predecessorStoppedAt is when the predecessor was confirmed to renew no more leases; zero if it is not confirmed.
--- a/core/lifecycle/queue.go
+++ b/core/lifecycle/queue.go
@@ -85,7 +85,7 @@
 		if !t.startable() {
 			continue
 		}
-		if c.recovering && !t.job.acceptedByOwner && !t.knownIdle {
+		if c.mustHold(t) {
 			t.wait = WaitRecovery
 			c.heldTasks[t.id] = t
 			continue
--- /dev/null
+++ b/core/lifecycle/recovery.go
@@ -0,0 +1,144 @@
+package lifecycle
+
+import (
+	"slices"
+	"time"
+)
+
+// The recovery after a change of owner has two steps. Once every worker has listed what it runs, or its leases have
+// lapsed, no held task runs any more. A lasting task can then start again. Any other task may have been completed by
+// an end that a worker has not listed yet, so that it is held until all of these ends are known.
+
+// releaseTasksLeftOn queues the held tasks that the predecessor left on the worker, which has answered without them.
+func (c *Cell) releaseTasksLeftOn(now time.Time, w *worker, eff *Effects) {
+	var idle []*task
+	for _, t := range c.heldTasks {
+		if t.leftOn == w.member.ID && (t.group.Lasting || !w.endsMissing) {
+			idle = append(idle, t)
+		}
+	}
+	c.release(now, idle, eff)
+}
+
+// release queues held tasks that certainly do not run and are not completed.
+func (c *Cell) release(now time.Time, tasks []*task, eff *Effects) {
+	sortTasks(tasks)
+	for _, t := range tasks {
+		delete(c.heldTasks, t.id)
+		t.knownIdle = true
+	}
+	c.enqueue(now, tasks, eff)
+}
+
+// mustHold reports whether another attempt of the task may run, or may have completed it, on a worker that has not
+// listed everything since the takeover.
+func (c *Cell) mustHold(t *task) bool {
+	if !c.recovering || t.job.acceptedByOwner || t.knownIdle {
+		return false
+	}
+	return !t.group.Lasting || !c.runsListed
+}
+
+// Recovering reports whether tasks may still run, or may have been completed, on workers that have not listed
+// everything.
+func (c *Cell) Recovering() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.recovering
+}
+
+// finishRecovery queues the held tasks as soon as the answers of the workers allow it.
+func (c *Cell) finishRecovery(now time.Time, eff *Effects) {
+	if !c.recovering || c.inDoubt {
+		return
+	}
+	if !c.runsListed {
+		if !c.allRunsListed(now) {
+			return
+		}
+		c.runsListed = true
+		c.releaseTasksWithoutEnds(now, eff)
+	}
+	if c.awaitsEnds() {
+		return
+	}
+	c.recovering = false
+	tasks := make([]*task, 0, len(c.heldTasks))
+	for _, t := range c.heldTasks {
+		tasks = append(tasks, t)
+	}
+	c.release(now, tasks, eff)
+	for _, w := range c.sortedWorkers() {
+		if !w.claimed {
+			w.lapsed = true
+			c.forgetIfGone(w, eff)
+			continue
+		}
+		if w.leaving() {
+			c.evictFromLeaving(now, w, eff)
+		}
+	}
+}
+
+// releaseTasksWithoutEnds queues the held tasks that no missing end can complete: lasting ones, and those that the
+// predecessor left on a worker that has lapsed. Lasting tasks on leaving workers can move from now on.
+func (c *Cell) releaseTasksWithoutEnds(now time.Time, eff *Effects) {
+	var idle []*task
+	for _, t := range c.heldTasks {
+		if t.group.Lasting || c.leftOnLapsedWorker(t) {
+			idle = append(idle, t)
+		}
+	}
+	c.release(now, idle, eff)
+	for _, w := range c.sortedWorkers() {
+		if w.claimed && w.leaving() {
+			c.evictFromLeaving(now, w, eff)
+		}
+	}
+}
+
+func (c *Cell) leftOnLapsedWorker(t *task) bool {
+	w, known := c.workers[t.leftOn]
+	return t.leftOn != "" && (!known || !w.claimed && w.unanswered)
+}
+
+// allRunsListed reports whether every worker has listed what it runs or has certainly stopped all of it.
+func (c *Cell) allRunsListed(now time.Time) bool {
+	lapsed := !c.predecessorStoppedAt.IsZero() && !now.Before(c.predecessorStoppedAt.Add(c.policy.lapseAfter()))
+	for _, w := range c.workers {
+		if !w.claimed && !w.lapsed && !(lapsed && w.unanswered) {
+			return false
+		}
+	}
+	return true
+}
+
+// awaitsAnswer reports whether the claim of a worker is under way, or its answer not yet handled.
+func (c *Cell) awaitsAnswer() bool {
+	for _, w := range c.workers {
+		if !w.claimed && !w.unanswered {
+			return true
+		}
+	}
+	return false
+}
+
+// awaitsEnds reports whether a worker may list further ends of attempts that the predecessor started.
+func (c *Cell) awaitsEnds() bool {
+	for _, w := range c.workers {
+		if w.claimed && w.endsMissing || !w.claimed && !w.unanswered {
+			return true
+		}
+	}
+	return false
+}
+
+// listsLaterEnd reports whether the ends include one of an attempt that still ran when this owner claimed the worker,
+// or was started later. A worker lists ends in the order in which they occurred, so that all earlier ones are then
+// known, even if the worker has more to list.
+func (w *worker) listsLaterEnd(ended []EndedAttempt) bool {
+	return slices.ContainsFunc(ended, func(e EndedAttempt) bool {
+		t := w.running[e.Task]
+		return t != nil && t.run.Attempt == e.Attempt
+	})
+}
--- a/core/lifecycle/report.go
+++ b/core/lifecycle/report.go
@@ -20,14 +20,15 @@
 		c.putWorker(w, eff)
 		c.clearImpossible(now)
 	}
+	endsListed := w.endsMissing && (!r.Partial || w.listsLaterEnd(r.Ended))
 	for _, e := range r.Ended {
 		c.attemptEnded(now, w, e, eff)
 	}
-	completed := w.partial && !r.Partial
 	w.partial = r.Partial
 	c.reconcileActive(now, w, seq, r.Active, eff)
-	if completed {
-		c.releaseTasksLeftOn(now, w.member.ID, eff)
+	if endsListed {
+		w.endsMissing = false
+		c.releaseTasksLeftOn(now, w, eff)
 		c.finishRecovery(now, eff)
 	}
 }
--- a/core/lifecycle/restore.go
+++ b/core/lifecycle/restore.go
@@ -185,7 +185,7 @@
 }
 
 // Recover takes over the cell after the log has been replayed. clean means that the predecessor drained. A task that
-// may still run is not started until every worker has answered or its leases have lapsed.
+// may still run is not started until every worker has answered or its leases have lapsed; see recovery.go.
 func (c *Cell) Recover(now time.Time, clean bool, members []Member) Effects {
 	c.Replay(Takeover{Epoch: c.epoch, Clean: clean})
 	c.mu.Lock()
@@ -239,22 +239,6 @@
 	return idle
 }
 
-// releaseTasksLeftOn queues the held tasks that the predecessor left on the worker, which has answered without them.
-func (c *Cell) releaseTasksLeftOn(now time.Time, id ident.WorkerID, eff *Effects) {
-	var idle []*task
-	for _, t := range c.heldTasks {
-		if t.leftOn == id {
-			idle = append(idle, t)
-		}
-	}
-	slices.SortFunc(idle, func(a, b *task) int { return compareTasks(a.id, b.id) })
-	for _, t := range idle {
-		delete(c.heldTasks, t.id)
-		t.knownIdle = true
-	}
-	c.enqueue(now, idle, eff)
-}
-
 // SetAuthority applies the authority of the owner. full is false while a successor may exist. confirmed means that the
 // predecessor has stopped and renews no more leases.
 func (c *Cell) SetAuthority(now time.Time, full, confirmed bool) Effects {
@@ -282,54 +266,6 @@
 	return eff
 }
 
-// Recovering reports whether tasks may still run on workers that have not answered.
-func (c *Cell) Recovering() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.recovering
-}
-
-// finishRecovery queues the held tasks once none of them can run on a worker that has not answered.
-func (c *Cell) finishRecovery(now time.Time, eff *Effects) {
-	if !c.recovering || c.inDoubt || c.awaitsInventories() {
-		return
-	}
-	lapsed := !c.predecessorStoppedAt.IsZero() && !now.Before(c.predecessorStoppedAt.Add(c.policy.lapseAfter()))
-	for _, w := range c.workers {
-		if !w.claimed && !lapsed {
-			return
-		}
-	}
-	c.recovering = false
-	tasks := make([]*task, 0, len(c.heldTasks))
-	for _, t := range c.heldTasks {
-		tasks = append(tasks, t)
-	}
-	clear(c.heldTasks)
-	slices.SortFunc(tasks, func(a, b *task) int { return compareTasks(a.id, b.id) })
-	c.enqueue(now, tasks, eff)
-	for _, w := range c.sortedWorkers() {
-		if !w.claimed {
-			w.lapsed = true
-			c.forgetIfGone(w, eff)
-			continue
-		}
-		if w.leaving() {
-			c.evictFromLeaving(now, w, eff)
-		}
-	}
-}
-
-// awaitsInventories reports whether the inventory of a worker is under way, not yet handled, or incomplete.
-func (c *Cell) awaitsInventories() bool {
-	for _, w := range c.workers {
-		if w.claimed && w.partial || !w.claimed && !w.unanswered {
-			return true
-		}
-	}
-	return false
-}
-
 func (c *Cell) runningOf(t *task) placement.Running {
 	return placement.Running{
 		Pending:        c.pending(t),
--- a/core/lifecycle/types.go
+++ b/core/lifecycle/types.go
@@ -350,6 +350,6 @@
 	Token  string
 	Active []ActiveAttempt
 	Ended  []EndedAttempt
-	// Partial is set if Ended may lack some of the ended attempts.
+	// Partial is set if Ended may lack some of the ended attempts. It then lacks the latest ones.
 	Partial bool
 }
--- a/core/lifecycle/worker.go
+++ b/core/lifecycle/worker.go
@@ -35,8 +35,10 @@
 	// unanswered is set while the latest claim or sync has failed. A worker is given up only then: an answer that is
 	// still to be handled, or a call in progress, may report that a task has ended.
 	unanswered bool
-	// partial is set while the reports may lack ended attempts.
+	// partial is set while the reports may lack ended attempts. endsMissing is set while those may include attempts that
+	// a predecessor started.
 	partial     bool
+	endsMissing bool
 	running     map[ident.TaskID]*task
 	pendingAcks map[AttemptID]struct{}
 	health      health
@@ -148,11 +150,11 @@
 
 // evictFromLeaving checkpoints and stops the tasks of a leaving worker, so that they resume elsewhere.
 func (c *Cell) evictFromLeaving(now time.Time, w *worker, eff *Effects) {
-	if c.inDoubt || c.recovering {
+	if c.inDoubt {
 		return
 	}
 	for _, t := range w.sortedTasks() {
-		if t.run.phase == phaseActive && t.worthMoving() {
+		if t.run.phase == phaseActive && t.worthMoving() && !c.mustHold(t) {
 			c.evict(now, t, false, eff)
 		}
 	}
@@ -249,9 +251,8 @@
 		eff.do(StopTasks{Worker: id, Attempts: orphans})
 	}
 	w.partial = report.Partial
-	if !w.partial {
-		c.releaseTasksLeftOn(now, id, &eff)
-	}
+	w.endsMissing = report.Partial
+	c.releaseTasksLeftOn(now, w, &eff)
 	c.finishRecovery(now, &eff)
 	return eff
 }
