Do not count a worker as silent while its answer waits to be handled

An owner gives no tasks to a worker from which it has handled no report for the silence limit (2 s on the users' platform, 3 s by default). The time ran from the handling of one report to the handling of the next. With an owner that falls behind by more than the difference between that limit and the time for which a worker may hold a sync, sound workers that had answered counted as silent, and callers would see that nothing was placed on them: the owner that is short of time then also believes that it is short of workers, and restarts of lasting tasks wait too.

Cause: an answer is noted when it arrives, but only for the lapse of the worker. A worker is not called again before its report has been handled, so that the time until then is that of the owner.

The answer of a claim or a sync now suspends the silence until its report has been handled, from where the time runs anew, as the next call is sent then. An answer to a stop does not, because no report follows it. A claim at another address may drop an answer; the next call that fails ends the suspension.

Evidence: TestAnswersBehindSlowEventsAreNoSilence (two workers behind 16 s of slow events: 2 silences in each of 3 runs before) and TestAnswerThatWaitsIsNoSilence (3 silences before) failed before. TestNoDeadlineIsMissed now includes answers that wait.

--- a/core/lifecycle/answer_test.go
+++ b/core/lifecycle/answer_test.go
@@ -185,3 +185,42 @@
 	require.Equal(t, Running, f.taskView(id, 0).State)
 	require.Equal(t, Queued, f.taskView(before.Task.Job, 0).State, "the attempt ran before the claim and is gone")
 }
+
+// Guards against an owner that fell behind and gave its sound workers no tasks, because it counted their silence until
+// it handled an answer rather than until the answer arrived.
+func TestAnswerThatWaitsIsNoSilence(t *testing.T) {
+	f := newFixture(t, 7, "w1")
+	silences := func() int {
+		n := 0
+		for _, put := range commandsOf[PutWorker](f) {
+			n += boolToInt(put.Silent)
+		}
+		return n
+	}
+	for range 3 {
+		f.now = f.now.Add(2 * time.Second)
+		f.c.AnswerArrived("w1")
+		f.tickUntil(f.now.Add(2 * time.Second))
+		f.sync("w1", nil)
+	}
+	require.Zero(t, silences(), "each answer arrived in time")
+
+	f.now = f.now.Add(2 * time.Second)
+	f.c.AnswerArrived("w1")
+	f.sync("w1", nil)
+	f.c.StopArrived("w1")
+	f.tickUntil(f.now.Add(silentAfter - time.Millisecond))
+	require.Zero(t, silences())
+	f.tickUntil(f.now.Add(time.Millisecond))
+	require.Equal(t, 1, silences(), "the next sync was not answered")
+}
+
+// Guards against a worker that never counts as silent because its last answer was dropped: a claim at another address
+// replaced the sync.
+func TestDroppedAnswerEndsWithTheNextFailedCall(t *testing.T) {
+	f := newFixture(t, 7, "w1")
+	f.c.AnswerArrived("w1")
+	f.c.CallFailed("w1")
+	f.tickUntil(f.now.Add(silentAfter))
+	require.True(t, f.c.workers["w1"].silent)
+}
--- a/core/lifecycle/deadlines.go
+++ b/core/lifecycle/deadlines.go
@@ -49,7 +49,9 @@
 		}
 	}
 	if !w.silent {
-		earliest(w.lastContact.Add(c.policy.SilentAfter))
+		if !w.reportWaiting {
+			earliest(w.lastContact.Add(c.policy.SilentAfter))
+		}
 	} else if !c.inDoubt && w.unanswered {
 		earliest(laterOf(c.lapseAt(w), w.lastContact.Add(c.policy.LeaseDuration)))
 	}
--- a/core/lifecycle/deadlines_test.go
+++ b/core/lifecycle/deadlines_test.go
@@ -60,6 +60,8 @@
 			} else {
 				f.c.CallFailed(id)
 			}
+		case n == 20 && w.claimed:
+			f.c.AnswerArrived(id)
 		}
 		require.Equal(t, expectedNextTick(f.c), f.c.NextTick())
 		f.apply(f.c.Tick(f.now))
--- a/core/lifecycle/report.go
+++ b/core/lifecycle/report.go
@@ -11,6 +11,10 @@
 func (c *Cell) applyReport(now time.Time, w *worker, seq uint64, incarnation string, r Report, eff *Effects) {
 	w.lastContact = now
 	w.unanswered = false
+	if w.reportWaiting {
+		w.reportWaiting = false
+		c.scheduleTick(w)
+	}
 	w.incarnation = incarnation
 	c.setToken(now, w, r)
 	if size := w.effectiveCapacity(r.Capacity); w.silent || w.capacity != size {
--- a/core/lifecycle/tick.go
+++ b/core/lifecycle/tick.go
@@ -71,7 +71,7 @@
 		w.health.probing = true
 		c.putWorker(w, eff)
 	}
-	if !w.silent && !now.Before(w.lastContact.Add(c.policy.SilentAfter)) {
+	if !w.silent && !w.reportWaiting && !now.Before(w.lastContact.Add(c.policy.SilentAfter)) {
 		w.silent = true
 		c.putWorker(w, eff)
 		c.refreshWorkersToAvoid(now, eff)
--- a/core/lifecycle/worker.go
+++ b/core/lifecycle/worker.go
@@ -35,6 +35,8 @@
 	// unanswered is set while the latest claim or sync has failed. A worker is given up only then: an answer that is
 	// still to be handled, or a call in progress, may report that a task has ended.
 	unanswered bool
+	// reportWaiting is set while the report of a claim or sync that was answered is still to be handled.
+	reportWaiting bool
 	// partial is set while the reports may lack ended attempts. endsMissing is set while those may include attempts that
 	// a predecessor started.
 	partial     bool
@@ -226,6 +228,7 @@
 	w.incarnation = incarnation
 	w.lastContact = now
 	w.unanswered = false
+	w.reportWaiting = false
 	c.scheduleTick(w)
 	c.setToken(now, w, report)
 	// The predecessor renewed the leases of adopted tasks with tokens that this owner has not seen. None of them is
--- a/core/lifecycle/workercalls.go
+++ b/core/lifecycle/workercalls.go
@@ -35,21 +35,31 @@
 }
 
 // AnswerArrived notes that a claim or a sync was answered. It is called when the answer arrives, which may be long
-// before its report is handled.
+// before its report is handled. Until then the worker is not called again and does not count as silent.
 func (c *Cell) AnswerArrived(id ident.WorkerID) {
-	c.noteCall(id, false)
+	c.noteCall(id, false, true)
+}
+
+// StopArrived notes that a stop was answered. It is called when the answer arrives.
+func (c *Cell) StopArrived(id ident.WorkerID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if w, ok := c.workers[id]; ok && w.unanswered {
+		w.unanswered = false
+		c.scheduleTick(w)
+	}
 }
 
 // CallFailed notes that a claim or a sync was not answered.
 func (c *Cell) CallFailed(id ident.WorkerID) {
-	c.noteCall(id, true)
+	c.noteCall(id, true, false)
 }
 
-func (c *Cell) noteCall(id ident.WorkerID, unanswered bool) {
+func (c *Cell) noteCall(id ident.WorkerID, unanswered, reportWaiting bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if w, ok := c.workers[id]; ok && w.unanswered != unanswered {
-		w.unanswered = unanswered
+	if w, ok := c.workers[id]; ok && (w.unanswered != unanswered || w.reportWaiting != reportWaiting) {
+		w.unanswered, w.reportWaiting = unanswered, reportWaiting
 		c.scheduleTick(w)
 	}
 }
--- a/relay/jobs/calls.go
+++ b/relay/jobs/calls.go
@@ -285,7 +285,7 @@
 		defer cancel()
 		a := o.cfg.Workers.Stop(ctx, m, o.epoch, c.Attempts)
 		if a.Outcome == lifecycle.Applied {
-			o.cell.AnswerArrived(m.ID)
+			o.cell.StopArrived(m.ID)
 		}
 		o.stopIfFenced(m, a.Answer)
 		return func() lifecycle.Effects {
--- a/relay/jobs/slowevents_test.go
+++ b/relay/jobs/slowevents_test.go
@@ -25,9 +25,9 @@
 	p.Planner.UpsertWorker(w)
 }
 
-// Guards against a cancellation, or the notice that it is durable, that waits behind all events that arrived before
-// it: here 400 events of 40 ms each.
-func TestCancellationDoesNotWaitBehindSlowEvents(t *testing.T) {
+// slowEventsScenario is a scenario with an owner that takes 40 ms for a change of the two workers.
+func slowEventsScenario(t *testing.T, f func(fx *fixture, h *host)) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		fx := newFixture(t, 2)
 		defer fx.close()
@@ -38,6 +38,27 @@
 			}
 		})
 		fx.giveCell(h)
+		f(fx, h)
+	})
+}
+
+// Guards against an owner that falls behind and then gives no tasks to sound workers, whose answers have arrived but
+// wait to be handled.
+func TestAnswersBehindSlowEventsAreNoSilence(t *testing.T) {
+	slowEventsScenario(t, func(fx *fixture, h *host) {
+		time.Sleep(time.Second)
+		for i := range 400 {
+			go h.svc.SetMembers(cell, fx.membersWithLabel(i))
+		}
+		time.Sleep(time.Minute)
+		require.Zero(t, fx.decisions.count(jobs.EventQuarantined))
+	})
+}
+
+// Guards against a cancellation, or the notice that it is durable, that waits behind all events that arrived before
+// it: here 400 events of 40 ms each.
+func TestCancellationDoesNotWaitBehindSlowEvents(t *testing.T) {
+	slowEventsScenario(t, func(fx *fixture, h *host) {
 		id := h.submit(spec("batch", 20, "work=1s"))
 		time.Sleep(time.Second)
 		for i := range 400 {
