Let the cell say which lasting tasks are restarts

A lasting task whose first start was refused counted as a restart: the planner took every lasting task with an attempt above 1 for one that may have run before. Callers would see that a new lasting task that a full or unhealthy worker refused went before all new starts of other classes, evicted batch tasks, reserved a worker, or took the one try a second that a quarantined worker grants to restarts, ahead of the tasks whose users do miss them.

Cause: the planner read the history of a task out of its attempt number. Refused starts and attempts that never ran use up numbers too.

The cell knows the difference and now states it in Pending.Restart: an attempt may have been sent and was not refused. After an unclean change of owner this holds for all open tasks, as before, because starts are not logged.

Evidence: TestRefusedFirstStartIsNoRestart fails with the attempt number as the criterion (line 61, after the refusal). The tests of restarts set the new field where they set an attempt above 1. The model test draws it independently of the attempt, so that its check of quarantined workers now also covers lasting tasks with higher attempts that are no restarts.

--- a/core/lifecycle/lasting_test.go
+++ b/core/lifecycle/lasting_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
+	"github.com/bulrushrelay/bulrushrelay/core/placement"
 )
 
 // Guards against a refused lasting task whose pauses leave too little of the restart target for several tries.
@@ -43,3 +44,34 @@
 	fail(2 * attemptStride)
 	require.Len(t, f.takeEnqueued(), 2*attemptStride)
 }
+
+// Guards against a lasting task that goes before all new starts although it has never run: its first start was refused.
+func TestRefusedFirstStartIsNoRestart(t *testing.T) {
+	f := newFixture(t, 7, "w1")
+	task := f.acceptLasting()
+	lastQueued := func() placement.Pending {
+		queued := commandsOf[Enqueue](f)
+		return queued[len(queued)-1].Tasks[0]
+	}
+	require.False(t, lastQueued().Restart)
+	attempt := f.planStart(task, "w1")
+	f.apply(f.c.StartAnswered(f.now, "w1", attempt, Answer{Outcome: Refused, Reason: ReasonCapacity}))
+	f.tickUntil(f.now.Add(startRetryPause))
+	require.EqualValues(t, 2, lastQueued().Attempt)
+	require.False(t, lastQueued().Restart)
+
+	attempt = f.planStart(task, "w1")
+	f.apply(f.c.StartAnswered(f.now, "w1", attempt, Answer{}))
+	never := []EndedAttempt{{AttemptID: attempt, End: EndNeverStarted}}
+	f.apply(f.c.StopAnswered(f.now, "w1", []AttemptID{attempt}, Answer{Outcome: Applied}, "p1", never))
+	require.EqualValues(t, 3, lastQueued().Attempt)
+	require.False(t, lastQueued().Restart, "the worker says that the attempt never ran")
+
+	f.sync("w1", nil, EndedAttempt{AttemptID: f.startTask(task, "w1"), End: EndFailed})
+	require.EqualValues(t, 4, lastQueued().Attempt)
+	require.True(t, lastQueued().Restart)
+	attempt = f.planStart(task, "w1")
+	f.apply(f.c.StartAnswered(f.now, "w1", attempt, Answer{Outcome: Refused, Reason: ReasonCapacity}))
+	f.tickUntil(f.now.Add(startRetryPause))
+	require.True(t, lastQueued().Restart, "a later refusal does not change that it has run")
+}
--- a/core/lifecycle/queue.go
+++ b/core/lifecycle/queue.go
@@ -20,6 +20,7 @@
 		Pool:        t.job.spec.Pool,
 		Constraints: t.group.Constraints,
 		Lasting:     t.group.Lasting,
+		Restart:     t.group.Lasting && t.maybeSent,
 		SubmittedAt: t.job.acceptedAt,
 		Evictions:   t.evictions,
 	}
--- a/core/placement/clock_test.go
+++ b/core/placement/clock_test.go
@@ -48,7 +48,7 @@
 	worker := placement.Worker{ID: "w", Rack: "r", Capacity: vec(8000, 8000, 0), Quarantined: true}
 	c.UpsertWorker(worker)
 	restart := pendingTask(1, "etl", vec(1000, 1000, 0))
-	restart.Lasting, restart.Attempt = true, 2
+	restart.Lasting, restart.Restart, restart.Attempt = true, true, 2
 	c.Submit([]placement.Pending{restart})
 	require.Empty(t, c.Plan(epoch, 10).Starts)
 	worker.LastResort = true
--- a/core/placement/deadline_test.go
+++ b/core/placement/deadline_test.go
@@ -82,7 +82,7 @@
 	}
 	require.Len(t, c.Plan(epoch, 100).Starts, 1)
 	restart := pendingTask(100, "web", vec(1000, 1000, 0))
-	restart.Lasting, restart.Attempt = true, 2
+	restart.Lasting, restart.Restart, restart.Attempt = true, true, 2
 	c.Submit([]placement.Pending{restart})
 	starts := c.Plan(epoch.Add(time.Second), 100).Starts
 	require.Len(t, starts, 1)
--- a/core/placement/model_test.go
+++ b/core/placement/model_test.go
@@ -80,13 +80,14 @@
 	m.cell.Submit(tasks)
 }
 
-// Restart submits a lasting task, which is a restart if its attempt is above 1.
+// Restart submits a lasting task, which may be a restart at any attempt.
 func (m *machine) Restart(t *rapid.T) {
 	class := rapid.SampledFrom([]ident.ClassName{"web", "etl"}).Draw(t, "class")
 	m.lastTask++
 	p := placement.Pending{
 		Task: taskID(m.lastTask), Attempt: ident.Attempt(rapid.IntRange(1, 3).Draw(t, "attempt")), Class: class, Tenant: "t",
 		Kind: classKinds[class], Need: vec(rapid.Int64Range(0, 9000).Draw(t, "cpu"), 500, 0), Lasting: true, SubmittedAt: m.now,
+		Restart: rapid.Bool().Draw(t, "restart"),
 	}
 	m.pending[p.Task] = p
 	m.lasting[p.Task] = struct{}{}
@@ -108,6 +109,7 @@
 		Evictions: rapid.IntRange(0, 3).Draw(t, "evictions"),
 	}
 	_, p.Lasting = m.lasting[id]
+	p.Restart = p.Lasting
 	m.pending[id] = p
 	m.cell.Submit([]placement.Pending{p})
 }
@@ -225,9 +227,8 @@
 		w, known := m.workers[s.Worker]
 		require.True(t, known, "start on an unknown worker")
 		require.False(t, w.Leaving, "start on a leaving worker")
-		_, lasting := m.lasting[s.Task]
-		restarts := lasting && s.Attempt > 1
-		require.True(t, !w.Quarantined || w.AcceptsProbe || w.LastResort && restarts, "start on a quarantined worker")
+		restart := m.pending[s.Task].Restart
+		require.True(t, !w.Quarantined || w.AcceptsProbe || w.LastResort && restart, "start on a quarantined worker")
 		require.NotContains(t, m.starts, s.Task, "started twice")
 		require.Contains(t, m.pending, s.Task, "started after its cancellation")
 		require.True(t, m.pending[s.Task].Need.Fits(s.Booked), "booked less than declared")
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -42,7 +42,9 @@
 	Pool        string
 	Constraints Constraints
 	// Lasting tasks run until they are cancelled and are never evicted.
-	Lasting     bool
+	Lasting bool
+	// Restart is set for a lasting task that may have run before.
+	Restart     bool
 	SubmittedAt time.Time
 	// Deadline is the time by which the result of the task is needed.
 	Deadline Deadline
--- a/core/placement/restarts.go
+++ b/core/placement/restarts.go
@@ -21,7 +21,7 @@
 // Restarts go before all new starts, whatever the share of their class, because the class with the largest share is
 // the one whose tasks fail or are lost with their workers. A restart may displace any batch task that does not
 // last. If none can be displaced, a worker is reserved for the restart at once.
-func (t *task) isRestart() bool { return t.lasting && t.attempt > 1 }
+func (t *task) isRestart() bool { return t.lasting && t.restart }
 
 // startRestarts places restarts, oldest first. If more than maxRestartTries find no worker, the next Plan goes on
 // with the remaining ones. The cost of these attempts does not count against the work bounds of the queues.
--- a/core/placement/restarts_test.go
+++ b/core/placement/restarts_test.go
@@ -59,7 +59,7 @@
 
 func lastingTask(n int, attempt ident.Attempt) placement.Pending {
 	p := pendingTask(n, "serve", vec(13_000, 26_000, 0))
-	p.Kind, p.Lasting, p.Attempt = table.LatencyCritical, true, attempt
+	p.Kind, p.Lasting, p.Restart, p.Attempt = table.LatencyCritical, true, attempt > 1, attempt
 	return p
 }
 
@@ -192,7 +192,7 @@
 	running = append(running, c.Plan(epoch, 100).Starts...)
 	require.Len(t, running, 6)
 	restart := pendingTask(2000, "web", vec(13_000, 1000, 0))
-	restart.Lasting, restart.Attempt = true, 2
+	restart.Lasting, restart.Restart, restart.Attempt = true, true, 2
 	c.Submit([]placement.Pending{restart})
 	for i := range 6 {
 		p := c.Plan(epoch.Add(time.Duration(i)*time.Second), 100)
@@ -227,7 +227,7 @@
 		require.Len(t, c.Plan(epoch, 10).Starts, 1)
 	}
 	restart := pendingTask(1, "serve", vec(13_000, 1000, 0))
-	restart.Lasting, restart.Attempt = true, 2
+	restart.Lasting, restart.Restart, restart.Attempt = true, true, 2
 	c.Submit([]placement.Pending{restart})
 	p := c.Plan(epoch.Add(time.Second), 10)
 	require.Len(t, p.Evictions, 1)
@@ -323,7 +323,7 @@
 	c.Submit([]placement.Pending{pendingTask(1, "web", vec(16_000, 1000, 0))})
 	require.Len(t, c.Plan(epoch, 10).Starts, 1)
 	restart := pendingTask(2, "web", vec(13_000, 1000, 0))
-	restart.Lasting, restart.Attempt = true, 2
+	restart.Lasting, restart.Restart, restart.Attempt = true, true, 2
 	c.Submit([]placement.Pending{restart})
 	require.Empty(t, c.Plan(epoch, 10).Starts)
 	c.UpsertWorker(placement.Worker{ID: "bad", Rack: "r", Capacity: vec(16_000, 16_000, 0), Quarantined: true, LastResort: true})
--- a/core/placement/task.go
+++ b/core/placement/task.go
@@ -70,7 +70,9 @@
 	comparedUses []use
 	comparedAt   stamp
 	lasting      bool
-	submittedAt  stamp
+	// restart is set for a lasting task that may have run before.
+	restart     bool
+	submittedAt stamp
 	// deadline, objective, criticalPath and jobStarted are those of Deadline; deadline is noTime without an
 	// objective. rank is the rank under which the task is queued.
 	deadline       stamp
@@ -119,6 +121,7 @@
 		tailAt:         noTime,
 		comparedAt:     noTime,
 		lasting:        p.Lasting,
+		restart:        p.Restart,
 		submittedAt:    c.stampOf(p.SubmittedAt),
 		deadline:       c.stampOf(p.Deadline.At),
 
@@ -148,6 +151,7 @@
 		Pool:        t.pool,
 		Constraints: t.constraints,
 		Lasting:     t.lasting,
+		Restart:     t.restart,
 		SubmittedAt: c.timeOf(t.submittedAt),
 		Deadline:    Deadline{At: c.timeOf(t.deadline), Objective: t.objective, CriticalPath: t.criticalPath, JobStarted: t.jobStarted},
 		Evictions:   int(t.evictions),
