Keep a task whose row in a list of running attempts cannot be read

A row of the running attempts that could not be read was logged and left out of the report. The owner then counted its attempt as gone and started the task again while it ran; a claim after a change of owner did the same, and the answer to a stop proved that the attempt had never started. Callers would see a task run twice at the same time.

Cause: a report had no way to say that its list of running attempts is incomplete, as it has for ends.

- A row that does not sets Report.PartialActive.
Nothing that such a report lacks counts as gone or as never started.
A row with the name of a task that this system cannot have started changes nothing, as before.
- A claim with such a list counts as unanswered and is repeated.
Nothing renews the leases of the worker meanwhile, so that they lapse and its tasks move if the list stays unreadable: one worker cannot hold up the recovery without bound.

If a list stays incomplete after the claim, an attempt that is gone from that worker is noticed only once it can be read again. Nothing else can tell it from a running one.

--- a/core/lifecycle/answer_test.go
+++ b/core/lifecycle/answer_test.go
@@ -224,3 +224,14 @@
 	f.tickUntil(f.now.Add(silentAfter))
 	require.True(t, f.c.workers["w1"].silent)
 }
+
+// Guards against a task that runs twice: its attempt counted as gone because a report lacked a running attempt.
+func TestReportWithoutAllRunningAttemptsLosesNoTask(t *testing.T) {
+	f := newFixture(t, 7, "w1")
+	attempt := f.startTask(ident.TaskID{Job: f.submit(1)}, "w1")
+	req, _ := f.c.SyncRequest("w1")
+	f.apply(f.c.SyncAnswered(f.now, "w1", req.Seq, "p1", nil, Report{Token: "token", PartialActive: true}))
+	require.Equal(t, Running, f.taskView(attempt.Task.Job, 0).State)
+	f.sync("w1", nil)
+	require.Equal(t, Queued, f.taskView(attempt.Task.Job, 0).State, "a report that lists everything lacks it")
+}
--- a/core/lifecycle/report.go
+++ b/core/lifecycle/report.go
@@ -29,7 +29,7 @@
 		c.attemptEnded(now, w, e, eff)
 	}
 	w.partial = r.Partial
-	c.reconcileActive(now, w, seq, r.Active, eff)
+	c.reconcileActive(now, w, seq, r, eff)
 	if endsListed {
 		w.endsMissing = false
 		c.releaseTasksLeftOn(now, w, eff)
@@ -39,11 +39,12 @@
 
 // reconcileActive compares the attempts that a worker lists with those that it should run: it stops surplus attempts
 // and finds attempts that have disappeared without a result.
-func (c *Cell) reconcileActive(now time.Time, w *worker, seq uint64, active []ActiveAttempt, eff *Effects) {
+func (c *Cell) reconcileActive(now time.Time, w *worker, seq uint64, r Report, eff *Effects) {
 	var stops []AttemptID
-	observed := make([]placement.Observation, 0, len(active))
+	observed := make([]placement.Observation, 0, len(r.Active))
+	partial := r.Partial || r.PartialActive
 	c.reportSeq++
-	for _, a := range active {
+	for _, a := range r.Active {
 		t := w.running[a.Task]
 		switch {
 		case t == nil || t.run.Attempt != a.Attempt:
@@ -62,7 +63,7 @@
 		r := t.run
 		switch {
 		case r.phase == phaseActive || r.phase == phaseEvicting:
-			if !w.partial {
+			if !partial {
 				c.attemptLost(now, t, eff)
 			}
 		case c.repeatStop(now, r):
--- a/core/lifecycle/types.go
+++ b/core/lifecycle/types.go
@@ -352,4 +352,6 @@
 	Ended  []EndedAttempt
 	// Partial is set if Ended may lack some of the ended attempts. It then lacks the latest ones.
 	Partial bool
+	// PartialActive is set if Active may lack some of the running attempts.
+	PartialActive bool
 }
--- a/relay/jobs/calls.go
+++ b/relay/jobs/calls.go
@@ -162,6 +162,11 @@
 			callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 			c := o.cfg.Workers.Claim(callCtx, m, o.cellID, o.epoch)
 			cancel()
+			if c.Report.PartialActive {
+				// The tasks that the list lacks would start again while they run. If the worker goes on like this, its leases
+				// lapse.
+				c = ClaimAnswer{}
+			}
 			o.recordAnswer(ctx, m, c.Answer)
 			if c.Outcome == lifecycle.Applied {
 				o.logDecision(EventWorkerClaimed, Fields{
