Claim no workers once the records of a hand-over are settled

A planned hand-over first makes all records durable, ends the syncs, and then waits for a moment at which no record is queued. A worker that joined or moved in this time was claimed all the same, which adds a record for a new worker and one for each end that it reports. Callers would see that a planned stop of a host ran out of time while workers were joining, so that the next owner treated it as lost and held back tasks until every worker had answered.

Cause: the end of the syncs was not remembered; a change of the host list opened new connections.

An owner that has ended its connections now opens none. The next owner claims these workers; nothing can have been started on a new one, because its record was never written.

--- a/relay/jobs/calls.go
+++ b/relay/jobs/calls.go
@@ -44,6 +44,9 @@
 // connect starts to claim and sync a worker, and ends the claim and the syncs at its earlier address, if there is
 // one.
 func (o *owner) connect(m lifecycle.Member) {
+	if o.connsStopped {
+		return
+	}
 	c, ok := o.conns[m.ID]
 	if ok {
 		c.cancel()
@@ -65,7 +68,9 @@
 	}
 }
 
+// stopConns ends all claims and syncs. No worker is claimed from then on, because each claim can add records.
 func (o *owner) stopConns() {
+	o.connsStopped = true
 	for _, c := range o.conns {
 		c.cancel()
 	}
--- a/relay/jobs/fixture_test.go
+++ b/relay/jobs/fixture_test.go
@@ -48,6 +48,8 @@
 	decisions *checkedDecisionLog
 	// unlistedWorker is a worker that the host list does not show yet.
 	unlistedWorker ident.WorkerID
+	// listed are the workers that the host list shows; all but unlistedWorker if nil.
+	listed []lifecycle.Member
 }
 
 // host is a relay host that may own the cell.
@@ -113,6 +115,9 @@
 }
 
 func (fx *fixture) members() []lifecycle.Member {
+	if fx.listed != nil {
+		return fx.listed
+	}
 	var all []lifecycle.Member
 	for id, x := range fx.fleet {
 		if id != fx.unlistedWorker {
--- a/relay/jobs/owner.go
+++ b/relay/jobs/owner.go
@@ -83,7 +83,9 @@
 	predecessorConfirmed bool
 	shareShift           uint8
 	callsDoneClosed      bool
-	lateness             lifecycle.Lateness
+	// connsStopped is set once the owner claims and syncs no workers any more.
+	connsStopped bool
+	lateness     lifecycle.Lateness
 	// longestWait is the longest time that an event of the current iteration was queued.
 	longestWait time.Duration
 	// wakeAt is when the timer of the loop fires.
