Say that an owner had no time when a call ends with its caller's deadline

A submission, a cancellation or a hand-over that ended with its caller's deadline while it waited for the loop of the owner was answered "this host does not own the cell", or "the owner stopped", although neither was true. Callers saw an error that sent them to look for another owner, and the log named the wrong cause on a host that was short of time.

Cause: the loop says only that it has not run the call; the reason was assumed.

The error now tells the two cases apart: the code is deadline while the owner lives. Such a submission did not look into the log of the cell, so that its verdict is MayHaveRun if it has a client token or number, under which an earlier one may have been accepted.

Evidence: TestBusyOwnerSaysThatItHadNoTime failed before (code "unavailable").

--- a/relay/jobs/api.go
+++ b/relay/jobs/api.go
@@ -81,7 +81,7 @@
 		rec = o.pendingSubmissions[id]
 	})
 	if !ok {
-		return id, errNotOwned(o.cellID)
+		return id, o.errSubmissionNotRun(ctx, spec)
 	}
 	if err != nil || rec == nil {
 		return id, err
@@ -100,6 +100,16 @@
 		"job %s may have been accepted: the store did not answer; a repeat with the same client token is safe", id)
 }
 
+// errSubmissionNotRun returns the error of a submission that the loop has not run. An earlier submission with the same
+// client token or number may have been accepted.
+func (o *owner) errSubmissionNotRun(ctx context.Context, spec lifecycle.JobSpec) error {
+	err := o.errNotRun(ctx)
+	if e := verdict.FromError(err); e.Code == verdict.CodeDeadline && (spec.ClientNumber != 0 || spec.ClientToken != "") {
+		return verdict.Wrap(err, verdict.MayHaveRun, e.Code, "an earlier submission may have been accepted")
+	}
+	return err
+}
+
 // stalledStoreRetryAfter is the delay after which a caller should repeat a job that was refused because the store
 // does not answer. It is about the time in which a successor takes the cell over.
 const stalledStoreRetryAfter = 2 * time.Second
@@ -199,7 +209,8 @@
 		}
 		rec = o.pendingCancellations[id]
 	}) {
-		return verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "the owner of cell %d stopped", o.cellID)
+		err = o.errNotRun(ctx)
+		return verdict.Wrap(err, verdict.MayHaveRun, verdict.FromError(err).Code, "the cancellation was not requested")
 	}
 	if err != nil || !pending || rec == nil || o.awaitDurable(ctx, rec) {
 		return err
--- a/relay/jobs/service.go
+++ b/relay/jobs/service.go
@@ -250,7 +250,7 @@
 	defer s.StopCell(cell)
 	o.draining.Store(true)
 	if !o.call(ctx, func() { o.apply(o.cell.SetAuthority(o.now(), false, o.predecessorConfirmed)) }) {
-		return errNotOwned(cell)
+		return o.errNotRun(ctx)
 	}
 	select {
 	case <-o.callsDone:
@@ -286,7 +286,7 @@
 		return snapshot, verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeDeadline, "drain cell %d: write the queued records", o.cellID)
 	}
 	if !o.call(ctx, o.stopConns) {
-		return snapshot, errNotOwned(o.cellID)
+		return snapshot, o.errNotRun(ctx)
 	}
 	for !snapshotTaken {
 		if err := o.log.flush(ctx); err != nil {
@@ -303,16 +303,26 @@
 			continue
 		}
 		// The snapshot was taken, the owner was stopped, or the caller gave up.
+		err := o.errNotRun(ctx)
 		o.cancel()
 		o.wg.Wait()
 		if !snapshotTaken {
-			return snapshot, errNotOwned(o.cellID)
+			return snapshot, err
 		}
 	}
 	o.wg.Wait()
 	return snapshot, nil
 }
 
+// errNotRun returns the error of a call that the loop has not run: the caller's context ended before the loop had time
+// for it, or the owner has stopped.
+func (o *owner) errNotRun(ctx context.Context) error {
+	if ctx.Err() != nil && o.ctx.Err() == nil {
+		return verdict.Wrap(ctx.Err(), verdict.NotRun, verdict.CodeDeadline, "the owner of cell %d had no time for the call", o.cellID)
+	}
+	return errNotOwned(o.cellID)
+}
+
 func errNotOwned(cell ident.CellID) error {
 	return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "this host does not own cell %d", cell)
 }
--- a/relay/jobs/slowevents_test.go
+++ b/relay/jobs/slowevents_test.go
@@ -9,8 +9,10 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
+	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
 	"github.com/bulrushrelay/bulrushrelay/core/placement"
 	"github.com/bulrushrelay/bulrushrelay/core/table"
+	"github.com/bulrushrelay/bulrushrelay/core/verdict"
 	"github.com/bulrushrelay/bulrushrelay/relay/jobs"
 )
 
@@ -71,3 +73,40 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// Guards against a caller that is told that the host does not own the cell, and therefore looks for another owner,
+// because its deadline passed while the owner was busy. An earlier submission with the same token may have been accepted.
+func TestBusyOwnerSaysThatItHadNoTime(t *testing.T) {
+	slowEventsScenario(t, func(fx *fixture, h *host) {
+		time.Sleep(time.Second)
+		id := h.submit(spec("batch", 1, "work=1s"))
+		for i := range 400 {
+			go h.svc.SetMembers(cell, fx.membersWithLabel(i))
+		}
+		time.Sleep(time.Second)
+		noTime := func(want verdict.Verdict, call func(ctx context.Context) error) {
+			ctx, cancel := context.WithTimeout(bg, time.Millisecond)
+			defer cancel()
+			e := verdict.FromError(call(ctx))
+			require.Equal(t, verdict.CodeDeadline, e.Code, e)
+			require.Equal(t, want, e.Verdict, e)
+		}
+		submit := func(s lifecycle.JobSpec) func(ctx context.Context) error {
+			return func(ctx context.Context) error {
+				_, err := h.svc.Submit(ctx, cell, s)
+				return err
+			}
+		}
+		plain := spec("batch", 1, "work=1s")
+		noTime(verdict.NotRun, submit(plain))
+		withToken, withNumber := plain, plain
+		withToken.ClientToken, withNumber.ClientNumber = "token", 7
+		noTime(verdict.MayHaveRun, submit(withToken))
+		noTime(verdict.MayHaveRun, submit(withNumber))
+		noTime(verdict.MayHaveRun, func(ctx context.Context) error { return h.svc.Cancel(ctx, id) })
+
+		h.svc.StopCell(cell)
+		_, err := h.svc.Submit(bg, cell, plain)
+		require.Equal(t, verdict.CodeUnavailable, verdict.FromError(err).Code)
+	})
+}
