--- a/core/lifecycle/queue.go
+++ b/core/lifecycle/queue.go
@@ -20,6 +20,7 @@
 		Pool:        t.job.spec.Pool,
 		Constraints: t.group.Constraints,
 		Lasting:     t.group.Lasting,
+		Restart:     t.group.Lasting && t.maybeSent,
 		SubmittedAt: t.job.queuedSince,
 		Evictions:   t.evictions,
 	}
@@ -85,7 +86,7 @@
 		if !t.startable() {
 			continue
 		}
-		if c.recovering && !t.job.acceptedByOwner && !t.knownIdle {
+		if c.mustHold(t) {
 			t.wait = WaitRecovery
 			c.heldTasks[t.id] = t
 			continue
--- a/core/lifecycle/tick.go
+++ b/core/lifecycle/tick.go
@@ -71,7 +71,7 @@
 		w.health.probing = true
 		c.putWorker(w, eff)
 	}
-	if !w.silent && !now.Before(w.lastContact.Add(c.policy.SilentAfter)) {
+	if !w.silent && !w.reportWaiting && !now.Before(w.lastContact.Add(c.policy.SilentAfter)) {
 		w.silent = true
 		c.putWorker(w, eff)
 		c.refreshWorkersToAvoid(now, eff)
@@ -122,7 +122,7 @@
 	if t := c.oldestWaiting(); t != nil {
 		earliest(t.run.startedAt.Add(maxLogWait))
 	}
-	if c.recovering && !c.predecessorStoppedAt.IsZero() && !c.inDoubt && !c.awaitsInventories() {
+	if c.recovering && !c.runsListed && !c.predecessorStoppedAt.IsZero() && !c.inDoubt && !c.awaitsAnswer() {
 		earliest(c.predecessorStoppedAt.Add(c.policy.lapseAfter()))
 	}
 	return next
--- a/relay/jobs/fixture_test.go
+++ b/relay/jobs/fixture_test.go
@@ -50,6 +50,8 @@
 	unlistedWorker ident.WorkerID
 	// hostListUnread is set while the hosts have not read the host list.
 	hostListUnread bool
+	// listed are the workers that the host list shows; all but unlistedWorker if nil.
+	listed []lifecycle.Member
 }
 
 // host is a relay host that may own the cell.
@@ -115,6 +117,9 @@
 }
 
 func (fx *fixture) members() []lifecycle.Member {
+	if fx.listed != nil {
+		return fx.listed
+	}
 	var all []lifecycle.Member
 	if fx.hostListUnread {
 		return nil
