Let the planner say why a task waits

A task that can run and does not leaves no trace: the planner knows why it chose no worker, and says so nowhere. LongestWaiting explains a bounded number of waiting tasks: no room, the limit of the class, the filter that rules out the workers with room, the expected tail, the pause after a search, others that go first, a claim, or impossible. The tasks are kept in the order in which they were queued or last explained, so that a call costs the same for any length of the queue and repeated calls reach every task. It takes no random numbers and changes no decision.

--- a/core/placement/cell.go
+++ b/core/placement/cell.go
@@ -31,6 +31,8 @@
 	resubmitted map[ident.TaskID]Pending
 	// parked holds the tasks that fit no worker or exceed a limit of their class. They are in no queue.
 	parked map[ident.TaskID]*task
+	// waiting lists the queued, claimed and parked tasks.
+	waiting waitingList
 
 	shares *shares
 	spread *rackSpread
@@ -237,6 +239,7 @@
 	t.image = c.imageOf(p.Constraints)
 	t.queuedAt = c.now
 	c.track(t)
+	c.waiting.add(t)
 	if d, largest := c.impossibleDimension(t); d != "" {
 		c.park(t, d, largest)
 		return
--- a/core/placement/export_test.go
+++ b/core/placement/export_test.go
@@ -33,6 +33,9 @@
 	if err := c.checkSpread(); err != nil {
 		return err
 	}
+	if err := c.checkWaiting(); err != nil {
+		return err
+	}
 	for i, n := range c.nodes {
 		if err := n.checkSums(); err != nil || n.slot != i {
 			return fmt.Errorf("worker %s in slot %d: %w", n.worker.ID, i, err)
@@ -45,6 +48,23 @@
 	return nil
 }
 
+// checkWaiting checks that the list of waiting tasks has each task without a worker once, and no other.
+func (c *Cell) checkWaiting() error {
+	listed := make(map[*task]bool)
+	for t := c.waiting.first; t != nil; t = t.waitingNext {
+		if listed[t] || c.tasks[t.id] != t || t.node != nil {
+			return fmt.Errorf("task %v in state %d is listed as waiting", t.id, t.state)
+		}
+		listed[t] = true
+	}
+	for _, t := range c.tasks {
+		if t.node == nil && !listed[t] {
+			return fmt.Errorf("task %v in state %d is not listed as waiting", t.id, t.state)
+		}
+	}
+	return nil
+}
+
 func (c *Cell) checkSpread() error {
 	jobs := 0
 	want := make(map[ident.TaskID]int)
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -235,12 +235,12 @@
 
 // missedRecently reports whether no worker was found for a filler of the signature within fillerRetryDelay. In a
 // flood hundreds of signatures wait, and a search looks at every worker.
-func (r *planRun) missedRecently(t *task, signature taskSignature) bool {
+func (c *Cell) missedRecently(t *task, signature taskSignature) bool {
 	if !t.constraints.Filler {
 		return false
 	}
-	at, ok := r.fillerMisses[signature]
-	return ok && r.now.since(at) < fillerRetryDelay
+	at, ok := c.fillerMisses[signature]
+	return ok && c.now.since(at) < fillerRetryDelay
 }
 
 // taskSignature is equal for tasks that placement cannot tell apart.
@@ -251,16 +251,16 @@
 	maxTail        float64
 }
 
-func (r *planRun) signatureOf(t *task) taskSignature {
-	return taskSignature{t.id.Job, t.id.Group(), len(t.avoid), r.maxTail(t)}
+func (c *Cell) signatureOf(t *task) taskSignature {
+	return taskSignature{t.id.Job, t.id.Group(), len(t.avoid), c.maxTail(t)}
 }
 
 // maxTail returns the tail, relative to the target, that a filler may be expected to cause. It rises with the time
 // for which the filler waits, so that a filler that harms all serving tasks runs eventually, at the pace that
 // pacing allows.
-func (r *planRun) maxTail(t *task) float64 {
-	switch waited := r.now.since(t.queuedAt); {
-	case waited < r.opts.FillerPatience:
+func (c *Cell) maxTail(t *task) float64 {
+	switch waited := c.now.since(t.queuedAt); {
+	case waited < c.opts.FillerPatience:
 		return highTail
 	case waited < tailLimitTimeout:
 		return impatientMaxTail
@@ -296,16 +296,16 @@
 	return false
 }
 
-func (r *planRun) request(t *task) Request {
+func (c *Cell) request(t *task) Request {
 	req := Request{
 		Task: t.id, Class: t.class.index, Urgent: t.class.urgent, Booking: t.desired, Avoid: t.avoid,
 		Lasting: t.lasting,
 		Pool:    t.pool, Constraints: t.constraints, DemandMilliCPU: t.demandMilliCPU,
 		image:   t.image,
-		MaxTail: r.maxTail(t),
+		MaxTail: c.maxTail(t),
 	}
 	if t.constraints.Filler {
-		req.disturbance = r.disturbance(t)
+		req.disturbance = c.disturbance(t)
 	}
 	return req
 }
--- a/core/placement/task.go
+++ b/core/placement/task.go
@@ -35,6 +35,9 @@
 	tenant    *tenantQueue
 	// prev and next link the tasks of a queue, so that a cancelled task leaves it at once.
 	prev, next *task
+	// waitingPrev and waitingNext link the tasks in Cell.waiting; explainedAt is when LongestWaiting last took the task.
+	waitingPrev, waitingNext *task
+	explainedAt              stamp
 
 	declared resource.Vector
 	// desired is what the task should have booked, booked what it has booked, never more than desired. They differ
@@ -118,6 +121,7 @@
 		slowedAt:       noTime,
 		tailAt:         noTime,
 		comparedAt:     noTime,
+		explainedAt:    noTime,
 		lasting:        p.Lasting,
 		submittedAt:    c.stampOf(p.SubmittedAt),
 		deadline:       c.stampOf(p.Deadline.At),
