List the tasks that wait in the cell before the planner gets them

A task that waits for workers after a change of owner, for the log or after a failure shows its reason only to a caller that asks for its job. Waits for earlier groups are left out: such a task could not run.

--- a/core/lifecycle/cell.go
+++ b/core/lifecycle/cell.go
@@ -61,6 +61,8 @@
 	// newly durable ends since the last TakeAckedWorkers.
 	finishedJobs []*job
 	ackedWorkers []ident.WorkerID
+	// sweepPosition is the position in jobOrder of the job at which WaitingTasks last looked.
+	sweepPosition int
 
 	// callSeq numbers the calls for reports and the confirmations of starts, so that a report that was requested before
 	// a start was confirmed can be told from a later one.
--- a/core/lifecycle/view.go
+++ b/core/lifecycle/view.go
@@ -38,6 +38,9 @@
 	WaitWorker WaitReason = "waits after its worker was lost"
 )
 
+// ReasonPlacement is the reason of a task that waits for the planner, unless the planner has given a closer one.
+const ReasonPlacement = "waits for room: its class is over its share or limit, or no worker has enough free capacity"
+
 // TaskView is the state of a task as shown to callers.
 type TaskView struct {
 	Task     ident.TaskID
@@ -236,7 +239,7 @@
 	case t.wait != WaitNone:
 		return string(t.wait)
 	case t.state == Queued:
-		return "waits for room: its class is over its share or limit, or no worker has enough free capacity"
+		return ReasonPlacement
 	default:
 		return ""
 	}
--- /dev/null
+++ b/core/lifecycle/waits_test.go
@@ -0,0 +1,52 @@
+package lifecycle
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bulrushrelay/bulrushrelay/core/ident"
+)
+
+// Guards against tasks that wait in the cell without being listed with their reason, and against tasks that are listed
+// although they run, wait for the planner or wait for earlier groups.
+func TestTasksThatWaitInTheCellAreListed(t *testing.T) {
+	f := newFixture(t, 1, "w")
+	id := f.submit(3)
+	require.Empty(t, f.c.WaitingTasks(10), "tasks that wait for the planner")
+	failed := f.startTask(f.c.jobs[id].tasks[0].id, "w")
+	f.startTask(f.c.jobs[id].tasks[1].id, "w")
+	require.Empty(t, f.c.WaitingTasks(10))
+	f.sync("w", nil, EndedAttempt{AttemptID: failed, End: EndFailed})
+	require.Equal(t, []TaskWait{{Task: failed.Task, Class: "batch", Reason: WaitBackoff}}, f.c.WaitingTasks(10))
+	f.tickUntil(f.now.Add(5 * time.Minute))
+	require.Empty(t, f.c.WaitingTasks(10))
+	require.Equal(t, "backoff", WaitBackoff.Code())
+}
+
+// Guards against tasks that wait for the workers of a predecessor and are not listed, and against a sweep that costs
+// more with more tasks or never reaches some.
+func TestListOfWaitingTasksIsBoundedAndReachesEveryJob(t *testing.T) {
+	const jobs, limit = 30, 4
+	f := newFixture(t, 1, "w1")
+	for range jobs {
+		f.submit(1)
+	}
+	next := &fixture{t: t, c: NewCell(1, 2, f.c.table), now: f.now}
+	for _, r := range f.log {
+		next.c.Replay(r)
+	}
+	next.c.SetAuthority(next.now, true, false)
+	next.apply(next.c.Recover(next.now, false, []Member{{ID: "w1"}, {ID: "w2"}}))
+	seen := map[ident.TaskID]int{}
+	for range jobs/limit + 1 {
+		found := next.c.WaitingTasks(limit)
+		require.LessOrEqual(t, len(found), limit)
+		for _, w := range found {
+			require.Equal(t, WaitRecovery, w.Reason)
+			seen[w.Task]++
+		}
+	}
+	require.Len(t, seen, jobs)
+}
