Log why a task that could run does not

A task that could run and did not left no trace: the log and the metrics of the owner could not tell a full cell from a quarantine, a class limit, an expected tail or a recovery. The owner now asks the planner once a second for at most 8 tasks that have waited for 3 s, looks at those that wait in the cell, and writes `task_waits` with the reason and the workers with room: once for each reason of a wait, and when the wait has doubled. The longest wait by cell and class and the tasks by reason are on the metrics address, and `relayctl job why` shows the reason of the planner where it is known.

--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -88,10 +89,11 @@
 // ownerMeter implements jobs.Meter.
 type ownerMeter struct {
 	loopDelay, durableTime metrics.Histogram
+	registry               *telemetry.Registry
 }
 
 func newOwnerMeter(m *telemetry.Registry) ownerMeter {
-	return ownerMeter{loopDelay: m.Histogram("owner_loop_delay_us"), durableTime: m.Histogram("cell_log_durable_ms")}
+	return ownerMeter{loopDelay: m.Histogram("owner_loop_delay_us"), durableTime: m.Histogram("cell_log_durable_ms"), registry: m}
 }
 
 // LoopDelay implements jobs.Meter.
@@ -100,6 +102,17 @@
 // CommitDelay implements jobs.Meter.
 func (o ownerMeter) CommitDelay(d time.Duration) { o.durableTime.Update(d.Milliseconds()) }
 
+// LongestWait implements jobs.Meter.
+func (o ownerMeter) LongestWait(cell ident.CellID, class ident.ClassName, d time.Duration) {
+	labels := []telemetry.Label{{Name: "cell", Value: strconv.FormatUint(uint64(cell), 10)}, {Name: "class", Value: string(class)}}
+	o.registry.Gauge("task_longest_wait_ms", labels...).Update(d.Milliseconds())
+}
+
+// TaskWaits implements jobs.Meter.
+func (o ownerMeter) TaskWaits(reason string) {
+	o.registry.Counter("task_waits_total", telemetry.Label{Name: "reason", Value: reason}).Inc(1)
+}
+
 func (h *Host) exportTable() {
 	c := h.config.Counters()
 	raiseCounter(h.metrics, "table_installed_total", c.Installed.Load())
--- a/relay/jobs/api.go
+++ b/relay/jobs/api.go
@@ -214,7 +214,9 @@
 	if !ok {
 		return lifecycle.JobView{}, errNotOwned(id.Cell)
 	}
-	return o.cell.Get(id, from, limit)
+	v, err := o.cell.Get(id, from, limit)
+	o.waits.explain(v.Tasks)
+	return v, err
 }
 
 // WaitingJobs returns the number of jobs of a cell that have not run any task yet, by class.
--- a/relay/jobs/eventlist.go
+++ b/relay/jobs/eventlist.go
@@ -21,6 +21,7 @@
 	EventTaskMoved          EventName = "task_moved"
 	EventTaskStopped        EventName = "task_stopped"
 	EventTaskSlowed         EventName = "task_slowed"
+	EventTaskWaits          EventName = "task_waits"
 	EventWorkerClaimed      EventName = "worker_claimed"
 	EventWorkerLost         EventName = "worker_lost"
 	EventQuarantined        EventName = "worker_quarantined"
@@ -78,6 +79,9 @@
 	FieldFailures    FieldName = "failures"
 	FieldLostMs      FieldName = "lost_ms"
 	FieldStepMs      FieldName = "step_ms"
+	FieldWaitedMs    FieldName = "waited_ms"
+	FieldRoom        FieldName = "workers_with_room"
+	FieldRuledOut    FieldName = "ruled_out"
 )
 
 // EventKind describes a kind of event.
@@ -121,6 +125,9 @@
 		{EventTaskSlowed, "an attempt was throttled to a halt, or told to continue at full speed", []FieldName{
 			FieldCell, FieldEpoch, FieldTask, FieldAttempt, FieldWorker, FieldFraction,
 		}},
+		{EventTaskWaits, "a task has waited for more than 3 s; again for each other reason, and when its wait has doubled", []FieldName{
+			FieldCell, FieldEpoch, FieldTask, FieldClass, FieldWaitedMs, FieldReason, FieldRoom, FieldRuledOut,
+		}},
 		{EventWorkerClaimed, "a worker accepts commands from this owner only", []FieldName{
 			FieldCell, FieldEpoch, FieldWorker, FieldLife, FieldRunning, FieldEnded,
 		}},
@@ -183,6 +190,9 @@
 	FieldFailures:    "number of consecutive calls that failed",
 	FieldLostMs:      "milliseconds during which the dependency was lost",
 	FieldStepMs:      "milliseconds by which the time of day changed beyond the time that has passed",
+	FieldWaitedMs:    "milliseconds for which the task has waited",
+	FieldRoom:        "number of workers with enough free resources, whether they may take the task or not",
+	FieldRuledOut:    "workers with room that do not take the task, by reason",
 }
 
 // EventReference returns the reference of all events and fields as Markdown.
--- a/relay/jobs/load.go
+++ b/relay/jobs/load.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
 )
 
@@ -13,6 +14,10 @@
 	// CommitDelay records, for one commit, the longest time from a decision until its record was durable and its
 	// effect visible.
 	CommitDelay(d time.Duration)
+	// LongestWait records the longest present wait of a task of a class in a cell; 0 if none waits for long. TaskWaits
+	// counts a task that has waited for long, once for each reason of the wait.
+	LongestWait(cell ident.CellID, class ident.ClassName, d time.Duration)
+	TaskWaits(reason string)
 }
 
 // discardMeasurements is the Meter of a service that was given none.
@@ -21,6 +26,9 @@
 func (discardMeasurements) LoopDelay(time.Duration)   {}
 func (discardMeasurements) CommitDelay(time.Duration) {}
 
+func (discardMeasurements) LongestWait(ident.CellID, ident.ClassName, time.Duration) {}
+func (discardMeasurements) TaskWaits(string)                                         {}
+
 // Load describes the work that is queued in the cells of this host.
 type Load struct {
 	// LateCells counts the cells whose owner does not keep up with its events.
--- a/relay/jobs/load_test.go
+++ b/relay/jobs/load_test.go
@@ -34,6 +34,9 @@
 	m.commit = max(m.commit, d)
 }
 
+func (*maxMeter) LongestWait(ident.CellID, ident.ClassName, time.Duration) {}
+func (*maxMeter) TaskWaits(string)                                         {}
+
 // takeMax returns the maxima since the last call.
 func (m *maxMeter) takeMax() (loop, commit time.Duration) {
 	m.mu.Lock()
--- a/relay/jobs/owner.go
+++ b/relay/jobs/owner.go
@@ -57,6 +57,7 @@
 	callsDone chan struct{}
 
 	watchers watchers
+	waits    waitTracker
 
 	// queuedEvents counts the events in the mailboxes, queuedCalls the calls in the outboxes, and syncsInProgress the
 	// syncs in progress. late says whether the owner has fallen behind.
@@ -90,6 +91,8 @@
 	wakeAt time.Time
 	// quarantined holds the workers whose quarantine has been logged.
 	quarantined map[ident.WorkerID]struct{}
+	// waitsCheckedAt is when the loop last looked for tasks that wait.
+	waitsCheckedAt time.Time
 }
 
 func (o *owner) now() time.Time {
@@ -112,6 +115,7 @@
 			// A late timer shows that the host is short of processor time, even if no event was queued.
 			o.longestWait = max(o.longestWait, o.now().Sub(o.wakeAt))
 		case <-o.ctx.Done():
+			o.waits.clear(o.cfg.Meter, o.cellID)
 			close(o.loopDone)
 			o.stopConns()
 			return
@@ -124,6 +128,7 @@
 		o.watchers.notify(o.cell.TakeChangedJobs())
 		o.checkCallsDone()
 		now := o.now()
+		o.checkWaits(now)
 		o.checkLateness(now)
 		wake := o.nextWake(now)
 		o.wakeAt = now.Add(wake)
@@ -251,6 +256,7 @@
 	case lifecycle.Dequeue:
 		for _, id := range c.Tasks {
 			o.planner.Cancel(id)
+			o.waits.forget(id)
 		}
 	case lifecycle.Release:
 		o.planner.Release(c.Task)
@@ -272,6 +278,7 @@
 	case lifecycle.ForgetWorker:
 		o.disconnect(c.Worker)
 	case lifecycle.StartTask:
+		o.waits.forget(c.Task)
 		o.enqueueCall(c.Worker, c)
 	case lifecycle.StopTasks:
 		o.enqueueCall(c.Worker, c)
--- a/relay/jobs/ports.go
+++ b/relay/jobs/ports.go
@@ -118,5 +118,10 @@
 	RestoreEstimates(e placement.Estimates)
 }
 
+// ExplainingPlanner is implemented by planners that say why tasks wait; see placement.Cell.LongestWaiting.
+type ExplainingPlanner interface {
+	LongestWaiting(now time.Time, minWait time.Duration, limit int) []placement.Waiting
+}
+
 // NewPlanner returns a planner for one cell that starts with the given table.
 type NewPlanner func(cell ident.CellID, t *table.Table) placement.Planner
