Bound the explanations of waiting tasks by the workers looked at

The limit is now 24 a call, and a call looks at 4096 workers at most, so that it stays short in a large cell.

The owner calls it once a second.

--- a/core/placement/explain.go
+++ b/core/placement/explain.go
@@ -39,6 +39,9 @@
 	waitOther      WaitReason = "other_filter"
 )
 
+// maxExplainWork bounds the workers that one call of LongestWaiting looks at, over all tasks, to about 2 ms.
+const maxExplainWork = 4096
+
 // Waiting describes a task that waits for a worker.
 type Waiting struct {
 	Task   ident.TaskID
@@ -90,7 +93,7 @@
 // Description returns the reason as a phrase for messages.
 func (r WaitReason) Description() string { return waitDescriptions[r] }
 
-// LongestWaiting explains at most limit tasks that have waited for minWait or longer since they were queued or last
+// LongestWaiting explains at most limit tasks, in a large cell fewer, that have waited for minWait or longer since they were queued or last
 // explained, those that have waited for longest first, so that repeated calls reach all of them. It changes no
 // decision.
 func (c *Cell) LongestWaiting(now time.Time, minWait time.Duration, limit int) []Waiting {
@@ -98,7 +101,8 @@
 	defer c.mu.Unlock()
 	at := c.stampOf(now)
 	var found []Waiting
-	for t := c.waiting.first; t != nil && len(found) < limit; t = c.waiting.first {
+	workers := min(len(c.nodes), c.opts.SearchBudget)
+	for t := c.waiting.first; t != nil && len(found) < limit && len(found)*workers < maxExplainWork; t = c.waiting.first {
 		if at.since(max(t.queuedAt, t.explainedAt)) < minWait {
 			break
 		}
--- a/core/placement/explain_test.go
+++ b/core/placement/explain_test.go
@@ -1,6 +1,7 @@
 package placement_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -173,6 +174,22 @@
 	require.Equal(t, placement.WaitPause, found[0].Reason, found[0])
 }
 
+// Guards against a call that takes long in a large cell, where each explanation looks at many workers.
+func TestExplanationsAreBoundedInLargeCells(t *testing.T) {
+	const workers, tasks = 700, 50
+	c := cellOf(0, vec(0, 0, 0))
+	for i := range workers {
+		c.UpsertWorker(placement.Worker{ID: ident.WorkerID(fmt.Sprint("w", i)), Rack: "r", Capacity: vec(16_000, 16_000, 0), Quarantined: true})
+	}
+	for i := range tasks {
+		c.Submit([]placement.Pending{pendingTask(i, "etl", vec(1000, 1000, 0))})
+	}
+	c.Plan(epoch, 10)
+	found := c.LongestWaiting(epoch.Add(time.Second), time.Second, tasks)
+	require.LessOrEqual(t, len(found), placement.MaxExplainWork/workers+1)
+	require.NotEmpty(t, found)
+}
+
 // Guards against a cost that grows with the queue, and against tasks that are never explained because others have
 // waited for longer.
 func TestExplanationsAreBoundedAndReachEveryTask(t *testing.T) {
--- a/core/placement/export_test.go
+++ b/core/placement/export_test.go
@@ -122,6 +122,9 @@
 	MaxQueueWastedVisits = (defaultBackfillDepth + 1) * defaultSearchBudget
 )
 
+// MaxExplainWork bounds the workers that one call of LongestWaiting looks at.
+const MaxExplainWork = maxExplainWork
+
 // PlanWork is like Plan and also returns the work done.
 func (c *Cell) PlanWork(now time.Time, limit int) (Plan, Work) {
 	c.mu.Lock()
--- a/relay/jobs/waits.go
+++ b/relay/jobs/waits.go
@@ -16,9 +16,9 @@
 	// longWait is how long a task waits before it is reported. Most tasks start within a second when there is room.
 	longWait = 3 * time.Second
 	// waitsInterval is how often an owner looks for tasks that wait, and maxExplained how many the planner explains
-	// each time: each explanation looks at all workers of the cell.
+	// each time at most: each explanation looks at all workers of the cell.
 	waitsInterval = time.Second
-	maxExplained  = 8
+	maxExplained  = 24
 	// maxSwept bounds the tasks that wait in the cell and are looked at each time.
 	maxSwept = 64
 	// maxTrackedWaits bounds the tasks whose waits are tracked. Their entries are dropped after trackedWaitTimeout,
