Start fillers soon while most of the capacity is free

Callers: a filler waited for a minute although 48 of 48 workers had room and less than a third of the processors were booked, if every worker ran a serving task near its target. A platform requires that a job with room for it has something running within 3 s while less than half of the capacity is in use.

Cause: the limit on the expected tail rises to 1 after 3 s and is lifted only after a minute, however empty the cell is. While less than half of the capacity of a pool of two or more workers is booked, it is now lifted after 1.5 s. The score then picks the worker where the harm is least, and pacing slows the filler there as before. In a fuller cell nothing changes, nor for a single worker, which leaves no choice of where to do less harm.

--- a/core/placement/cell.go
+++ b/core/placement/cell.go
@@ -79,6 +79,8 @@
 	measuredNodes []*node
 	// fillerMisses holds, for each signature of fillers, when a search last found no worker.
 	fillerMisses map[taskSignature]stamp
+	// poolUses caches isMostlyFree by pool.
+	poolUses map[string]poolUse
 	clock
 }
 
@@ -98,6 +100,7 @@
 		spread:       newRackSpread(),
 		images:       make(map[string]int),
 		fillerMisses: make(map[taskSignature]stamp),
+		poolUses:     make(map[string]poolUse),
 		shapes:       newShapes(),
 		required: []Filter{
 			leavingFilter{}, quarantineFilter{}, avoidFilter{}, poolFilter{}, labelFilter{}, perWorkerFilter{}, fillerFilter{},
--- /dev/null
+++ b/core/placement/patience.go
@@ -0,0 +1,65 @@
+package placement
+
+import (
+	"math"
+	"time"
+
+	"github.com/bulrushrelay/bulrushrelay/core/resource"
+)
+
+const (
+	// mostlyFreeShare is the share of the capacity below which fillers do not wait for a better worker for longer than
+	// mostlyFreePatience. Platforms require that a job with room for it has something running within 3 s while less
+	// than half of the capacity is in use; the rest of that time is for the start itself.
+	mostlyFreeShare    = 0.5
+	mostlyFreePatience = 1500 * time.Millisecond
+	// maxPoolUses bounds the pools whose use is remembered.
+	maxPoolUses = 64
+)
+
+// maxTail returns the tail, relative to the target, that a filler may be expected to cause. It rises with the time
+// for which the filler waits, so that a filler that harms all serving tasks runs eventually, at the pace that
+// pacing allows. While most of the capacity is free it rises sooner: the filler starts on the worker where it does the
+// least harm.
+func (c *Cell) maxTail(t *task) float64 {
+	switch waited := c.now.since(t.queuedAt); {
+	case waited >= tailLimitTimeout:
+		return math.Inf(1)
+	case waited >= mostlyFreePatience && c.isMostlyFree(t.pool):
+		return math.Inf(1)
+	case waited >= c.opts.FillerPatience:
+		return impatientMaxTail
+	default:
+		return highTail
+	}
+}
+
+// poolUse says whether most of the capacity of a pool is free, as of one Plan.
+type poolUse struct {
+	planSeq    uint64
+	mostlyFree bool
+}
+
+// isMostlyFree reports whether less than mostlyFreeShare of a pool of two or more workers is booked or claimed; an empty
+// name stands for the whole cell. A single worker leaves no choice of where to do less harm.
+func (c *Cell) isMostlyFree(pool string) bool {
+	if use, ok := c.poolUses[pool]; ok && use.planSeq == c.planSeq {
+		return use.mostlyFree
+	}
+	var capacity, used resource.Vector
+	workers := 0
+	for _, n := range c.nodes {
+		if !n.described || n.worker.Leaving || n.worker.Quarantined || pool != "" && n.worker.Pool != pool {
+			continue
+		}
+		workers++
+		capacity = capacity.Add(n.worker.Capacity)
+		used = used.Add(n.booked).Add(n.claimed)
+	}
+	mostlyFree := workers >= 2 && used.DominantShare(capacity) < mostlyFreeShare
+	if len(c.poolUses) >= maxPoolUses {
+		clear(c.poolUses)
+	}
+	c.poolUses[pool] = poolUse{planSeq: c.planSeq, mostlyFree: mostlyFree}
+	return mostlyFree
+}
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"math"
 	"time"
 
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
@@ -255,20 +254,6 @@
 	return taskSignature{t.id.Job, t.id.Group(), len(t.avoid), c.maxTail(t)}
 }
 
-// maxTail returns the tail, relative to the target, that a filler may be expected to cause. It rises with the time
-// for which the filler waits, so that a filler that harms all serving tasks runs eventually, at the pace that
-// pacing allows.
-func (c *Cell) maxTail(t *task) float64 {
-	switch waited := c.now.since(t.queuedAt); {
-	case waited < c.opts.FillerPatience:
-		return highTail
-	case waited < tailLimitTimeout:
-		return impatientMaxTail
-	default:
-		return math.Inf(1)
-	}
-}
-
 func (r *planRun) isTooLarge(need resource.Vector) bool {
 	for _, v := range r.tooLarge {
 		if v.Fits(need) {
--- a/core/placement/tails.go
+++ b/core/placement/tails.go
@@ -17,7 +17,7 @@
 	speedUpLimitTail = 0.85
 	// impatientMaxTail is the tail that fillers may cause after they have waited for Options.FillerPatience. After
 	// tailLimitTimeout they start on any worker with capacity. By then the result is of no use to most callers, but
-	// every job has to be done eventually.
+	// every job has to be done eventually. Both are for cells that are full; see mostlyFreePatience.
 	impatientMaxTail = 1.0
 	tailLimitTimeout = time.Minute
 	// maxExpectedTail caps expected tails, so that scores stay comparable.
