--- a/core/placement/cell.go
+++ b/core/placement/cell.go
@@ -31,6 +31,8 @@
 	resubmitted map[ident.TaskID]Pending
 	// parked holds the tasks that fit no worker or exceed a limit of their class. They are in no queue.
 	parked map[ident.TaskID]*task
+	// waiting lists the queued, claimed and parked tasks.
+	waiting waitingList
 
 	shares *shares
 	spread *rackSpread
@@ -77,6 +79,8 @@
 	measuredNodes []*node
 	// fillerMisses holds, for each signature of fillers, when a search last found no worker.
 	fillerMisses map[taskSignature]stamp
+	// poolUses caches isMostlyFree by pool.
+	poolUses map[string]poolUse
 	clock
 }
 
@@ -96,6 +100,7 @@
 		spread:       newRackSpread(),
 		images:       make(map[string]int),
 		fillerMisses: make(map[taskSignature]stamp),
+		poolUses:     make(map[string]poolUse),
 		shapes:       newShapes(),
 		required: []Filter{
 			leavingFilter{}, quarantineFilter{}, avoidFilter{}, poolFilter{}, labelFilter{}, perWorkerFilter{}, fillerFilter{},
@@ -237,6 +242,7 @@
 	t.image = c.imageOf(p.Constraints)
 	t.queuedAt = c.now
 	c.track(t)
+	c.waiting.add(t)
 	if d, largest := c.impossibleDimension(t); d != "" {
 		c.park(t, d, largest)
 		return
