Keep table, share and owner of a cell that changes hands meanwhile

Callers would see every job of a cell refused (class not in table revision 0) until the next table, only part of the limits used, or a cell whose host holds it without an owner, so that its leases lapse.

A table that came while an acquisition read the store went to the owners that were installed, and the new one kept the table from before; a share of the limits that grew meanwhile was taken for the one already applied; and a drain that ended after the cell had been lost and granted again stopped the owner under the later grant. Class of fault: a result applied to a state that has been replaced.

Now an owner gets the present table once it is installed, and the planner the present share before it runs; each event reads the table when it is handled, and a drain stops only the owner that it drained.

Evidence: TestTableSetDuringAcquisitionIsUsed, TestShareThatGrowsDuringAcquisitionIsUsed and TestEarlierDrainDoesNotStopTheOwner fail before and pass now.

--- a/relay/jobs/owner.go
+++ b/relay/jobs/owner.go
@@ -186,9 +186,8 @@
 		o.apply(o.cell.SetAuthority(o.now(), full && !o.draining.Load(), confirmed))
 		o.planNeeded = true
 	}
-	if p, ok := o.planner.(LimitSharePlanner); ok && g.ShareShift != o.shareShift {
-		o.shareShift = g.ShareShift
-		p.SetLimitShare(o.cfg.Cells, g.ShareShift)
+	if g.ShareShift != o.shareShift {
+		o.setLimitShare(g.ShareShift)
 	}
 	if !o.recovered && !o.cell.Recovering() {
 		o.recovered = true
@@ -196,6 +195,14 @@
 	}
 }
 
+// setLimitShare tells the planner which share of the limits it may use.
+func (o *owner) setLimitShare(shareShift uint8) {
+	o.shareShift = shareShift
+	if p, ok := o.planner.(LimitSharePlanner); ok {
+		p.SetLimitShare(o.cfg.Cells, shareShift)
+	}
+}
+
 // checkCallsDone closes callsDone when a draining owner has no calls left whose outcome matters to its successor.
 func (o *owner) checkCallsDone() {
 	if !o.draining.Load() || o.callsDoneClosed {
--- a/relay/jobs/service.go
+++ b/relay/jobs/service.go
@@ -128,14 +128,21 @@
 func (s *Service) SetTable(t *table.Table) {
 	s.table.Store(t)
 	for _, o := range s.allOwners() {
-		o.post(func() {
-			o.cell.SetTable(t)
-			o.planner.SetTable(t)
-			o.planNeeded = true
-		})
+		s.applyTable(o)
 	}
 }
 
+// applyTable gives the table in force to an owner. The table is read in the event, so that events in any order leave the
+// latest one.
+func (s *Service) applyTable(o *owner) {
+	o.post(func() {
+		t := s.table.Load()
+		o.cell.SetTable(t)
+		o.planner.SetTable(t)
+		o.planNeeded = true
+	})
+}
+
 func (s *Service) allOwners() []*owner {
 	var all []*owner
 	s.owners.ForEachShard(func(entries map[ident.CellID]*owner) {
@@ -166,6 +173,7 @@
 	// Changes made by the predecessor are not reported again.
 	o.cell.TakeChangedJobs()
 	o.cell.TakeFinishedJobs()
+	o.setLimitShare(o.cfg.Grants.Grant(o.cellID).ShareShift)
 	o.checkAuthority()
 	o.wg.Add(3)
 	go o.loop()
@@ -197,6 +205,8 @@
 	if replaced != nil {
 		replaced.stop()
 	}
+	// SetTable passes over an owner that is not installed yet.
+	s.applyTable(o)
 	return nil
 }
 
@@ -275,7 +285,7 @@
 	if !ok {
 		return nil
 	}
-	defer s.StopCell(cell)
+	defer s.stopOwner(cell, o.epoch)
 	o.draining.Store(true)
 	if !o.call(ctx, func() { o.apply(o.cell.SetAuthority(o.now(), false, o.predecessorConfirmed)) }) {
 		return o.errNotRun(ctx)
