Let fillers of a new owner wait from their submission

A new owner would start the fillers that it recovered beside serving tasks that they harm: before its first Plan the planner's time is 0, so that they counted as waiting since 1970 and any expected tail was accepted.

Now a task that is submitted before the first Plan counts as queued since its submission.

TestFillerSubmittedBeforeFirstPlanIsPatient fails before (0 s, at least 3 s wanted) and passes now. Two Plans whose times come in the wrong order, with monotonic readings, no longer count a span twice (TestPlanTimesInWrongOrderCountOnce).

--- a/core/placement/cell.go
+++ b/core/placement/cell.go
@@ -240,7 +240,7 @@
 	}
 	t := c.newTask(p, c.shares.class(p.Class, p.Kind))
 	t.image = c.imageOf(p.Constraints)
-	t.queuedAt = c.now
+	t.queuedAt = c.queueTime(t)
 	c.track(t)
 	c.waiting.add(t)
 	if d, largest := c.impossibleDimension(t); d != "" {
--- a/core/placement/clock.go
+++ b/core/placement/clock.go
@@ -24,7 +24,8 @@
 
 // clock is the clock of a planner, which Plan advances. It starts at the time of day and then counts the time that
 // passes, so that setting the time of day neither stops it nor makes it jump: the difference of two times with a
-// monotonic reading does not depend on the time of day, and without one a step back counts as no time.
+// monotonic reading does not depend on the time of day. Without one, a step back counts as no time, but a step ahead
+// cannot be told from time that passes.
 type clock struct {
 	// now is the time of the last Plan, and plannedAt the same time as the caller gave it; zero before the first Plan.
 	now       stamp
@@ -32,15 +33,22 @@
 }
 
 func (c *clock) advance(t time.Time) {
-	switch {
-	case c.plannedAt.IsZero():
-		c.now = c.stampOf(t)
-	default:
-		c.now += stamp(max(0, t.Sub(c.plannedAt)))
+	if c.plannedAt.IsZero() {
+		c.now, c.plannedAt = c.stampOf(t), t
+		return
+	}
+	switch passed := t.Sub(c.plannedAt); {
+	case passed >= 0:
+		c.now += stamp(min(passed, maxStampDistance))
+		c.plannedAt = t
+	case !hasMonotonicReading(t):
+		// The time of day was set back.
+		c.plannedAt = t
 	}
-	c.plannedAt = t
 }
 
+func hasMonotonicReading(t time.Time) bool { return t != t.Round(0) }
+
 func (c *clock) stampOf(t time.Time) stamp {
 	switch {
 	case t.IsZero():
--- a/core/placement/task.go
+++ b/core/placement/task.go
@@ -140,6 +140,15 @@
 	}
 }
 
+// queueTime returns since when a task that is submitted now counts as queued. Before the first Plan the time is not known:
+// the task has waited at an earlier owner of the cell, or for this one.
+func (c *Cell) queueTime(t *task) stamp {
+	if c.plannedAt.IsZero() && t.submittedAt != noTime {
+		return t.submittedAt
+	}
+	return c.now
+}
+
 // pending returns the task as it was submitted.
 func (c *Cell) pending(t *task) Pending {
 	need := t.declared
