--- a/daemon/host.go
+++ b/daemon/host.go
@@ -239,7 +239,7 @@
 		Codec:          cellpb.Codec{},
 		Workers:        h.workers,
 		Grants:         h.cluster,
-		Clock:          jobs.NewSystemClock(),
+		Clock:          jobs.SystemClock{},
 		NewPlanner:     h.newPlanner,
 		CommitInterval: commitInterval(h.settings.Cells),
 		Logger:         h.log.Logger,
--- a/daemon/jobhost.go
+++ b/daemon/jobhost.go
@@ -147,7 +147,7 @@
 		Codec:          cellpb.Codec{},
 		Workers:        h.ports.Workers,
 		Grants:         h.cluster,
-		Clock:          jobs.NewSystemClock(),
+		Clock:          jobs.SystemClock{},
 		NewPlanner:     h.newPlanner,
 		CommitInterval: h.settings.commitInterval(),
 		Policy:         h.settings.policy(),
--- a/relay/jobs/ports.go
+++ b/relay/jobs/ports.go
@@ -95,6 +95,17 @@
 	Grant(cell ident.CellID) ownership.Grant
 }
 
+// Clock returns the time. Timers are those of the Go runtime.
+type Clock interface {
+	Now() time.Time
+}
+
+// SystemClock is the Clock that reads the time of the host.
+type SystemClock struct{}
+
+// Now returns the wall clock time with its monotonic reading.
+func (SystemClock) Now() time.Time { return time.Now() }
+
 // LimitSharePlanner is implemented by planners that divide the limits of the fleet over the cells. SetLimitShare sets
 // the number of cells, and by how many halvings the share of this cell is reduced.
 type LimitSharePlanner interface {
--- a/relay/jobs/service.go
+++ b/relay/jobs/service.go
@@ -82,7 +82,7 @@
 // New returns a service that owns no cell and starts with table t.
 func New(cfg Config, t *table.Table) *Service {
 	if cfg.Clock == nil {
-		cfg.Clock = NewSystemClock()
+		cfg.Clock = SystemClock{}
 	}
 	if cfg.Logger == nil {
 		cfg.Logger = logrus.StandardLogger()
