Let a program that embeds a host for jobs replace its listeners

Exploration in one process runs hosts over connections in memory, under a fake clock. Only the host for requests and jobs could do that so far (Options.Listen); the host for jobs opened TCP listeners. JobPorts.Listen replaces them; nil means TCP, as before.

--- a/daemon/jobhost.go
+++ b/daemon/jobhost.go
@@ -190,7 +190,7 @@
 		{&h.metricsServer, h.settings.MetricsAddress, maxStatusConnections},
 	}
 	for _, s := range servers {
-		l, err := listenTCP(s.address)
+		l, err := h.ports.listen(s.address)
 		if err != nil {
 			return fmt.Errorf("listen on %s: %w", s.address, err)
 		}
@@ -243,7 +243,7 @@
 	defer stopBackground()
 	group, background := errgroup.WithContext(background)
 	h.cluster.Listen(h.grantChanged(background))
-	peerListener, err := listenTCP(h.settings.PeerAddress)
+	peerListener, err := h.ports.listen(h.settings.PeerAddress)
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", h.settings.PeerAddress, err)
 	}
--- a/daemon/jobsettings.go
+++ b/daemon/jobsettings.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"net"
 	"slices"
 	"time"
 
@@ -55,6 +56,15 @@
 	// RegisterCallers adds the routes of callers, RegisterStatus those of the platform's health checks.
 	RegisterCallers func(e *echo.Echo, r *jobs.Router)
 	RegisterStatus  func(e *echo.Echo, ready func() bool)
+	// Listen replaces the TCP listeners.
+	Listen func(address string) (net.Listener, error)
+}
+
+func (p JobPorts) listen(address string) (net.Listener, error) {
+	if p.Listen == nil {
+		return listenTCP(address)
+	}
+	return p.Listen(address)
 }
 
 // regions lists the regions in a fixed order, so that every host numbers the cells in the same way.
