Show that an owner without a table starts failed tasks again

The owner of its cell had been killed during an outage of the store, and started again before the store was back.

--- /dev/null
+++ b/explore/jobhost_test.go
@@ -0,0 +1,159 @@
+package explore
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/bulrushrelay/bulrushrelay/adapter/telemetry"
+	"github.com/bulrushrelay/bulrushrelay/core/ident"
+	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
+	"github.com/bulrushrelay/bulrushrelay/core/resource"
+	"github.com/bulrushrelay/bulrushrelay/core/table"
+	"github.com/bulrushrelay/bulrushrelay/daemon"
+	"github.com/bulrushrelay/bulrushrelay/internal/sleep"
+	"github.com/bulrushrelay/bulrushrelay/relay/jobs"
+	"github.com/bulrushrelay/bulrushrelay/standin/kv"
+	"github.com/bulrushrelay/bulrushrelay/standin/network"
+	"github.com/bulrushrelay/bulrushrelay/standin/worker"
+)
+
+const (
+	jobCellWorkers = 4
+	jobHostGrace   = 5 * time.Second
+)
+
+// jobCell is the platform of one cell: its store, its table and its workers. Processes of one relay host own the cell
+// one after another. It runs in a synctest bubble.
+type jobCell struct {
+	t         *testing.T
+	transport *network.MemoryTransport
+	store     *kv.Engine
+	recorder  *worker.Recorder
+	fleet     worker.Fleet
+	// readable is the table that the processes can read now; nil while the read does not answer.
+	readable atomic.Pointer[table.Table]
+	started  int
+}
+
+// jobProcess is one process of the relay host.
+type jobProcess struct {
+	cell   *jobCell
+	store  *kv.Session
+	link   *worker.Link
+	router *jobs.Router
+	cancel context.CancelFunc
+	runErr chan error
+}
+
+func newJobCell(t *testing.T) *jobCell {
+	c := &jobCell{t: t, transport: network.NewMemoryTransport(), store: kv.New(kv.Config{}), recorder: worker.NewRecorder(), fleet: worker.Fleet{}}
+	for i := range jobCellWorkers {
+		id := ident.WorkerID(fmt.Sprint("worker-", i))
+		c.fleet[id] = worker.New(worker.Config{
+			ID: id, Rack: ident.Rack(fmt.Sprint("w", i)), Capacity: resource.Vector{MilliCPU: 8000, MemoryMB: 16_000}, Recorder: c.recorder,
+		})
+	}
+	return c
+}
+
+// start starts a process with its own session at the store and its own link to the workers.
+func (c *jobCell) start() *jobProcess {
+	c.started++
+	p := &jobProcess{cell: c, store: c.store.Client(fmt.Sprint("process-", c.started)), link: worker.NewLink(c.fleet), runErr: make(chan error, 1)}
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	relay, err := daemon.NewJobHost(daemon.JobSettings{
+		HostID: "nelson-1", DataCentre: "nelson", Regions: map[ident.DataCentre]ident.DataCentre{"nelson": "tasman"},
+		CallerAddress: addressOf(100), StatusAddress: addressOf(101), PeerAddress: addressOf(102), MetricsAddress: addressOf(103),
+		WorkerLease: 6 * time.Second, StopTime: 2 * time.Second, SmallestLease: 2 * time.Second, StoreWrites: 1000, Grace: jobHostGrace,
+	}, daemon.JobPorts{
+		Metrics: telemetry.NewRegistry(), Store: p.store, Workers: p.link, FollowWorkers: c.followWorkers, FollowTable: c.followTable,
+		RegisterCallers: func(_ *echo.Echo, r *jobs.Router) { p.router = r },
+		RegisterStatus:  func(*echo.Echo, func() bool) {},
+		Listen:          c.transport.Listen,
+	}, logger.WithField("host", "nelson-1"))
+	require.NoError(c.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	p.cancel = cancel
+	go func() { p.runErr <- relay.Run(ctx) }()
+	return p
+}
+
+func (c *jobCell) followWorkers(ctx context.Context, _ func() time.Duration, changed func([]lifecycle.Member)) {
+	var list []lifecycle.Member
+	for _, w := range c.fleet {
+		m := w.Member()
+		m.DataCentre = "nelson"
+		list = append(list, m)
+	}
+	changed(list)
+	<-ctx.Done()
+}
+
+func (c *jobCell) followTable(ctx context.Context, changed func(*table.Table)) {
+	var seen *table.Table
+	for {
+		if t := c.readable.Load(); t != nil && t != seen {
+			seen = t
+			changed(t)
+		}
+		if sleep.For(ctx, pollInterval) != nil {
+			return
+		}
+	}
+}
+
+// kill cuts the process off from the store and the workers for good, so that nothing that its end causes has an effect.
+func (p *jobProcess) kill() {
+	p.store.SetFault(kv.Fault{Down: true})
+	for id := range p.cell.fleet {
+		p.link.SetCut(id, true)
+	}
+	p.cancel()
+	if err := <-p.runErr; !errors.Is(err, daemon.ErrDrainTimeout) {
+		require.NoError(p.cell.t, err)
+	}
+}
+
+// close ends the last process and the workers, and waits until their goroutines have ended.
+func (c *jobCell) close(last *jobProcess) {
+	last.kill()
+	for _, w := range c.fleet {
+		w.Crash()
+	}
+	time.Sleep(time.Minute)
+}
+
+// submit submits a job of one task, and repeats it until an owner accepts it.
+func (p *jobProcess) submit(ctx context.Context, class ident.ClassName, command string) ident.JobID {
+	spec := lifecycle.JobSpec{Class: class, Groups: []lifecycle.TaskGroup{{
+		Count: 1, Need: resource.Vector{MilliCPU: 500, MemoryMB: 100}, RunTime: time.Second, Command: command,
+	}}}
+	for {
+		id, err := p.router.Submit(ctx, spec)
+		if err == nil {
+			return id
+		}
+		require.NoError(p.cell.t, sleep.For(ctx, pollInterval), "submit: %v", err)
+	}
+}
+
+// awaitFinal waits until a job is final, and returns its last state.
+func (p *jobProcess) awaitFinal(ctx context.Context, id ident.JobID) lifecycle.JobView {
+	for {
+		v, err := p.router.Get(ctx, id, 0, lifecycle.MaxPageSize)
+		if err == nil && v.State.Final() {
+			return v
+		}
+		require.NoError(p.cell.t, sleep.For(ctx, pollInterval), "job %s is %s: %v", id, v.State, err)
+	}
+}
