Do not count a stop that is ordered after a kill as a planned stop

Both schedules order a planned stop and kill the host 0.95 s and 0.08 s later. The steps ran late and at once, so that the kill is recorded 2.6 ms and 10.7 ms before the stop; neither log has a "drain started" then. No process was there to stop.

The checker now takes a stop into account only if the process has not been killed. Stops before a kill and those of the next process are checked as before ("cut off before a kill", and the new "cut off by a stop after a kill"). "stop ordered after a kill" failed before.

--- a/history/check_test.go
+++ b/history/check_test.go
@@ -81,6 +81,7 @@
 		"no answer on an open connection during a stop": {"P8", []Event{{Kind: DrainStarted, Host: "h1"}, sent(1, true), onReusedConnection(noAnswer)}},
 		"cut off by a stop ordered twice":               {"P8", []Event{sent(1, true), {Kind: DrainStarted, Host: "h1"}, {Kind: DrainStarted, Host: "h1"}, answered(1, "may-have-run")}},
 		"cut off before a kill":                         {"P8", []Event{sent(1, true), {Kind: DrainStarted, Host: "h1"}, answered(1, "may-have-run"), {Kind: HostKilled, Host: "h1"}}},
+		"cut off by a stop after a kill":                {"P8", []Event{{Kind: HostKilled, Host: "h1"}, {Kind: HostUp, Host: "h1"}, sent(1, true), {Kind: DrainStarted, Host: "h1"}, answered(1, "may-have-run")}},
 		"revision goes back":                            {"P9", []Event{{Kind: TableInForce, Host: "h1", Revision: 3}, {Kind: TableInForce, Host: "h1", Revision: 2}}},
 		"never in force":                                {"P9", append([]Event{{Kind: HostUp, Host: "h1"}, {Kind: TableAccepted, Revision: 3}}, emptyEvents(25)...)},
 	} {
@@ -111,6 +112,7 @@
 		"open connection after a stop":        {{Kind: DrainStarted, Host: "h1"}, {Kind: HostUp, Host: "h1"}, sent(1, true), onReusedConnection(noAnswer)},
 		"refusal during a stop ordered twice": {{Kind: DrainStarted, Host: "h1"}, sent(1, false), {Kind: DrainStarted, Host: "h1"}, answered(1, "may-have-run")},
 		"kill in a stop ordered twice":        {sent(1, true), {Kind: DrainStarted, Host: "h1"}, {Kind: DrainStarted, Host: "h1"}, {Kind: HostKilled, Host: "h1"}, answered(1, "may-have-run")},
+		"stop ordered after a kill":           {sent(1, true), {Kind: HostKilled, Host: "h1"}, {Kind: DrainStarted, Host: "h1"}, answered(1, "may-have-run")},
 		"host down before the bound":          append([]Event{{Kind: HostUp, Host: "h1"}, {Kind: TableAccepted, Revision: 3}, {Kind: HostDown, Host: "h1"}}, emptyEvents(25)...),
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/history/drain.go
+++ b/history/drain.go
@@ -17,14 +17,18 @@
 	killed bool
 }
 
-// plannedStops returns the planned stops in order. A second order to stop during a stop does not start another one.
+// plannedStops returns the planned stops in order. A second order to stop during a stop does not start another one, and
+// neither does an order to stop a process that has been killed.
 func plannedStops(events []Event) []plannedStop {
 	var out []plannedStop
-	inProgress := make(map[string]int)
+	inProgress, killed := make(map[string]int), make(map[string]bool)
 	for _, e := range events {
+		if e.Kind == HostUp || e.Kind == HostKilled {
+			killed[e.Host] = e.Kind == HostKilled
+		}
 		i, ok := inProgress[e.Host]
 		switch {
-		case e.Kind == DrainStarted && !ok:
+		case e.Kind == DrainStarted && !ok && !killed[e.Host]:
 			inProgress[e.Host] = len(out)
 			out = append(out, plannedStop{start: e})
 		case ok && (e.Kind == HostUp || e.Kind == HostKilled):
