--- a/soak/run_test.go
+++ b/soak/run_test.go
@@ -24,7 +24,7 @@
 
 const (
 	testSeed     = 1
-	testDuration = 8 * time.Second
+	testDuration = 75 * time.Second
 	// waitTimeout bounds waits for processes and the kernel.
 	waitTimeout      = 30 * time.Second
 	waitPollInterval = 20 * time.Millisecond
