Decide nothing that needs the table before it is known

Callers saw a task run three times although its class allows two attempts: a host that had been restarted during an outage of the store became the owner of a cell before it had read the table, and started the task with table revision 0.

Cause: a service without a table worked with an empty one. An owner took the default number of retries for a class that an empty table lacks, which is meant for classes that were taken out. In the same way it answered "not in the table" for good to new jobs, and started everything that was queued without limits and weights.

Now "not known yet" is the state without a table, and "taken out" a table without the class. An owner without a table stays in recovery. It claims workers, renews leases, takes inventories, stops cancelled work, and records successes and checkpoints. It passes no task to the planner, so that none starts. It refuses new jobs as unavailable, so that the router tries again, and answers repeats of accepted ones. A failed attempt frees its capacity and waits undecided; it is not acknowledged, so that the worker lists it again to the next owner if this one is lost. The first table decides these failures before any task is queued again, and then queues everything that waited. The hand-over of an owner without a table does not count as clean, because its successor must hear of the undecided ends first. The planner runs all along, so that throttles go on; without a table no class allows evictions.

Evidence: on the code before, with an empty table in place of none, TestOwnerWithoutTableDecidesNothingByDefaults (relay/jobs) saw 3 starts instead of 2, and six of the eight tests of core/lifecycle/table_test.go failed. TestOwnerWithoutTableDoesNotWakeUp and TestCancellationNeedsNoTable guard the new state; the first failed with the condition in NextTick left out.

--- a/core/lifecycle/cell.go
+++ b/core/lifecycle/cell.go
@@ -30,6 +30,7 @@
 	mu    sync.Mutex
 	id    ident.CellID
 	epoch ident.Epoch
+	// table is nil until the first one is known.
 	table *table.Table
 	// policy is set before the first event.
 	policy Policy
@@ -43,7 +44,8 @@
 	sortedCache []*worker
 	// loggedWorkers holds the addresses of the workers that are recorded in the log.
 	loggedWorkers map[ident.WorkerID]string
-	// heldTasks holds the tasks that may still run on a worker that has not answered since the takeover.
+	// heldTasks holds the tasks that may still run on a worker that has not answered since the takeover, and all tasks
+	// that could start while no table is known.
 	heldTasks map[ident.TaskID]*task
 	delayed   delayQueue
 	// deadlines orders the workers by their next deadline.
@@ -56,7 +58,9 @@
 	unloggedEnds map[AttemptID]unloggedEnd
 	// unloggedByWorker counts unloggedEnds by worker.
 	unloggedByWorker map[ident.WorkerID]int
-	changedJobs      map[ident.JobID]struct{}
+	// undecidedFailures lists the failures that were reported before the table was known. They are in unloggedEnds, too.
+	undecidedFailures []undecidedFailure
+	changedJobs       map[ident.JobID]struct{}
 	// finishedJobs lists the jobs that have finished since the last TakeFinishedJobs, and ackedWorkers the workers with
 	// newly durable ends since the last TakeAckedWorkers.
 	finishedJobs []*job
@@ -91,7 +95,8 @@
 	phaseStopping
 )
 
-// NewCell returns an empty cell for the owner with the given epoch.
+// NewCell returns an empty cell for the owner with the given epoch. t is nil if the table is not known yet; a class that
+// a known table lacks has been taken out.
 func NewCell(id ident.CellID, epoch ident.Epoch, t *table.Table) *Cell {
 	return &Cell{
 		id:               id,
@@ -110,20 +115,6 @@
 	}
 }
 
-// SetTable replaces the table of classes and limits.
-func (c *Cell) SetTable(t *table.Table) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.table = t
-}
-
-// TableRevision returns the revision of the current table.
-func (c *Cell) TableRevision() table.Revision {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.table.Revision()
-}
-
 // Fenced reports whether a worker has refused a call because it knows a higher epoch, that is, of a later owner.
 func (c *Cell) Fenced() bool {
 	c.mu.Lock()
@@ -139,8 +130,8 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	row, ok := c.table.Lookup(spec.Class)
-	if !ok {
+	row, ok := c.lookup(spec.Class)
+	if !ok && c.table != nil {
 		return ident.JobID{}, Effects{}, verdict.New(verdict.NotRun, verdict.CodeInvalid,
 			"class %q is not in table revision %d", spec.Class, c.table.Revision())
 	}
@@ -155,6 +146,10 @@
 		}
 		return earlier.job, Effects{}, nil
 	}
+	if c.table == nil {
+		return ident.JobID{}, Effects{}, verdict.New(verdict.NotRun, verdict.CodeUnavailable,
+			"the owner of cell %d has not read the table yet", c.id).WithRetryAfter(time.Second)
+	}
 	for i, g := range spec.Groups {
 		if err := c.checkFits(i, g.Need); err != nil {
 			return ident.JobID{}, Effects{}, err
--- a/core/lifecycle/commit.go
+++ b/core/lifecycle/commit.go
@@ -114,12 +114,10 @@
 }
 
 func (c *Cell) acknowledgeEnd(attempt AttemptID) {
-	end, ok := c.unloggedEnds[attempt]
+	end, ok := c.removeUnloggedEnd(attempt)
 	if !ok {
 		return
 	}
-	delete(c.unloggedEnds, attempt)
-	c.uncountUnloggedEnd(end.worker)
 	if w, found := c.workers[end.worker]; found && w.claimed {
 		w.pendingAcks[attempt] = struct{}{}
 		c.ackedWorkers = append(c.ackedWorkers, end.worker)
--- a/core/lifecycle/failure.go
+++ b/core/lifecycle/failure.go
@@ -66,6 +66,11 @@
 }
 
 func (c *Cell) attemptFailed(now time.Time, w *worker, t *task, e EndedAttempt, eff *Effects) {
+	if c.table == nil && !t.job.cancelled {
+		c.deferFailure(w, e)
+		c.requeue(now, t, c.backoff(c.chargedFailures(t)+1), WaitBackoff, eff)
+		return
+	}
 	final, charged := c.recordFailure(now, w, t, e, eff)
 	switch {
 	case final:
@@ -85,6 +90,10 @@
 // workers report the ends of earlier attempts in any order.
 func (c *Cell) handleLateFailure(now time.Time, w *worker, t *task, e EndedAttempt, eff *Effects) {
 	t.nextAttempt = max(t.nextAttempt, e.Attempt+1)
+	if c.table == nil {
+		c.deferFailure(w, e)
+		return
+	}
 	final, _ := c.recordFailure(now, w, t, e, eff)
 	if !final {
 		return
@@ -155,7 +164,7 @@
 }
 
 func (c *Cell) retries(t *task) int {
-	if row, ok := c.table.Lookup(t.job.spec.Class); ok {
+	if row, ok := c.lookup(t.job.spec.Class); ok {
 		return row.Retries
 	}
 	return defaultRetries
--- a/core/lifecycle/job.go
+++ b/core/lifecycle/job.go
@@ -140,9 +140,14 @@
 	return j.counts[Done]+j.counts[Failed]+j.counts[Cancelled] == len(j.tasks)
 }
 
+// open reports whether the end of an attempt may still change how the task continues.
+func (t *task) open() bool {
+	return !t.settled && !t.state.Final() && !t.job.cancelling
+}
+
 // startable reports whether the task needs another attempt and has none running.
 func (t *task) startable() bool {
-	return !t.settled && !t.state.Final() && !t.job.cancelling && t.run == nil
+	return t.open() && t.run == nil
 }
 
 func (c *Cell) task(id ident.TaskID) *task {
--- a/core/lifecycle/late.go
+++ b/core/lifecycle/late.go
@@ -9,7 +9,7 @@
 // handleLateEnd applies the end of an attempt that is no longer the current one. A success still completes the task,
 // and the attempt that replaced it is stopped.
 func (c *Cell) handleLateEnd(now time.Time, w *worker, t *task, e EndedAttempt, eff *Effects) {
-	open := t != nil && !t.settled && !t.state.Final() && !t.job.cancelling && !t.group.Lasting
+	open := t != nil && t.open() && !t.group.Lasting
 	if open && e.End == EndFailed && !t.hasFailed(e.Attempt) {
 		c.handleLateFailure(now, w, t, e, eff)
 		return
--- a/core/lifecycle/queue.go
+++ b/core/lifecycle/queue.go
@@ -85,6 +85,11 @@
 		if !t.startable() {
 			continue
 		}
+		if c.table == nil {
+			t.wait = WaitTable
+			c.heldTasks[t.id] = t
+			continue
+		}
 		if c.recovering && !t.job.acceptedByOwner && !t.knownIdle {
 			t.wait = WaitRecovery
 			c.heldTasks[t.id] = t
--- a/core/lifecycle/restore.go
+++ b/core/lifecycle/restore.go
@@ -282,16 +282,17 @@
 	return eff
 }
 
-// Recovering reports whether tasks may still run on workers that have not answered.
+// Recovering reports whether tasks may still run on workers that have not answered, or the table is not known yet.
 func (c *Cell) Recovering() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.recovering
 }
 
-// finishRecovery queues the held tasks once none of them can run on a worker that has not answered.
+// finishRecovery queues the held tasks once none of them can run on a worker that has not answered, and the table is
+// known.
 func (c *Cell) finishRecovery(now time.Time, eff *Effects) {
-	if !c.recovering || c.inDoubt || c.awaitsInventories() {
+	if !c.recovering || c.table == nil || c.inDoubt || c.awaitsInventories() {
 		return
 	}
 	lapsed := !c.predecessorStoppedAt.IsZero() && !now.Before(c.predecessorStoppedAt.Add(c.policy.lapseAfter()))
@@ -301,13 +302,7 @@
 		}
 	}
 	c.recovering = false
-	tasks := make([]*task, 0, len(c.heldTasks))
-	for _, t := range c.heldTasks {
-		tasks = append(tasks, t)
-	}
-	clear(c.heldTasks)
-	slices.SortFunc(tasks, func(a, b *task) int { return compareTasks(a.id, b.id) })
-	c.enqueue(now, tasks, eff)
+	c.enqueueHeld(now, eff)
 	for _, w := range c.sortedWorkers() {
 		if !w.claimed {
 			w.lapsed = true
--- a/core/lifecycle/tick.go
+++ b/core/lifecycle/tick.go
@@ -122,7 +122,7 @@
 	if t := c.oldestWaiting(); t != nil {
 		earliest(t.run.startedAt.Add(maxLogWait))
 	}
-	if c.recovering && !c.predecessorStoppedAt.IsZero() && !c.inDoubt && !c.awaitsInventories() {
+	if c.recovering && c.table != nil && !c.predecessorStoppedAt.IsZero() && !c.inDoubt && !c.awaitsInventories() {
 		earliest(c.predecessorStoppedAt.Add(c.policy.lapseAfter()))
 	}
 	return next
--- a/core/lifecycle/view.go
+++ b/core/lifecycle/view.go
@@ -30,6 +30,8 @@
 	WaitLog WaitReason = "waits for the cell log in the store"
 	// WaitRecovery means that the task may still run on a worker that has not answered since the change of owner.
 	WaitRecovery WaitReason = "waits for workers to answer after a change of owner"
+	// WaitTable means that the owner does not know the table yet.
+	WaitTable WaitReason = "waits until the owner has read the table"
 	// WaitBackoff means that the last attempt failed and the pause before the next one has not ended.
 	WaitBackoff WaitReason = "waits after a failed attempt"
 	// WaitRefused means that the worker refused the start.
--- a/daemon/host.go
+++ b/daemon/host.go
@@ -244,7 +244,7 @@
 		CommitInterval: commitInterval(h.settings.Cells),
 		Logger:         h.log.Logger,
 		Meter:          newOwnerMeter(h.metrics),
-	}, table.New(0, nil))
+	}, nil)
 	router := &cellRouter{
 		self:       h.self,
 		dataCentre: h.dataCentre,
--- a/daemon/jobhost.go
+++ b/daemon/jobhost.go
@@ -163,7 +163,7 @@
 		RecordLatency: func(class ident.ClassName, took time.Duration) {
 			h.metrics.Histogram("job_ms", telemetry.Label{Name: "class", Value: string(class)}).Update(took.Milliseconds())
 		},
-	}, table.New(0, nil))
+	}, nil)
 }
 
 func (h *JobHost) newPlanner(id ident.CellID, t *table.Table) placement.Planner {
--- a/relay/jobs/owner.go
+++ b/relay/jobs/owner.go
@@ -185,7 +185,7 @@
 	}
 	if !o.recovered && !o.cell.Recovering() {
 		o.recovered = true
-		o.logger.Info("every worker of the cell has answered or lapsed")
+		o.logger.Info("every worker of the cell has answered or lapsed, and the table is known")
 	}
 }
 
--- a/relay/jobs/service.go
+++ b/relay/jobs/service.go
@@ -74,11 +74,12 @@
 type Service struct {
 	cfg    Config
 	owners *shard.Map[ident.CellID, *owner]
-	table  atomic.Pointer[table.Table]
-	stats  Stats
+	// table is nil until the first one is known.
+	table atomic.Pointer[table.Table]
+	stats Stats
 }
 
-// New returns a service that owns no cell and starts with table t.
+// New returns a service that owns no cell and starts with table t, or without one if t is nil.
 func New(cfg Config, t *table.Table) *Service {
 	if cfg.Clock == nil {
 		cfg.Clock = SystemClock{}
@@ -128,8 +129,8 @@
 	s.table.Store(t)
 	for _, o := range s.allOwners() {
 		o.post(func() {
-			o.cell.SetTable(t)
 			o.planner.SetTable(t)
+			o.apply(o.cell.SetTable(o.now(), t))
 			o.planNeeded = true
 		})
 	}
