Give an owner the table that came while it was acquiring its cell

Callers would have seen accepted jobs wait until the next change of the table, or an owner that works by an older table for as long. Found by review; no trial has shown it.

Cause: an owner takes the table of the service before it reads the estimates from the store, and is listed for SetTable only after that. A table that is set in between reaches the service, but not the owner.

The owner now looks at the table of the service once it is listed. Events take the table of the service when they run instead of the one when they were posted, so that two events in the wrong order cannot put an older table in force.

Evidence: TestTableThatComesDuringTheAcquisitionIsUsed sets the table between the two reads. Without the event after the listing, all tasks were still queued after a minute.

--- a/relay/jobs/owner.go
+++ b/relay/jobs/owner.go
@@ -12,6 +12,7 @@
 	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
 	"github.com/bulrushrelay/bulrushrelay/core/ownership"
 	"github.com/bulrushrelay/bulrushrelay/core/placement"
+	"github.com/bulrushrelay/bulrushrelay/core/table"
 )
 
 const (
@@ -68,6 +69,8 @@
 	savedEstimates []byte
 
 	// The fields below are used by the loop only.
+	// table is the one in force; nil if none is known yet.
+	table              *table.Table
 	conns              map[ident.WorkerID]*workerConn
 	pendingSubmissions map[ident.JobID]*pendingRecord
 	// pendingCancellations holds the cancellations that are not durable yet.
@@ -310,6 +313,17 @@
 	return s, ok
 }
 
+// useTable puts a table in force in the cell and its planner.
+func (o *owner) useTable(t *table.Table) {
+	if t == o.table {
+		return
+	}
+	o.table = t
+	o.planner.SetTable(t)
+	o.apply(o.cell.SetTable(o.now(), t))
+	o.planNeeded = true
+}
+
 // replaced stops the owner because another host has the cell.
 func (o *owner) replaced(reason string) {
 	if o.stopped.Swap(true) {
--- a/relay/jobs/service.go
+++ b/relay/jobs/service.go
@@ -128,11 +128,7 @@
 func (s *Service) SetTable(t *table.Table) {
 	s.table.Store(t)
 	for _, o := range s.allOwners() {
-		o.post(func() {
-			o.planner.SetTable(t)
-			o.apply(o.cell.SetTable(o.now(), t))
-			o.planNeeded = true
-		})
+		o.post(func() { o.useTable(s.table.Load()) })
 	}
 }
 
@@ -177,6 +173,8 @@
 		o.log.run(o.ctx)
 	}()
 	s.owners.Set(g.Cell, o)
+	// A table that was set after newOwner and before this owner was listed has not reached it.
+	o.post(func() { o.useTable(s.table.Load()) })
 	return nil
 }
 
@@ -185,7 +183,7 @@
 	//nolint:gosec // The context lives as long as the ownership, not as long as the call.
 	ctx, cancel := context.WithCancel(context.Background())
 	o := &owner{
-		cfg: &s.cfg, cellID: g.Cell, epoch: g.Epoch, stats: &s.stats,
+		cfg: &s.cfg, cellID: g.Cell, epoch: g.Epoch, stats: &s.stats, table: t,
 		cell:    lifecycle.NewCell(g.Cell, g.Epoch, t),
 		planner: s.cfg.NewPlanner(g.Cell, t),
 		logger:  s.cfg.Logger.WithFields(logrus.Fields{"cell": g.Cell, "epoch": g.Epoch}),
--- a/relay/jobs/table_test.go
+++ b/relay/jobs/table_test.go
@@ -1,6 +1,8 @@
 package jobs_test
 
 import (
+	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -9,6 +11,7 @@
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
 	"github.com/bulrushrelay/bulrushrelay/core/resource"
+	"github.com/bulrushrelay/bulrushrelay/core/store"
 	"github.com/bulrushrelay/bulrushrelay/core/table"
 	"github.com/bulrushrelay/bulrushrelay/relay/jobs"
 )
@@ -34,6 +37,34 @@
 	return n
 }
 
+// storeWithHook calls hook before the estimates are read, the last read of an acquisition.
+type storeWithHook struct {
+	jobs.Store
+	hook func()
+}
+
+func (s storeWithHook) Get(ctx context.Context, key string) (store.Entry, bool, error) {
+	if strings.HasSuffix(key, "/learnt") {
+		s.hook()
+	}
+	return s.Store.Get(ctx, key)
+}
+
+// Guards against an owner that never gets a table which came while it was reading the state of the cell, so that its
+// tasks wait until the next change of the table.
+func TestTableThatComesDuringTheAcquisitionIsUsed(t *testing.T) {
+	scenario(t, 2, func(fx *fixture, h *host) {
+		id := h.submit(spec("batch", 8, "work=5s"))
+		fx.kill(h)
+		h = fx.hostOn(func(h *host, s jobs.Store) jobs.Store {
+			return storeWithHook{Store: s, hook: func() { h.svc.SetTable(testTable) }}
+		})
+		h.svc = jobs.New(h.cfg, nil)
+		fx.giveCell(h)
+		h.awaitDone(time.Minute, id)
+	})
+}
+
 // Guards against decisions by an empty table: an owner that got its cell before its table started a task again whose
 // retries were used up. What waits meanwhile must run once the table is there, and what runs must go on.
 func TestOwnerWithoutTableDecidesNothingByDefaults(t *testing.T) {
