--- a/core/lifecycle/recovery.go
+++ b/core/lifecycle/recovery.go
@@ -47,9 +47,9 @@
 	return c.recovering
 }
 
-// finishRecovery queues the held tasks as soon as the answers of the workers allow it.
+// finishRecovery queues the held tasks as soon as the table is known and the answers of the workers allow it.
 func (c *Cell) finishRecovery(now time.Time, eff *Effects) {
-	if !c.recovering || c.inDoubt {
+	if !c.recovering || c.table == nil || c.inDoubt {
 		return
 	}
 	if !c.runsListed {
--- a/relay/jobs/service.go
+++ b/relay/jobs/service.go
@@ -75,11 +75,12 @@
 type Service struct {
 	cfg    Config
 	owners *shard.Map[ident.CellID, *owner]
-	table  atomic.Pointer[table.Table]
-	stats  Stats
+	// table is nil until the first one is known.
+	table atomic.Pointer[table.Table]
+	stats Stats
 }
 
-// New returns a service that owns no cell and starts with table t.
+// New returns a service that owns no cell and starts with table t, or without one if t is nil.
 func New(cfg Config, t *table.Table) *Service {
 	if cfg.Clock == nil {
 		cfg.Clock = SystemClock{}
@@ -128,21 +129,10 @@
 func (s *Service) SetTable(t *table.Table) {
 	s.table.Store(t)
 	for _, o := range s.allOwners() {
-		s.applyTable(o)
+		o.post(func() { o.useTable(s.table.Load()) })
 	}
 }
 
-// applyTable gives the table in force to an owner. The table is read in the event, so that events in any order leave the
-// latest one.
-func (s *Service) applyTable(o *owner) {
-	o.post(func() {
-		t := s.table.Load()
-		o.cell.SetTable(t)
-		o.planner.SetTable(t)
-		o.planNeeded = true
-	})
-}
-
 func (s *Service) allOwners() []*owner {
 	var all []*owner
 	s.owners.ForEachShard(func(entries map[ident.CellID]*owner) {
@@ -206,7 +196,7 @@
 		replaced.stop()
 	}
 	// SetTable passes over an owner that is not installed yet.
-	s.applyTable(o)
+	o.post(func() { o.useTable(s.table.Load()) })
 	return nil
 }
 
@@ -215,7 +205,7 @@
 	//nolint:gosec // The context lives as long as the ownership, not as long as the call.
 	ctx, cancel := context.WithCancel(context.Background())
 	o := &owner{
-		cfg: &s.cfg, cellID: g.Cell, epoch: g.Epoch, stats: &s.stats,
+		cfg: &s.cfg, cellID: g.Cell, epoch: g.Epoch, stats: &s.stats, table: t,
 		cell:    lifecycle.NewCell(g.Cell, g.Epoch, t),
 		planner: s.cfg.NewPlanner(g.Cell, t),
 		logger:  s.cfg.Logger.WithFields(logrus.Fields{"cell": g.Cell, "epoch": g.Epoch}),
