Use urgent and lasting tasks as probes once they have waited

A quarantined worker leaves its quarantine only after a task has run on it. Urgent tasks were never used for that, and new lasting tasks only on a worker without any other task. Callers would see that, with every sound worker full or gone and only such tasks in the queues, none of them started, however many workers had long recovered from what made them fail.

Cause: the rule that protects urgent tasks from bad workers assumed that other tasks come along as probes.

The first task of a queue that has fitted nowhere for 2 s (the time after which it may reserve a worker) now goes to a worker that accepts probes, before it reserves one, and also while it holds a reservation. Nothing is searched while no worker accepts probes.

Evidence: TestUrgentAndLastingTasksBecomeProbes failed before (no start at all in both cases). TestUrgentTaskPrefersSoundWorkers guards the other side and passes before and after.

--- a/core/placement/booking.go
+++ b/core/placement/booking.go
@@ -58,6 +58,9 @@
 		return
 	}
 	c.shares.total = c.shares.total.Add(n.worker.Capacity.Scale(int64(sign)))
+	if n.worker.AcceptsProbe {
+		c.probingWorkers += sign
+	}
 	c.shares.keysStale = true
 	if c.shapes.add(n.worker.Capacity, sign) {
 		c.recheckDue = true
--- a/core/placement/cell.go
+++ b/core/placement/cell.go
@@ -75,6 +75,8 @@
 	disturbances  []imageDisturbance
 	// measuredNodes lists the workers whose fillers or serving tasks were measured since the last Plan.
 	measuredNodes []*node
+	// probingWorkers counts the workers that accept probes.
+	probingWorkers int
 	// fillerMisses holds, for each signature of fillers, when a search last found no worker.
 	fillerMisses map[taskSignature]stamp
 	clock
--- a/core/placement/claims.go
+++ b/core/placement/claims.go
@@ -56,6 +56,8 @@
 			t.retryAt = r.now + stamp(displaceRetryDelay)
 			n = r.chooseLastResort(t)
 		}
+	} else if n == nil {
+		n = r.chooseProbe(t)
 	}
 	if n == nil {
 		return false
@@ -81,13 +83,18 @@
 	r.completeClaims = append(r.completeClaims[:0], r.completeClaims[i:]...)
 }
 
-// reserve claims the worker on which a task that has not fitted for Options.ReserveAfter is expected to fit first.
-// Resources that become free there are kept for it, while smaller tasks are placed on the other workers.
-func (r *planRun) reserve(t *task) bool {
+// hasWaited reports whether the first task of a queue has not fitted for Options.ReserveAfter.
+func (r *planRun) hasWaited(t *task) bool {
 	if t.blockedSince == noTime {
 		t.blockedSince = r.now
 	}
-	if r.now.since(t.blockedSince) < r.opts.ReserveAfter || !r.mayReserve(t.class) {
+	return r.now.since(t.blockedSince) >= r.opts.ReserveAfter
+}
+
+// reserve claims the worker on which a task that has waited is expected to fit first. Resources that become free there
+// are kept for it, while smaller tasks are placed on the other workers.
+func (r *planRun) reserve(t *task) bool {
+	if !r.mayReserve(t.class) {
 		return false
 	}
 	r.sampleNodes(&r.reclaimable, t.desired)
--- a/core/placement/framework.go
+++ b/core/placement/framework.go
@@ -59,7 +59,9 @@
 	Avoid   []ident.WorkerID
 	Lasting bool
 	// LastResort is set for a restart for which only quarantined workers are left.
-	LastResort  bool
+	LastResort bool
+	// Probe is set for an urgent or lasting task that has waited for a sound worker.
+	Probe       bool
 	Pool        string
 	Constraints Constraints
 	// DemandMilliCPU is the processors that a filler would use if available, in thousandths.
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -183,8 +183,15 @@
 		r.failedDisplacements++
 		r.undisplaceable = append(r.undisplaceable, t)
 	}
-	if first && r.reserve(t) {
-		return placed
+	if first && r.hasWaited(t) {
+		if n := r.chooseProbe(t); n != nil {
+			r.shares.dequeue(t)
+			r.start(t, n)
+			return placed
+		}
+		if r.reserve(t) {
+			return placed
+		}
 	}
 	return unplaced
 }
