Avoid at most half of the workers on which a task may run

A task that has failed avoids the workers of its latest failures. At most half of the workers that take tasks may be avoided, so that it still finds one for its last retries, but all workers of the cell counted, whatever their pool, label or size. Callers would see that a task which only a few workers may run, and which failed once on each of them, never started again while they were sound and idle: the job stayed in the state running until it was cancelled.

Cause: the bound was computed over workers that the planner rules out for the task anyway.

Only workers with the pool, the label and the capacity that the task needs count now.

Evidence: TestAvoidNeverCoversEveryWorkerThatSuits failed before for pool, label and size: a task for two of six workers avoided both.

--- a/core/lifecycle/cell_test.go
+++ b/core/lifecycle/cell_test.go
@@ -409,3 +409,51 @@
 	queued = commandsOf[Enqueue](f)
 	require.Empty(t, queued[len(queued)-1].Tasks[0].Avoid)
 }
+
+// Guards against a task that waits for ever because it avoids the only workers on which it may run, among others that
+// are too small or have another pool or label.
+func TestAvoidNeverCoversEveryWorkerThatSuits(t *testing.T) {
+	small := resource.Vector{MilliCPU: 8000, MemoryMB: 8000}
+	for name, tc := range map[string]struct {
+		spec   JobSpec
+		suited Member
+	}{
+		"pool":  {JobSpec{Pool: "a"}, Member{Pool: "a"}},
+		"label": {JobSpec{Groups: []TaskGroup{{Constraints: placement.Constraints{Label: "ssd"}}}}, Member{Labels: "fast ssd"}},
+		"size":  {JobSpec{Groups: []TaskGroup{{Need: resource.Vector{MilliCPU: 9000}}}}, Member{Capacity: capacity}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 7, "w1", "w2", "w3", "w4", "w5", "w6")
+			var members []Member
+			for _, id := range []ident.WorkerID{"w1", "w2"} {
+				m := tc.suited
+				m.ID = id
+				members = append(members, m)
+			}
+			for _, id := range []ident.WorkerID{"w3", "w4", "w5", "w6"} {
+				members = append(members, Member{ID: id, Pool: "b", Labels: "fast", Capacity: small})
+			}
+			f.apply(f.c.SetMembers(f.now, members))
+			spec := tc.spec
+			if spec.Class = "batch"; spec.Groups == nil {
+				spec.Groups = []TaskGroup{{}}
+			}
+			spec.Groups[0].Count = 1
+			if spec.Groups[0].Need.IsZero() {
+				spec.Groups[0].Need = resource.Vector{MilliCPU: 1000}
+			}
+			task := ident.TaskID{Job: f.accept(spec)}
+			for _, w := range []ident.WorkerID{"w1", "w2"} {
+				f.sync(w, nil, EndedAttempt{AttemptID: f.startTask(task, w), End: EndFailed})
+				for range 2 {
+					for _, m := range members {
+						f.sync(m.ID, nil)
+					}
+					f.tickUntil(f.now.Add(firstBackoff))
+				}
+				queued := commandsOf[Enqueue](f)
+				require.Equal(t, []ident.WorkerID{w}, queued[len(queued)-1].Tasks[0].Avoid)
+			}
+		})
+	}
+}
--- a/core/lifecycle/queue.go
+++ b/core/lifecycle/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
@@ -34,15 +35,15 @@
 	return p
 }
 
-// workersToAvoid returns the workers of the latest failures, at most half of the usable ones: a task that has failed on
-// every worker must still find one for its last retries.
+// workersToAvoid returns the workers of the latest failures, at most half of the usable ones on which the task may run: a
+// task that has failed on every worker must still find one for its last retries.
 func (c *Cell) workersToAvoid(t *task) []ident.WorkerID {
 	if len(t.failures) == 0 {
 		return nil
 	}
 	usable := 0
 	for _, w := range c.workers {
-		if w.usable() {
+		if w.usable() && w.suits(t) {
 			usable++
 		}
 	}
@@ -56,6 +57,17 @@
 	return avoid
 }
 
+// suits reports whether the worker has what the task needs, whatever else runs there.
+func (w *worker) suits(t *task) bool {
+	pool, label := t.job.spec.Pool, t.group.Constraints.Label
+	need := t.group.Need
+	if t.group.Constraints.Filler {
+		need.MilliCPU = 0
+	}
+	return (pool == "" || pool == w.member.Pool) && need.Fits(w.capacity) &&
+		(label == "" || slices.Contains(strings.Fields(w.member.Labels), label))
+}
+
 // refreshWorkersToAvoid queues the tasks that avoid workers again, after the number of usable workers has decreased.
 func (c *Cell) refreshWorkersToAvoid(now time.Time, eff *Effects) {
 	var again []*task
