Let a task return to an avoided worker once it has waited

The workers of the latest failures of a task were ruled out for its next attempt without a bound in time. Callers would see that a task never started again if the workers on which it had not failed were full for good, for example with lasting tasks, although one on which it had failed once was sound and idle.

Cause: avoidance is there to find out whether the task or the worker is at fault, but the filter treated it like a need.

A task that has been queued for 2 s may go to an avoided worker. Among the sampled workers with room one without a failure still goes first, by a preferred filter.

The wait of a task that was queued before the first Plan was taken as the time since 1970, which also made the fillers that an owner takes over harm serving tasks at once (maxTail). It now counts from the first Plan.

Evidence: TestTaskReturnsToAvoidedWorkerAfterWaiting failed before (no start); TestQuarantinedAndAvoidedWorkers, which plans right after the first submission, fails without the second part.

--- a/core/placement/cell.go
+++ b/core/placement/cell.go
@@ -102,7 +102,7 @@
 		required: []Filter{
 			leavingFilter{}, quarantineFilter{}, avoidFilter{}, poolFilter{}, labelFilter{}, perWorkerFilter{}, fillerFilter{},
 		},
-		preferred: []Filter{spreadFilter{}},
+		preferred: []Filter{spreadFilter{}, preferUnavoidedFilter{}},
 		scores: []weightedScore{
 			{interferenceScore{opts.Interference}, 2},
 			{packingScore{}, 1},
@@ -237,7 +237,9 @@
 	}
 	t := c.newTask(p, c.shares.class(p.Class, p.Kind))
 	t.image = c.imageOf(p.Constraints)
-	t.queuedAt = c.now
+	if !c.plannedAt.IsZero() {
+		t.queuedAt = c.now
+	}
 	c.track(t)
 	if d, largest := c.impossibleDimension(t); d != "" {
 		c.park(t, d, largest)
--- a/core/placement/filter_test.go
+++ b/core/placement/filter_test.go
@@ -44,7 +44,7 @@
 }
 
 // Guards against a worker that fails all tasks and still gets work. In quarantine it must get nothing; while it
-// accepts probes, one batch task at a time and no urgent one. A task must not return to a worker where it failed.
+// accepts probes, one batch task at a time and no urgent one. A task must not return at once to a worker where it failed.
 func TestQuarantinedAndAvoidedWorkers(t *testing.T) {
 	c := cellOf(1, vec(16_000, 16_000, 0))
 	set := func(quarantined, probe bool) {
@@ -66,6 +66,36 @@
 	require.Len(t, c.Plan(epoch, 10).Starts, 2)
 }
 
+// Guards against a task that waits for ever because the workers on which it has not failed are full for good.
+func TestTaskReturnsToAvoidedWorkerAfterWaiting(t *testing.T) {
+	for name, full := range map[string]bool{"others are full": true, "another has room": false} {
+		t.Run(name, func(t *testing.T) {
+			c := cellOf(2, vec(16_000, 16_000, 0))
+			blocker := lastingTask(1, 1)
+			blocker.Need = vec(16_000, 16_000, 0)
+			c.Submit([]placement.Pending{blocker})
+			started := c.Plan(epoch, 10).Starts
+			require.Len(t, started, 1)
+			fullWorker, idleWorker := started[0].Worker, workerID(0)
+			if fullWorker == idleWorker {
+				idleWorker = workerID(1)
+			}
+			avoiding := pendingTask(2, "etl", vec(1000, 1000, 0))
+			avoiding.Avoid = []ident.WorkerID{idleWorker}
+			c.Submit([]placement.Pending{avoiding})
+			require.Empty(t, c.Plan(epoch.Add(1900*time.Millisecond), 10).Starts)
+			want := idleWorker
+			if !full {
+				c.Release(blocker.Task)
+				want = fullWorker
+			}
+			p := c.Plan(epoch.Add(2*time.Second), 10)
+			require.True(t, hasStart(p, avoiding))
+			require.Equal(t, want, p.Starts[0].Worker)
+		})
+	}
+}
+
 // Guards against a worker that stays in quarantine forever because a lasting task runs on it, and against a probe
 // that never ends.
 func TestQuarantinedWorkerIsProbedBesideLastingTasks(t *testing.T) {
--- a/core/placement/framework.go
+++ b/core/placement/framework.go
@@ -57,7 +57,9 @@
 	// Booking is what the task will have booked.
 	Booking resource.Vector
 	Avoid   []ident.WorkerID
-	Lasting bool
+	// HasWaited is set once the task has been queued for Options.ReserveAfter.
+	HasWaited bool
+	Lasting   bool
 	// LastResort is set for a restart for which only quarantined workers are left.
 	LastResort bool
 	// Probe is set for an urgent or lasting task that has waited for a sound worker.
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -4,7 +4,6 @@
 	"math"
 	"time"
 
-	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/resource"
 )
 
@@ -250,23 +249,11 @@
 	return ok && r.now.since(at) < fillerRetryDelay
 }
 
-// taskSignature is equal for tasks that placement cannot tell apart.
-type taskSignature struct {
-	job            ident.JobID
-	group          int
-	avoidedWorkers int
-	maxTail        float64
-}
-
-func (r *planRun) signatureOf(t *task) taskSignature {
-	return taskSignature{t.id.Job, t.id.Group(), len(t.avoid), r.maxTail(t)}
-}
-
 // maxTail returns the tail, relative to the target, that a filler may be expected to cause. It rises with the time
 // for which the filler waits, so that a filler that harms all serving tasks runs eventually, at the pace that
 // pacing allows.
 func (r *planRun) maxTail(t *task) float64 {
-	switch waited := r.now.since(t.queuedAt); {
+	switch waited := r.queuedFor(t); {
 	case waited < r.opts.FillerPatience:
 		return highTail
 	case waited < tailLimitTimeout:
@@ -306,8 +293,8 @@
 func (r *planRun) request(t *task) Request {
 	req := Request{
 		Task: t.id, Class: t.class.index, Urgent: t.class.urgent, Booking: t.desired, Avoid: t.avoid,
-		Lasting: t.lasting,
-		Pool:    t.pool, Constraints: t.constraints, DemandMilliCPU: t.demandMilliCPU,
+		Lasting: t.lasting, HasWaited: r.hasQueued(t),
+		Pool: t.pool, Constraints: t.constraints, DemandMilliCPU: t.demandMilliCPU,
 		image:   t.image,
 		MaxTail: r.maxTail(t),
 	}
--- a/core/placement/task.go
+++ b/core/placement/task.go
@@ -46,7 +46,7 @@
 	runTime     time.Duration
 	pool        string
 	constraints Constraints
-	// queuedAt is when the task was queued.
+	// queuedAt is when the task was queued; noTime if that was before the first Plan.
 	queuedAt stamp
 	// demandMilliCPU is the processors that a filler would use if available, usedMilliCPU those last measured, in
 	// thousandths.
@@ -131,6 +131,7 @@
 		startedAt:      noTime,
 		checkpointedAt: noTime,
 		blockedSince:   noTime,
+		queuedAt:       noTime,
 		retryAt:        noTime,
 		avoid:          p.Avoid,
 	}
