Avoid a worker that refuses a start as unhealthy

A refused start left no trace but a pause. A worker that refuses everything runs nothing and often looks best: it has the most room, or it is the only one with room in the rack of the data. Callers would see that a task was sent to the same worker again and again, with pauses of up to 10 s, while others had room for it.

Cause: failures make a task avoid a worker, refusals did not.

The next attempts now avoid the workers that have refused the task as unhealthy, under the same bound as after failures, until an attempt has run. Other refusals do not count: room may be missing for a moment only, and a call that was not sent says nothing about the worker.

Evidence: TestRefusedTaskTriesAnotherWorker failed before (nothing avoided).

--- a/core/lifecycle/attempt.go
+++ b/core/lifecycle/attempt.go
@@ -132,6 +132,7 @@
 		t.run.noteSeen(now)
 		t.noteRan(attempt.Attempt)
 		t.refusals = 0
+		t.refusedBy = nil
 		if t.run.phase == phaseStarting {
 			t.run.phase = phaseActive
 			c.setState(now, t, Running)
@@ -140,6 +141,9 @@
 	case Refused:
 		t.maybeSent = t.run.maybeSentBefore
 		t.refusals++
+		if a.Reason == ReasonUnhealthy && !slices.Contains(t.refusedBy, id) {
+			t.refusedBy = append(t.refusedBy, id)
+		}
 		pause := t.refusalPause()
 		c.endRun(now, t, &eff)
 		c.requeue(now, t, pause, WaitRefused, &eff)
--- a/core/lifecycle/job.go
+++ b/core/lifecycle/job.go
@@ -81,8 +81,10 @@
 	failures   []Failure
 	evictions  int
 	refusals   int
-	notBefore  time.Time
-	wait       WaitReason
+	// refusedBy lists the workers that refused a start as unhealthy since the last start that ran, oldest first.
+	refusedBy []ident.WorkerID
+	notBefore time.Time
+	wait      WaitReason
 	// message says why the last attempt failed or why the task is impossible.
 	message string
 	// leftOn is the worker on which the predecessor left an attempt running. knownIdle is set if it certainly left none.
--- a/core/lifecycle/lasting_test.go
+++ b/core/lifecycle/lasting_test.go
@@ -75,3 +75,27 @@
 	f.tickUntil(f.now.Add(startRetryPause))
 	require.True(t, lastQueued().Restart, "a later refusal does not change that it has run")
 }
+
+// Guards against a task that goes to the same worker again and again, which refuses what it is sent: it runs nothing
+// and therefore has the most room.
+func TestRefusedTaskTriesAnotherWorker(t *testing.T) {
+	f := newFixture(t, 7, "w1", "w2", "w3", "w4")
+	task := ident.TaskID{Job: f.submit(1)}
+	avoided := func() []ident.WorkerID {
+		f.tickUntil(f.now.Add(startRetryPause << 2))
+		queued := commandsOf[Enqueue](f)
+		return queued[len(queued)-1].Tasks[0].Avoid
+	}
+	refuse := func(w ident.WorkerID, reason RefusalReason) {
+		f.apply(f.c.StartAnswered(f.now, w, f.planStart(task, w), Answer{Outcome: Refused, Reason: reason}))
+	}
+	refuse("w1", ReasonCapacity)
+	require.Empty(t, avoided())
+	refuse("w1", ReasonUnhealthy)
+	require.Equal(t, []ident.WorkerID{"w1"}, avoided())
+	refuse("w2", ReasonUnhealthy)
+	require.Equal(t, []ident.WorkerID{"w2", "w1"}, avoided())
+	attempt := f.startTask(task, "w3")
+	f.sync("w3", nil, EndedAttempt{AttemptID: attempt, End: EndStopped})
+	require.Empty(t, avoided())
+}
--- a/core/lifecycle/queue.go
+++ b/core/lifecycle/queue.go
@@ -35,10 +35,11 @@
 	return p
 }
 
-// workersToAvoid returns the workers of the latest failures, at most half of the usable ones on which the task may run: a
-// task that has failed on every worker must still find one for its last retries.
+// workersToAvoid returns the workers that refused the task as unhealthy and those of its latest failures, at most half of
+// the usable ones on which the task may run: a task that has failed on every worker must still find one for its last
+// retries.
 func (c *Cell) workersToAvoid(t *task) []ident.WorkerID {
-	if len(t.failures) == 0 {
+	if len(t.failures) == 0 && len(t.refusedBy) == 0 {
 		return nil
 	}
 	usable := 0
@@ -48,12 +49,17 @@
 		}
 	}
 	var avoid []ident.WorkerID
-	for i := len(t.failures) - 1; i >= 0 && len(avoid) < usable/2; i-- {
-		id := t.failures[i].Worker
-		if w, ok := c.workers[id]; ok && w.usable() && !slices.Contains(avoid, id) {
+	add := func(id ident.WorkerID) {
+		if w, ok := c.workers[id]; ok && len(avoid) < usable/2 && w.usable() && !slices.Contains(avoid, id) {
 			avoid = append(avoid, id)
 		}
 	}
+	for _, id := range slices.Backward(t.refusedBy) {
+		add(id)
+	}
+	for _, f := range slices.Backward(t.failures) {
+		add(f.Worker)
+	}
 	return avoid
 }
 
