Try a refused start again within 2 s

The pause after a refused start doubled up to 10 s for all tasks but lasting ones. After a while in which workers refused what they were sent, callers would see that a job had nothing running for up to 10 s although there was room for it and starts were accepted again; it must not be 3 s.

Cause: the bound was chosen for the load of repeated calls. That load is bounded by the room on the workers, since each start is booked before it is sent.

Evidence: TestRefusedTaskRetriesWithinTarget, case "other", failed before. The case "lasting" is the former TestRefusedLastingTaskRetriesWithinTarget, unchanged.

--- a/core/lifecycle/failure.go
+++ b/core/lifecycle/failure.go
@@ -16,8 +16,9 @@
 	firstBackoff = time.Second
 	maxBackoff   = time.Minute
 	// The pause after a start that certainly did not run doubles from startRetryPause to maxStartRetryPause.
-	startRetryPause    = 200 * time.Millisecond
-	maxStartRetryPause = 10 * time.Second
+	startRetryPause = 200 * time.Millisecond
+	// A task with room on some worker must start within 3 s.
+	maxStartRetryPause = 2 * time.Second
 	// maxLastingRetryPause replaces maxStartRetryPause for lasting tasks, which have 6 s to run again and may have to
 	// try several workers.
 	maxLastingRetryPause = time.Second
--- a/core/lifecycle/lasting_test.go
+++ b/core/lifecycle/lasting_test.go
@@ -10,17 +10,26 @@
 	"github.com/bulrushrelay/bulrushrelay/core/placement"
 )
 
-// Guards against a refused lasting task whose pauses leave too little of the restart target for several tries.
-func TestRefusedLastingTaskRetriesWithinTarget(t *testing.T) {
-	f := newFixture(t, 1, "w")
-	task := taskID(f.accept(JobSpec{Groups: []TaskGroup{{Count: 1, Need: oneCore, Lasting: true}}}), 0, 0)
-	for range 20 {
-		f.apply(f.c.StartAnswered(f.now, "w", f.planStart(task, "w"), Answer{Outcome: Refused, Reason: ReasonUnhealthy}))
-		f.commands = nil
-		f.now = f.now.Add(restartWithin / 4)
-		f.apply(f.c.Tick(f.now))
-		require.Equal(t, []ident.TaskID{task}, f.takeEnqueued())
-		f.reportEnds("w")
+// Guards against a refused task whose pauses leave too little of the time in which it must start again for several
+// tries, and against one that pauses on although a worker with room for it accepts starts again.
+func TestRefusedTaskRetriesWithinTarget(t *testing.T) {
+	const startWithin = 3 * time.Second
+	for name, tc := range map[string]struct {
+		lasting bool
+		pause   time.Duration
+	}{"lasting": {true, restartWithin / 4}, "other": {false, startWithin * 3 / 4}} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 1, "w")
+			task := taskID(f.accept(JobSpec{Groups: []TaskGroup{{Count: 1, Need: oneCore, Lasting: tc.lasting}}}), 0, 0)
+			for range 20 {
+				f.apply(f.c.StartAnswered(f.now, "w", f.planStart(task, "w"), Answer{Outcome: Refused, Reason: ReasonUnhealthy}))
+				f.commands = nil
+				f.now = f.now.Add(tc.pause)
+				f.apply(f.c.Tick(f.now))
+				require.Equal(t, []ident.TaskID{task}, f.takeEnqueued())
+				f.reportEnds("w")
+			}
+		})
 	}
 }
 
