--- a/core/placement/cell.go
+++ b/core/placement/cell.go
@@ -77,6 +77,8 @@
 	disturbances  []imageDisturbance
 	// measuredNodes lists the workers whose fillers or serving tasks were measured since the last Plan.
 	measuredNodes []*node
+	// probingWorkers counts the workers that accept probes.
+	probingWorkers int
 	// fillerMisses holds, for each signature of fillers, when a search last found no worker.
 	fillerMisses map[taskSignature]stamp
 	// poolUses caches isMostlyFree by pool.
@@ -105,7 +107,7 @@
 		required: []Filter{
 			leavingFilter{}, quarantineFilter{}, avoidFilter{}, poolFilter{}, labelFilter{}, perWorkerFilter{}, fillerFilter{},
 		},
-		preferred: []Filter{spreadFilter{}},
+		preferred: []Filter{spreadFilter{}, preferUnavoidedFilter{}},
 		scores: []weightedScore{
 			{interferenceScore{opts.Interference}, 2},
 			{packingScore{}, 1},
@@ -217,6 +219,16 @@
 	c.distributeFree(n)
 }
 
+// startClock starts the clock with the first Plan. The tasks that were submitted before count as queued from now on.
+func (c *Cell) startClock(now time.Time) {
+	c.advance(now)
+	for _, t := range c.tasks {
+		if t.queuedAt == noTime {
+			t.queuedAt = c.now
+		}
+	}
+}
+
 // Submit implements Planner. A task that is known and not running is replaced. A higher attempt of a booked task is
 // queued when the booked attempt is released; otherwise a booked task stays as it is.
 func (c *Cell) Submit(tasks []Pending) {
@@ -240,7 +252,9 @@
 	}
 	t := c.newTask(p, c.shares.class(p.Class, p.Kind))
 	t.image = c.imageOf(p.Constraints)
-	t.queuedAt = c.queueTime(t)
+	if !c.plannedAt.IsZero() {
+		t.queuedAt = c.now
+	}
 	c.track(t)
 	c.waiting.add(t)
 	if d, largest := c.impossibleDimension(t); d != "" {
--- a/core/placement/patience.go
+++ b/core/placement/patience.go
@@ -22,7 +22,7 @@
 // pacing allows. While most of the capacity is free it rises sooner: the filler starts on the worker where it does the
 // least harm.
 func (c *Cell) maxTail(t *task) float64 {
-	switch waited := c.now.since(t.queuedAt); {
+	switch waited := c.queuedFor(t); {
 	case waited >= tailLimitTimeout:
 		return math.Inf(1)
 	case waited >= mostlyFreePatience && c.isMostlyFree(t.pool):
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/resource"
 )
 
@@ -67,7 +66,11 @@
 	if c.shares.keysStale {
 		c.shares.recomputeKeys()
 	}
-	c.advance(now)
+	if c.plannedAt.IsZero() {
+		c.startClock(now)
+	} else {
+		c.advance(now)
+	}
 	c.shares.now = c.now
 	r := &planRun{Cell: c, limit: limit, maxBatchShare: c.shares.maxBatchShare()}
 	if c.shares.cyclePlans == 0 {
@@ -182,8 +185,15 @@
 		r.failedDisplacements++
 		r.undisplaceable = append(r.undisplaceable, t)
 	}
-	if first && r.reserve(t) {
-		return placed
+	if first && r.hasWaited(t) {
+		if n := r.chooseProbe(t); n != nil {
+			r.shares.dequeue(t)
+			r.start(t, n)
+			return placed
+		}
+		if r.reserve(t) {
+			return placed
+		}
 	}
 	return unplaced
 }
@@ -242,18 +252,6 @@
 	return ok && c.now.since(at) < fillerRetryDelay
 }
 
-// taskSignature is equal for tasks that placement cannot tell apart.
-type taskSignature struct {
-	job            ident.JobID
-	group          int
-	avoidedWorkers int
-	maxTail        float64
-}
-
-func (c *Cell) signatureOf(t *task) taskSignature {
-	return taskSignature{t.id.Job, t.id.Group(), len(t.avoid), c.maxTail(t)}
-}
-
 func (r *planRun) isTooLarge(need resource.Vector) bool {
 	for _, v := range r.tooLarge {
 		if v.Fits(need) {
@@ -284,8 +282,8 @@
 func (c *Cell) request(t *task) Request {
 	req := Request{
 		Task: t.id, Class: t.class.index, Urgent: t.class.urgent, Booking: t.desired, Avoid: t.avoid,
-		Lasting: t.lasting,
-		Pool:    t.pool, Constraints: t.constraints, DemandMilliCPU: t.demandMilliCPU,
+		Lasting: t.lasting, HasWaited: c.hasQueued(t),
+		Pool: t.pool, Constraints: t.constraints, DemandMilliCPU: t.demandMilliCPU,
 		image:   t.image,
 		MaxTail: c.maxTail(t),
 	}
--- a/core/placement/task.go
+++ b/core/placement/task.go
@@ -49,7 +49,7 @@
 	runTime     time.Duration
 	pool        string
 	constraints Constraints
-	// queuedAt is when the task was queued.
+	// queuedAt is when the task was queued; noTime until the first Plan.
 	queuedAt stamp
 	// demandMilliCPU is the processors that a filler would use if available, usedMilliCPU those last measured, in
 	// thousandths.
@@ -135,20 +135,12 @@
 		startedAt:      noTime,
 		checkpointedAt: noTime,
 		blockedSince:   noTime,
+		queuedAt:       noTime,
 		retryAt:        noTime,
 		avoid:          p.Avoid,
 	}
 }
 
-// queueTime returns since when a task that is submitted now counts as queued. Before the first Plan the time is not known:
-// the task has waited at an earlier owner of the cell, or for this one.
-func (c *Cell) queueTime(t *task) stamp {
-	if c.plannedAt.IsZero() && t.submittedAt != noTime {
-		return t.submittedAt
-	}
-	return c.now
-}
-
 // pending returns the task as it was submitted.
 func (c *Cell) pending(t *task) Pending {
 	need := t.declared
