Keep workers whose registration expired in an outage

Callers saw running tasks stopped and started anew on other workers, or on the same, when the store came back after an outage.

Cause: registrations of workers may expire during an outage of the store. The workers register again within about two seconds of its return, but a host that read the list before that took those that were missing for gone, and their owner moved their tasks. Class of fault: a missing input taken for an empty one.

--- a/core/lifecycle/cell.go
+++ b/core/lifecycle/cell.go
@@ -43,7 +43,7 @@
 	sortedCache []*worker
 	// loggedWorkers holds the addresses of the workers that are recorded in the log.
 	loggedWorkers map[ident.WorkerID]string
-	// hostListKnown is set once SetMembers has been called. Before that, a worker that Recover did not get may be listed.
+	// hostListKnown is set once SetMembers has been called. Before that, a worker that is not listed may belong to the cell.
 	hostListKnown bool
 	// newestLogTime is the latest time that the restored log and snapshot state.
 	newestLogTime time.Time
--- a/core/lifecycle/hostlist_test.go
+++ b/core/lifecycle/hostlist_test.go
@@ -29,6 +29,9 @@
 		require.True(t, put.Worker.Leaving, "nothing starts on %s before its state is known", put.Worker.ID)
 	}
 
+	f.apply(f.c.UpdateMembers(f.now, []Member{{ID: "w1"}}))
+	require.Empty(t, commandsOf[CheckpointTask](f), "the list may lack w2")
+	require.False(t, commandsOf[PutWorker](f)[len(commandsOf[PutWorker](f))-1].Worker.Leaving)
 	f.apply(f.c.SetMembers(f.now, []Member{{ID: "w1"}}))
 	require.Equal(t, []CheckpointTask{{AttemptID: second, Worker: "w2", Stop: true}}, commandsOf[CheckpointTask](f))
 	require.Equal(t, Running, f.taskView(job, 0).State)
--- a/core/lifecycle/worker.go
+++ b/core/lifecycle/worker.go
@@ -86,7 +86,18 @@
 	return w.inPlanner && !w.leaving() && !w.silent && !w.health.quarantined
 }
 
-// SetMembers applies the workers of the cell by the host list. It must be called only with a list that was read: a
+// UpdateMembers applies workers of the cell by a host list that may lack others.
+func (c *Cell) UpdateMembers(now time.Time, members []Member) Effects {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var eff Effects
+	for _, m := range members {
+		c.setMember(now, m, &eff)
+	}
+	return eff
+}
+
+// SetMembers applies the workers of the cell by the host list. It must be called only with a complete list: a
 // worker that it lacks counts as gone.
 func (c *Cell) SetMembers(now time.Time, members []Member) Effects {
 	c.mu.Lock()
--- a/daemon/hostlist.go
+++ b/daemon/hostlist.go
@@ -17,7 +17,7 @@
 }
 
 func (h *Host) applyHostList(list []hostlist.Host) {
-	next := &fleetSnapshot{workers: make(map[ident.CellID][]lifecycle.Member)}
+	next := &fleetSnapshot{workers: make(map[ident.CellID][]lifecycle.Member), complete: true}
 	for _, e := range list {
 		id, ok := h.cellMap.Cell(e.DataCentre, e.Rack)
 		if !ok {
--- a/daemon/jobhost.go
+++ b/daemon/jobhost.go
@@ -301,11 +301,12 @@
 }
 
 // setWorkers assigns the workers to the cells.
-func (h *JobHost) setWorkers(list []lifecycle.Member) {
+func (h *JobHost) setWorkers(list []lifecycle.Member, complete bool) {
 	next := h.assignToCells(list)
+	next.complete = complete
 	h.fleet.current.Store(next)
 	for _, id := range CellIDs(h.settings.Cells) {
-		h.jobs.SetMembers(id, next.workers[id])
+		h.fleet.passOn(h.jobs, id)
 	}
 	h.metrics.Gauge("workers_listed").Update(int64(len(list)))
 }
--- a/daemon/jobs.go
+++ b/daemon/jobs.go
@@ -28,8 +28,7 @@
 	for i := range weighted {
 		cell := ident.CellID(i)
 		weighted[i] = weightedCell{cell: cell, key: -1}
-		members, _ := d.fleet.workersOf(cell)
-		if workers := len(members); workers > 0 {
+		if workers := len(d.fleet.workersOf(cell)); workers > 0 {
 			// Weighted random order: with u uniform in [0,1), the probability that an element has the largest u^(1/w)
 			// is proportional to its weight w.
 			weighted[i].key = math.Pow(rand.Float64(), 1/float64(workers))
--- a/daemon/jobsettings.go
+++ b/daemon/jobsettings.go
@@ -49,8 +49,9 @@
 	Store       store.Store
 	Workers     jobs.WorkerPort
 	// FollowWorkers and FollowTable call changed with the present state and after each change, until ctx ends.
-	// FollowWorkers may collect changes for as long as gatherTime returns.
-	FollowWorkers func(ctx context.Context, gatherTime func() time.Duration, changed func([]lifecycle.Member))
+	// FollowWorkers may collect changes for as long as gatherTime returns. Until its list is complete, workers that it
+	// lacks may be alive.
+	FollowWorkers func(ctx context.Context, gatherTime func() time.Duration, changed func(workers []lifecycle.Member, complete bool))
 	FollowTable   func(ctx context.Context, changed func(*table.Table))
 	// RegisterCallers adds the routes of callers, RegisterStatus those of the platform's health checks.
 	RegisterCallers func(e *echo.Echo, r *jobs.Router)
--- a/daemon/loops.go
+++ b/daemon/loops.go
@@ -125,13 +125,10 @@
 		if current := grants.Grant(g.Cell); current.Epoch != g.Epoch || current.Authority == ownership.None {
 			return
 		}
-		members, _ := workers.workersOf(g.Cell)
-		err := owned.Acquire(ctx, g, members)
+		err := owned.Acquire(ctx, g, workers.workersOf(g.Cell))
 		if err == nil {
 			// The host list may have been read or have changed meanwhile.
-			if members, known := workers.workersOf(g.Cell); known {
-				owned.SetMembers(g.Cell, members)
-			}
+			workers.passOn(owned, g.Cell)
 			return
 		}
 		metrics.Counter("acquire_failures_total").Inc(1)
@@ -160,11 +157,12 @@
 	current atomic.Pointer[fleetSnapshot]
 }
 
-// fleetSnapshot holds the workers of each cell, which are nil before the host list was read, and the number of slots of
-// all targets.
+// fleetSnapshot holds the workers of each cell, and the number of slots of all targets.
 type fleetSnapshot struct {
 	workers map[ident.CellID][]lifecycle.Member
-	slots   int
+	// complete is false before the host list has been read, and while it may lack workers.
+	complete bool
+	slots    int
 }
 
 func newFleet(cells cellmap.Map) *fleet {
@@ -173,10 +171,23 @@
 	return f
 }
 
-// workersOf returns the workers of a cell; known is false if the host list has not been read yet.
-func (f *fleet) workersOf(id ident.CellID) (members []lifecycle.Member, known bool) {
-	workers := f.current.Load().workers
-	return workers[id], workers != nil
+func (f *fleet) workersOf(id ident.CellID) []lifecycle.Member {
+	return f.current.Load().workers[id]
+}
+
+// memberUpdates takes the workers of a cell from a host list.
+type memberUpdates interface {
+	SetMembers(cell ident.CellID, members []lifecycle.Member)
+	UpdateMembers(cell ident.CellID, members []lifecycle.Member)
+}
+
+// passOn passes the workers of a cell on. Workers that an incomplete list lacks do not count as gone.
+func (f *fleet) passOn(to memberUpdates, id ident.CellID) {
+	if s := f.current.Load(); s.complete {
+		to.SetMembers(id, s.workers[id])
+	} else {
+		to.UpdateMembers(id, s.workers[id])
+	}
 }
 
 // Capacity implements operatorhttp.Fleet. It leaves out the workers, because the host list does not give their size.
--- a/relay/jobs/service.go
+++ b/relay/jobs/service.go
@@ -227,13 +227,20 @@
 	}
 }
 
-// SetMembers sets the workers of a cell, as the host list shows them.
+// SetMembers sets the workers of a cell, as a complete host list shows them.
 func (s *Service) SetMembers(cell ident.CellID, members []lifecycle.Member) {
 	if o, ok := s.owners.Get(cell); ok {
 		o.post(func() { o.apply(o.cell.SetMembers(o.now(), members)) })
 	}
 }
 
+// UpdateMembers updates workers of a cell from a host list that may lack others.
+func (s *Service) UpdateMembers(cell ident.CellID, members []lifecycle.Member) {
+	if o, ok := s.owners.Get(cell); ok {
+		o.post(func() { o.apply(o.cell.UpdateMembers(o.now(), members)) })
+	}
+}
+
 // Recovering reports whether a cell still waits for answers of workers after a change of owner.
 func (s *Service) Recovering(cell ident.CellID) bool {
 	o, ok := s.owners.Get(cell)
