Count the age of idempotency keys by a steady clock

A caller's request could run twice: after the time of day of a host had been set ahead by more than the retention and set right again, it repeated a request under a key whose record had been removed as expired meanwhile. After a step back by more than ten minutes, keys issued before it were refused as issued in the future.

Cause: the age of a key was the difference between the present time of day and that in the key. Class of fault: an age taken from the time of day.

Now a ledger issues keys and counts their ages by a clock that starts at the time of day of its first use and then counts the time that passes.

Evidence: TestRecordSurvivesClockStep and TestKeyIssuedBeforeClockStepIsAccepted fail before and pass now.

--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -46,6 +46,8 @@
 	count   atomic.Int64
 	bytes   atomic.Int64
 	closed  atomic.Bool
+	// clock gives the issue times and the ages of keys.
+	clock clock
 }
 
 // state is the state of the run of a key.
@@ -98,7 +100,7 @@
 	if l.closed.Load() {
 		return Key{}, errClosed()
 	}
-	return newKey(l.issuer, now, random), nil
+	return newKey(l.issuer, l.clock.at(now), random), nil
 }
 
 // Retention returns how long after its issue a key may be used.
@@ -169,7 +171,7 @@
 	if key.Issuer != l.issuer {
 		return verdict.New(verdict.MayHaveRun, verdict.CodeUnknown, "the key belongs to %s, not to %s", key.Issuer, l.issuer)
 	}
-	age := now.Sub(key.IssuedAt)
+	age := l.clock.at(now).Sub(key.IssuedAt)
 	if age > l.limits.Retention {
 		return verdict.New(verdict.MayHaveRun, verdict.CodeUnknown, "the key expired %s after its issue", l.limits.Retention)
 	}
@@ -271,6 +273,7 @@
 // Expire removes the records whose keys are no longer accepted and returns their number. A run in progress stays.
 func (l *Ledger) Expire(now time.Time) int {
 	removed := 0
+	now = l.clock.at(now)
 	l.records.ForEachShard(func(entries map[string]*record) {
 		for text, r := range entries {
 			if r.state == inProgress || now.Sub(r.issuedAt) <= l.limits.Retention+MaxClockSkew {
