Forget the jobs that finished first

Callers could be told that an accepted job does not exist (410, LOST) right after it had finished, on a cell with more than 10,000 finished jobs: which of them were forgotten followed from the order of their ids, which callers assign, or of their acceptance.

Now those that finished first are forgotten.

Evidence: TestJobsThatFinishedFirstAreForgotten fails before and passes now.

--- a/core/lifecycle/logtime_test.go
+++ b/core/lifecycle/logtime_test.go
@@ -156,3 +156,24 @@
 		require.GreaterOrEqual(t, d, time.Minute-maxUnownedTime)
 	}
 }
+
+// Guards against a job that is unknown right after it has finished, because the cell has many finished jobs: those that
+// finished first are forgotten, whatever their ids are.
+func TestJobsThatFinishedFirstAreForgotten(t *testing.T) {
+	f := newFixture(t, 1, "w")
+	finish := func(id ident.JobID) {
+		eff, _, err := f.c.Cancel(f.now, id)
+		require.NoError(t, err)
+		f.apply(eff)
+		f.now = f.now.Add(time.Millisecond)
+	}
+	last := f.submit(1)
+	for range maxFinishedJobs {
+		finish(f.submit(1))
+	}
+	finish(last)
+	f.c.Snapshot(f.now, false)
+	_, err := f.c.Get(last, 0, 1)
+	require.NoError(t, err)
+	require.Len(t, f.c.jobs, maxFinishedJobs)
+}
--- a/core/lifecycle/view.go
+++ b/core/lifecycle/view.go
@@ -1,6 +1,7 @@
 package lifecycle
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -243,29 +244,32 @@
 	}
 }
 
-// forgetFinishedJobs drops finished jobs that exceed FinishedRetention or maxFinishedJobs.
+// forgetFinishedJobs drops finished jobs that exceed FinishedRetention, and those that finished first if there are more
+// than maxFinishedJobs.
 func (c *Cell) forgetFinishedJobs(now time.Time) {
-	finished := 0
+	var finished []*job
 	for _, j := range c.jobs {
 		if j.final() {
-			finished++
+			finished = append(finished, j)
 		}
 	}
-	kept := c.jobOrder[:0]
-	for _, id := range c.jobOrder {
-		j := c.jobs[id]
-		old := j.final() && (finished > maxFinishedJobs || now.Sub(j.keptSince) > FinishedRetention)
+	slices.SortFunc(finished, func(a, b *job) int {
+		return cmp.Or(a.keptSince.Compare(b.keptSince), a.finishedAt.Compare(b.finishedAt), compareJobs(a.id, b.id))
+	})
+	before := len(c.jobs)
+	for i, j := range finished {
+		old := len(finished)-i > maxFinishedJobs || now.Sub(j.keptSince) > FinishedRetention
 		if !old || j.hasRunningAttempts() {
-			kept = append(kept, id)
 			continue
 		}
-		finished--
-		delete(c.jobs, id)
-		if c.tokens[j.spec.ClientToken].job == id {
+		delete(c.jobs, j.id)
+		if c.tokens[j.spec.ClientToken].job == j.id {
 			delete(c.tokens, j.spec.ClientToken)
 		}
 	}
-	c.jobOrder = kept
+	if len(c.jobs) < before {
+		c.jobOrder = slices.DeleteFunc(c.jobOrder, func(id ident.JobID) bool { return c.jobs[id] == nil })
+	}
 }
 
 // hasRunningAttempts reports whether an attempt of the final job is still being stopped.
