Start a host above its last incarnation

A host that started after its clock had been set back would get no lease and own no cell, and its peers would take it for an old process of itself, until the clock had caught up.

Cause: the incarnation of a request host was the time of day alone. Class of fault: an order taken from the time of day.

Now both kinds of host read the incarnation of the last process from the store at their start, and derive it from the clock alone only if the store does not answer within 500 ms.

--- a/daemon/host.go
+++ b/daemon/host.go
@@ -119,7 +119,6 @@
 func New(s Settings, options Options, log *logrus.Entry) (*Host, error) {
 	h := &Host{
 		settings:   s,
-		self:       s.Instance(time.Now()),
 		dataCentre: ident.DataCentre(s.DataCentre),
 		log:        log,
 		metrics:    telemetry.NewRegistry(),
@@ -136,6 +135,7 @@
 	if err := h.createClients(options, security); err != nil {
 		return nil, err
 	}
+	h.self = nextInstance(ident.HostID(s.HostID), h.store, log)
 	if err := h.listen(options, security); err != nil {
 		return nil, err
 	}
--- a/daemon/jobhost.go
+++ b/daemon/jobhost.go
@@ -39,8 +39,6 @@
 	jobSyncGap = 80 * time.Millisecond
 	// jobDurableWait is how long a submission waits for the store and for an owner of its cell.
 	jobDurableWait = 1500 * time.Millisecond
-	// incarnationReadTimeout bounds the read of the last incarnation at the start.
-	incarnationReadTimeout = 500 * time.Millisecond
 	// jobStallLimit is how long the store may leave a commit unanswered before new jobs are refused at once: a
 	// hundred times its usual response time.
 	jobStallLimit = 400 * time.Millisecond
@@ -101,7 +99,7 @@
 	s.Cells = s.CellCount()
 	h := &JobHost{
 		settings: s, ports: p, log: log,
-		self:    ident.Instance{Host: s.HostID, Incarnation: nextIncarnation(s, p, log)},
+		self:    nextInstance(s.HostID, p.Store, log),
 		cellMap: cellmap.New(s.Cells, s.regions()),
 		metrics: p.Metrics,
 		pool:    peergrpc.NewPool(insecure.NewCredentials()),
@@ -111,19 +109,6 @@
 	return h, h.listen()
 }
 
-// nextIncarnation returns an incarnation above the last one of this host. It reads the last one from the store,
-// because the clock may have jumped back since. If the store does not answer in time, the incarnation is derived from
-// the clock alone.
-func nextIncarnation(s JobSettings, p JobPorts, log *logrus.Entry) ident.Incarnation {
-	ctx, cancel := context.WithTimeout(context.Background(), incarnationReadTimeout)
-	defer cancel()
-	next, err := cluster.NextIncarnation(ctx, p.Store, clusterrecord.Codec{}, s.HostID, time.Now())
-	if err != nil {
-		log.WithError(err).Warn("cannot read the last incarnation of this host: the new one is derived from the clock alone")
-	}
-	return next
-}
-
 func (h *JobHost) createServices() {
 	codec := clusterrecord.Codec{}
 	ownershipConfig := ownership.ConfigForTTL(h.settings.leaseTime())
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -11,8 +11,6 @@
 	"slices"
 	"strings"
 	"time"
-
-	"github.com/bulrushrelay/bulrushrelay/core/ident"
 )
 
 // Settings configures one relay host.
@@ -65,12 +63,6 @@
 	MilliCPU int
 }
 
-// Instance returns the identity of a process of this host that starts at now. The incarnation is the start time, so
-// that it grows with each start without any stored state.
-func (s Settings) Instance(now time.Time) ident.Instance {
-	return ident.Instance{Host: ident.HostID(s.HostID), Incarnation: ident.Incarnation(now.UnixNano())}
-}
-
 // AdvertisedAddress returns the address at which other hosts reach this one.
 func (s Settings) AdvertisedAddress() string {
 	if s.AdvertiseAddress != "" {
