Refuse a class that the owner does not know as unavailable

A caller would be told that the class of its request does not exist (404), and no other cell was tried, while the owner of one cell had an older table than the host that took the request, or none yet.

Cause: a class outside the table of the owner was taken for one that does not exist, although the request reaches an owner only if the class is in the table of the host that took it. Class of fault: a missing input taken for an empty one.

Now such a request is refused as unavailable, with the time after which every host has a new table: the host that took it tries another cell, and a caller may come back. A class that was removed while its requests wait is still one that does not exist.

Evidence: TestClassOutsideTableOfOwnerIsUnavailable fails before and passes now.

--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -187,7 +187,9 @@
 func (c *Controller) enqueue(now time.Time, name ident.ClassName, deadline time.Time, immediate bool) (*Ticket, *Refusal) {
 	cl, ok := c.classes[name]
 	if !ok {
-		return nil, &Refusal{Class: name, Code: verdict.CodeNotFound, Reason: reasonUnknownClass}
+		// The host that received the request has the class in its table, so that this table is older, or the class has just
+		// been removed.
+		return nil, &Refusal{Class: name, Code: verdict.CodeUnavailable, Reason: reasonUnknownClass, RetryAfter: tableRetryAfter}
 	}
 	if c.grant.Authority == ownership.None {
 		return nil, &Refusal{Class: name, Code: verdict.CodeFenced, Reason: reasonNotOwned}
--- a/core/admission/controller_test.go
+++ b/core/admission/controller_test.go
@@ -178,6 +178,18 @@
 	require.Zero(t, c.Waiting())
 }
 
+// Guards against a class that counts as one that does not exist, for good and in all cells, while the owner of one cell
+// has an older table than the host that received the request, or none.
+func TestClassOutsideTableOfOwnerIsUnavailable(t *testing.T) {
+	c := newController(1, 0, row("a", nil))
+	_, refusal := c.Enqueue(testStart, "b", testStart.Add(time.Second))
+	require.Equal(t, verdict.CodeUnavailable, refusal.Code)
+	require.Positive(t, refusal.RetryAfter)
+	require.Equal(t, verdict.NotRun, refusal.Err().Verdict)
+	c.SetTable(testStart, table.New(2, []table.Row{row("a", nil), row("b", nil)}))
+	enqueue(t, c, testStart, "b", time.Second)
+}
+
 // Guards against Dispatch losing a request, or looping, if there is no target for it.
 func TestRequestWithoutTargetStaysQueued(t *testing.T) {
 	c := newController(1, 1, row("a", nil))
--- a/core/admission/refusal.go
+++ b/core/admission/refusal.go
@@ -21,9 +21,12 @@
 	return verdict.New(verdict.NotRun, r.Code, "class %q: %s", r.Class, r.Reason).WithRetryAfter(r.RetryAfter)
 }
 
+// tableRetryAfter is how long a new table may take to reach every host.
+const tableRetryAfter = 2 * time.Second
+
 // Reasons of refusals.
 const (
-	reasonUnknownClass   = "not in the table"
+	reasonUnknownClass   = "not in the table of this host"
 	reasonClassRemoved   = "removed from the table"
 	reasonNotOwned       = "this host does not own the cell"
 	reasonDeadlinePassed = "the deadline has passed"
