--- a/adapter/cellpb/codec.go
+++ b/adapter/cellpb/codec.go
@@ -1,6 +1,7 @@
 package cellpb
 
 import (
+	"errors"
 	"fmt"
 
 	"google.golang.org/protobuf/proto"
@@ -16,6 +17,10 @@
 // no entry exceeds a snapshot part: a task takes at most about 1.5 KB, with six failures of the longest message.
 const maxTasksPerEntry = 200
 
+// errEmpty is returned for a value without the field that every valid one has. An empty value must not be taken for the
+// state of a cell without jobs.
+var errEmpty = errors.New("the value is empty")
+
 // Codec implements jobs.Codec.
 type Codec struct{}
 
@@ -50,6 +55,9 @@
 	if err := proto.Unmarshal(value, &b); err != nil {
 		return "", nil, fmt.Errorf("cell log entry: %w", err)
 	}
+	if b.GetMarker() == "" {
+		return "", nil, fmt.Errorf("cell log entry: %w", errEmpty)
+	}
 	var records []lifecycle.Record
 	for _, r := range b.GetRecords() {
 		in, err := decodeRecord(r)
@@ -74,6 +82,9 @@
 	if err := proto.Unmarshal(value, &h); err != nil {
 		return jobs.Head{}, fmt.Errorf("snapshot head: %w", err)
 	}
+	if h.GetId() == "" {
+		return jobs.Head{}, fmt.Errorf("snapshot head: %w", errEmpty)
+	}
 	return jobs.Head{
 		Seq: h.GetSeq(), Epoch: ident.Epoch(h.GetEpoch()), Clean: h.GetClean(), Parts: int(h.GetParts()), ID: h.GetId(),
 	}, nil
--- a/adapter/cellpb/codec_test.go
+++ b/adapter/cellpb/codec_test.go
@@ -79,7 +79,11 @@
 
 // Guards against a panic on a value that another program wrote, and against accepting it.
 func TestDecodeRejectsForeignValues(t *testing.T) {
-	_, _, err := Codec{}.DecodeBatch([]byte("not a batch"))
+	_, err := Codec{}.DecodeHead(nil)
+	require.Error(t, err, "an empty value is no empty cell")
+	_, _, err = Codec{}.DecodeBatch(nil)
+	require.Error(t, err, "an empty value is no empty batch")
+	_, _, err = Codec{}.DecodeBatch([]byte("not a batch"))
 	require.Error(t, err)
 	_, err = Codec{}.DecodeHead([]byte{0xff})
 	require.Error(t, err)
