Refuse no job as too large before all workers are known

A job could be refused for good (400) although a worker holds its tasks: an owner whose host list was incomplete, or not read yet, compared the job with the workers that it knew.

Now a job counts as too large only once a complete host list has been applied. Until then it is accepted, and its tasks are compared with the workers again whenever these change.

Evidence: TestJobIsNotTooLargeForUnknownWorkers fails before and passes now. The fixtures of core/lifecycle and relay/jobs now pass the host list after a takeover, as the daemon does.

--- a/core/lifecycle/capacity.go
+++ b/core/lifecycle/capacity.go
@@ -21,7 +21,7 @@
 		known = true
 		largest = largest.Max(w.capacity)
 	}
-	if !known || c.recovering {
+	if !known || c.recovering || !c.hostListKnown {
 		return nil
 	}
 	dim := need.ExceededDimension(largest)
--- a/core/lifecycle/cell_test.go
+++ b/core/lifecycle/cell_test.go
@@ -38,6 +38,7 @@
 		members = append(members, Member{ID: id})
 	}
 	f.apply(f.c.Recover(f.now, false, members))
+	f.apply(f.c.SetMembers(f.now, members))
 	for _, id := range workers {
 		f.claim(id, Report{})
 	}
--- a/core/lifecycle/hostlist_test.go
+++ b/core/lifecycle/hostlist_test.go
@@ -54,3 +54,19 @@
 	f.apply(f.c.SetMembers(f.now, nil))
 	require.Equal(t, []ForgetWorker{{Worker: "w1"}}, commandsOf[ForgetWorker](f))
 }
+
+// Guards against a job that is refused for good because the owner knows only some of the workers.
+func TestJobIsNotTooLargeForUnknownWorkers(t *testing.T) {
+	f := &fixture{t: t, c: NewCell(1, 9, newFixture(t, 1).c.table), now: testStart}
+	f.c.SetAuthority(f.now, true, true)
+	f.apply(f.c.Recover(f.now, false, nil))
+	f.apply(f.c.UpdateMembers(f.now, []Member{{ID: "w1", Capacity: capacity}}))
+	f.claim("w1", Report{})
+	require.False(t, f.c.Recovering())
+	spec := JobSpec{Class: "batch", Groups: []TaskGroup{{Count: 1, Need: capacity.Add(oneCore)}}}
+	_, _, err := f.c.Accept(f.now, spec)
+	require.NoError(t, err)
+	f.apply(f.c.SetMembers(f.now, []Member{{ID: "w1", Capacity: capacity}}))
+	_, _, err = f.c.Accept(f.now, spec)
+	require.Error(t, err)
+}
--- a/relay/jobs/fixture_test.go
+++ b/relay/jobs/fixture_test.go
@@ -174,6 +174,9 @@
 		*g = ownership.Grant{Cell: cell, Epoch: ident.Epoch(res.Revision), Authority: ownership.Full, ShareShift: shift}
 	})
 	require.NoError(fx.t, h.svc.Acquire(bg, h.Grant(cell), fx.members()))
+	if !fx.hostListUnread {
+		h.svc.SetMembers(cell, fx.members())
+	}
 }
 
 // kill stops a host without a hand-over.
