--- a/core/lifecycle/hostlist_test.go
+++ b/core/lifecycle/hostlist_test.go
@@ -29,6 +29,9 @@
 		require.True(t, put.Worker.Leaving, "nothing starts on %s before its state is known", put.Worker.ID)
 	}
 
+	f.apply(f.c.UpdateMembers(f.now, []Member{{ID: "w1"}}))
+	require.Empty(t, commandsOf[CheckpointTask](f), "the list may lack w2")
+	require.False(t, commandsOf[PutWorker](f)[len(commandsOf[PutWorker](f))-1].Worker.Leaving)
 	f.apply(f.c.SetMembers(f.now, []Member{{ID: "w1"}}))
 	require.Equal(t, []CheckpointTask{{AttemptID: second, Worker: "w2", Stop: true}}, commandsOf[CheckpointTask](f))
 	require.Equal(t, Running, f.taskView(job, 0).State)
@@ -51,3 +54,19 @@
 	f.apply(f.c.SetMembers(f.now, nil))
 	require.Equal(t, []ForgetWorker{{Worker: "w1"}}, commandsOf[ForgetWorker](f))
 }
+
+// Guards against a job that is refused for good because the owner knows only some of the workers.
+func TestJobIsNotTooLargeForUnknownWorkers(t *testing.T) {
+	f := &fixture{t: t, c: NewCell(1, 9, newFixture(t, 1).c.table), now: testStart}
+	f.c.SetAuthority(f.now, true, true)
+	f.apply(f.c.Recover(f.now, false, nil))
+	f.apply(f.c.UpdateMembers(f.now, []Member{{ID: "w1", Capacity: capacity}}))
+	f.claim("w1", Report{})
+	require.False(t, f.c.Recovering())
+	spec := JobSpec{Class: "batch", Groups: []TaskGroup{{Count: 1, Need: capacity.Add(oneCore)}}}
+	_, _, err := f.c.Accept(f.now, spec)
+	require.NoError(t, err)
+	f.apply(f.c.SetMembers(f.now, []Member{{ID: "w1", Capacity: capacity}}))
+	_, _, err = f.c.Accept(f.now, spec)
+	require.Error(t, err)
+}
--- a/relay/jobs/fixture_test.go
+++ b/relay/jobs/fixture_test.go
@@ -173,6 +173,9 @@
 	fx.grantCell(h)
 	h.setGrant(func(g *ownership.Grant) { g.ShareShift = shift })
 	require.NoError(fx.t, h.svc.Acquire(bg, h.Grant(cell), fx.members()))
+	if !fx.hostListUnread {
+		h.svc.SetMembers(cell, fx.members())
+	}
 }
 
 // grantCell grants the cell to a host with a new epoch, and returns the grant.
