--- a/core/placement/explain.go
+++ b/core/placement/explain.go
@@ -116,13 +116,14 @@
 
 func (c *Cell) explain(t *task, now stamp) Waiting {
 	w := Waiting{Task: t.id, Class: t.class.name, Waited: now.since(t.queuedAt)}
-	switch {
-	case t.state == parked:
+	switch t.state {
+	case parked:
 		w.Reason = WaitImpossible
 		return w
-	case t.state == claimed:
+	case claimed:
 		w.Reason = WaitClaim
 		return w
+	default:
 	}
 	req := c.request(t)
 	req.Booking = c.booking(t)
