Keep the retries of a class that is taken out of the table

A task whose class was taken out while its job was open got five retries, whatever the class had allowed: more attempts than the operators set, or a task that is given up too early.

Cause: retries are looked up in the table in force, which no longer has the class, and the default applies.

The platform states the attempts in the queue's entry, and says that a task has failed for good after that many failed attempts; nothing changes that when the queue goes. The last table that had the class therefore still applies. A job records it when it is accepted, and again when its class is taken out. The default remains for jobs whose records are from earlier builds. The new field of the stored job has a number of its own, so that both builds read the other's data.

TestRetriesOfAnOldRecordWithoutItsClass guards the default.

--- a/adapter/cellpb/codec_test.go
+++ b/adapter/cellpb/codec_test.go
@@ -17,7 +17,7 @@
 	job     = ident.JobID{Cell: 3, Epoch: 9, Seq: 4}
 	attempt = lifecycle.AttemptID{Task: ident.TaskID{Job: job, Index: 2}, Attempt: 66}
 	spec    = lifecycle.JobSpec{
-		Name: "n", Class: "c", Tenant: "t", Kind: "batch", ClientToken: "k",
+		Name: "n", Class: "c", Tenant: "t", Kind: "batch", MaxFailures: 3, ClientToken: "k",
 		ClientNumber: 1<<63 + 5, Pool: "p", FailFast: true, Stretch: 1.5, Grace: time.Second,
 		Groups: []lifecycle.TaskGroup{{
 			Count: 3, Need: resource.Vector{MilliCPU: 1, MemoryMB: 2, Accelerators: 3},
--- a/adapter/cellpb/records.go
+++ b/adapter/cellpb/records.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/bulrushrelay/bulrushrelay/adapter/internal/jobgroup"
@@ -158,7 +159,8 @@
 		Name: s.Name, Class: string(s.Class), Tenant: string(s.Tenant), Kind: string(s.Kind), Token: s.ClientToken,
 		Number: s.ClientNumber, Pool: s.Pool, FailFast: s.FailFast,
 		Stretch: s.Stretch, GraceMs: s.Grace.Milliseconds(),
-		Groups: jobgroup.ToMessages(s.Groups),
+		Groups:      jobgroup.ToMessages(s.Groups),
+		MaxFailures: uint32(min(max(s.MaxFailures, 0), math.MaxInt32)),
 	}
 }
 
@@ -168,6 +170,7 @@
 		Kind: table.Kind(s.GetKind()), ClientToken: s.GetToken(),
 		ClientNumber: s.GetNumber(), Pool: s.GetPool(), FailFast: s.GetFailFast(),
 		Stretch: s.GetStretch(), Grace: jobgroup.DurationFromMs(s.GetGraceMs()),
-		Groups: jobgroup.FromMessages(s.GetGroups()),
+		Groups:      jobgroup.FromMessages(s.GetGroups()),
+		MaxFailures: int(min(s.GetMaxFailures(), math.MaxInt32)),
 	}
 }
--- a/core/lifecycle/cell.go
+++ b/core/lifecycle/cell.go
@@ -137,6 +137,7 @@
 	}
 	spec.Tenant = row.Tenant
 	spec.Kind = row.Kind
+	spec.MaxFailures = maxFailures(row)
 	id := ident.CallerAssignedJobID(c.id, spec.ClientNumber)
 	spec.ClientToken = spec.idempotencyToken(c.id)
 	if earlier, used := c.tokens[spec.ClientToken]; used && spec.ClientToken != "" {
--- a/core/lifecycle/failure.go
+++ b/core/lifecycle/failure.go
@@ -6,11 +6,12 @@
 	"time"
 
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
+	"github.com/bulrushrelay/bulrushrelay/core/table"
 )
 
 const (
-	// defaultRetries is the retry budget of a task whose class is no longer in the table. It stops a task that fails on
-	// every worker.
+	// defaultRetries is the retry budget of a task whose class is no longer in the table and whose job was accepted by a
+	// build that did not record its retries. It stops a task that fails on every worker.
 	defaultRetries = 5
 	// The pause after a failed attempt doubles from firstBackoff to maxBackoff.
 	firstBackoff = time.Second
@@ -167,9 +168,16 @@
 	if row, ok := c.lookup(t.job.spec.Class); ok {
 		return row.Retries
 	}
+	if known := t.job.spec.MaxFailures; known > 0 {
+		return known - 1
+	}
 	return defaultRetries
 }
 
+func maxFailures(row table.Row) int {
+	return row.Retries + 1
+}
+
 // chargedFailures counts the failures that count against the retries. Those on quarantined workers do not, unless the
 // policy sets ChargeAllFailures.
 func (c *Cell) chargedFailures(t *task) int {
--- a/core/lifecycle/table.go
+++ b/core/lifecycle/table.go
@@ -19,6 +19,9 @@
 	defer c.mu.Unlock()
 	var eff Effects
 	first := c.table == nil
+	if !first {
+		c.keepRetries(t)
+	}
 	c.table = t
 	if !first {
 		return eff
@@ -88,6 +91,16 @@
 	return end, ok
 }
 
+// keepRetries notes the retries of the classes that the next table no longer has, for their open jobs.
+func (c *Cell) keepRetries(next *table.Table) {
+	for _, j := range c.jobs {
+		row, ok := c.table.Lookup(j.spec.Class)
+		if _, stays := next.Lookup(j.spec.Class); ok && !stays {
+			j.spec.MaxFailures = maxFailures(row)
+		}
+	}
+}
+
 // lookup returns the row of a class; ok is false if the class is not in the table or no table is known yet.
 func (c *Cell) lookup(class ident.ClassName) (row table.Row, ok bool) {
 	if c.table == nil {
--- a/core/lifecycle/table_test.go
+++ b/core/lifecycle/table_test.go
@@ -222,3 +222,57 @@
 	require.Equal(t, []AttemptID{failed.AttemptID}, f.acks("w1"))
 	require.Empty(t, f.takeEnqueued())
 }
+
+// Guards against a start after the last retry, or a task that is given up before it, once the class of the task has been
+// taken out of the table. The retries are those of the last table that had the class, for the next owner, too.
+func TestRetriesOfAClassThatIsTakenOut(t *testing.T) {
+	for name, tc := range map[string]struct {
+		edited  *table.Table
+		retries int
+	}{
+		"as accepted":         {nil, 2},
+		"changed before that": {table.New(2, []table.Row{{Name: "batch", Retries: 1}}), 1},
+		"no retries":          {table.New(2, []table.Row{{Name: "batch"}}), 0},
+	} {
+		for _, handOver := range []string{"same owner", "snapshot"} {
+			t.Run(name+"/"+handOver, func(t *testing.T) {
+				f := newFixture(t, 7, "w1")
+				task := ident.TaskID{Job: f.submit(1)}
+				if tc.edited != nil {
+					f.apply(f.c.SetTable(f.now, tc.edited))
+				}
+				f.apply(f.c.SetTable(f.now, table.New(3, nil)))
+				if handOver == "snapshot" {
+					next := &fixture{t: t, c: NewCell(1, 9, f.c.table), now: f.now}
+					next.c.SetAuthority(next.now, true, true)
+					next.c.RestoreSnapshot(f.c.Snapshot(f.now, false))
+					next.apply(next.c.Recover(next.now, false, []Member{{ID: "w1"}}))
+					next.claim("w1", Report{})
+					f = next
+				}
+				for range tc.retries {
+					f.failTask(task, "w1")
+					require.Equal(t, Queued, f.taskView(task.Job, 0).State)
+				}
+				f.failTask(task, "w1")
+				require.Equal(t, Failed, f.taskView(task.Job, 0).State)
+			})
+		}
+	}
+}
+
+// Guards against jobs of earlier builds, whose records do not say the retries, that are given up at the first failure.
+func TestRetriesOfAnOldRecordWithoutItsClass(t *testing.T) {
+	f := &fixture{t: t, c: NewCell(1, 9, table.New(3, nil)), now: testStart}
+	id := ident.JobID{Cell: 1, Epoch: 7, Seq: 1}
+	f.c.Replay(JobAccepted{Job: id, At: testStart, Spec: JobSpec{Class: "batch", Groups: []TaskGroup{{Count: 1, Need: oneCore}}}})
+	f.c.SetAuthority(f.now, true, true)
+	f.apply(f.c.Recover(f.now, false, []Member{{ID: "w1"}}))
+	f.claim("w1", Report{})
+	for range defaultRetries {
+		f.failTask(ident.TaskID{Job: id}, "w1")
+		require.Equal(t, Queued, f.taskView(id, 0).State)
+	}
+	f.failTask(ident.TaskID{Job: id}, "w1")
+	require.Equal(t, Failed, f.taskView(id, 0).State)
+}
--- a/core/lifecycle/types.go
+++ b/core/lifecycle/types.go
@@ -115,6 +115,9 @@
 	// Tenant and Kind are taken from the table when the job is accepted.
 	Tenant ident.TenantName
 	Kind   table.Kind
+	// MaxFailures is the number of failed attempts after which a task is given up, by the last table that had the class;
+	// 0 if it is not known. It applies once the class has been taken out of the table.
+	MaxFailures int
 	// ClientToken makes a submission idempotent; empty if the caller sent none.
 	ClientToken string
 	// ClientNumber is the caller's own number for the job, which gives the same job id on every host and makes the
