Report owners that wait for the table

An owner without a table looked like any other: only the field "table": 0 of its task_started lines told, and now that it starts nothing, no line would.

The decision log says table_missing when an owner takes its cell over without a table, and table_received with the time waited when it gets the first one, each at most once an ownership. The gauge owner_table_wait_ms is the longest wait in progress, and the counter cells_table_wait_ms_total the time that cells of the host have waited so, including owners that stopped without a table.

Test: TestWaitForTheTableIsReported.

--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -73,10 +73,12 @@
 	raiseCounter(m, "cell_log_commits_total", s.Commits.Load())
 	raiseCounter(m, "cell_log_records_total", s.Records.Load())
 	raiseCounter(m, "cells_replaced_total", s.ReplacedOwners.Load())
+	raiseCounter(m, "cells_table_wait_ms_total", time.Duration(s.TableWait.Load()).Milliseconds())
 }
 
 func exportOwnerLoad(m *telemetry.Registry, l jobs.Load) {
 	m.Gauge("owner_late_cells").Update(int64(l.LateCells))
+	m.Gauge("owner_table_wait_ms").Update(l.TableWait.Milliseconds())
 	m.Gauge("owner_oldest_contact_ms").Update(l.LongestSilence.Milliseconds())
 	m.Gauge("owner_silent_workers").Update(int64(l.SilentWorkers))
 	m.Gauge("owner_queued_tasks").Update(l.QueuedTasks)
--- a/relay/jobs/eventlist.go
+++ b/relay/jobs/eventlist.go
@@ -27,6 +27,8 @@
 	EventTrusted            EventName = "worker_trusted"
 	EventOwnerLate          EventName = "owner_late"
 	EventOwnerOnTime        EventName = "owner_on_time"
+	EventTableMissing       EventName = "table_missing"
+	EventTableReceived      EventName = "table_received"
 	EventDependencyLost     EventName = "dependency_lost"
 	EventDependencyRegained EventName = "dependency_regained"
 	EventClockSet           EventName = "clock_set"
@@ -78,6 +80,7 @@
 	FieldFailures    FieldName = "failures"
 	FieldLostMs      FieldName = "lost_ms"
 	FieldStepMs      FieldName = "step_ms"
+	FieldWaitedMs    FieldName = "waited_ms"
 )
 
 // EventKind describes a kind of event.
@@ -133,6 +136,10 @@
 		{EventOwnerOnTime, "the owner keeps up again: no event has been queued for long during the last second", []FieldName{
 			FieldCell, FieldEpoch, FieldLoopMs, FieldLateMs, FieldContactMs, FieldSilent, FieldWaiting, FieldUnsent, FieldEvents,
 		}},
+		{EventTableMissing, "the owner has taken its cell over without a table: it starts and accepts nothing until it has one", []FieldName{
+			FieldCell, FieldEpoch,
+		}},
+		{EventTableReceived, "the owner has its first table, after table_missing", []FieldName{FieldCell, FieldEpoch, FieldTable, FieldWaitedMs}},
 		{EventDependencyLost, "several consecutive calls to a dependency failed", []FieldName{
 			FieldDependency, FieldFailures, FieldReason,
 		}},
@@ -182,6 +189,7 @@
 	FieldDependency:  "name of the dependency",
 	FieldFailures:    "number of consecutive calls that failed",
 	FieldLostMs:      "milliseconds during which the dependency was lost",
+	FieldWaitedMs:    "milliseconds from the acquisition of the cell until the owner had a table",
 	FieldStepMs:      "milliseconds by which the time of day changed beyond the time that has passed",
 }
 
--- a/relay/jobs/load.go
+++ b/relay/jobs/load.go
@@ -25,6 +25,8 @@
 type Load struct {
 	// LateCells counts the cells whose owner does not keep up with its events.
 	LateCells int
+	// TableWait is the longest time that an owner has been waiting for its first table; 0 if none waits.
+	TableWait time.Duration
 	// WorkerContact covers the claimed workers of all cells.
 	lifecycle.WorkerContact
 	// QueuedTasks counts the tasks that wait for a worker, QueuedCalls the calls to workers that wait behind others to
@@ -38,6 +40,7 @@
 	for _, o := range s.allOwners() {
 		cellLoad := o.load(o.now())
 		sum.LateCells += cellLoad.LateCells
+		sum.TableWait = max(sum.TableWait, cellLoad.TableWait)
 		sum.LongestSilence = max(sum.LongestSilence, cellLoad.LongestSilence)
 		sum.SilentWorkers += cellLoad.SilentWorkers
 		sum.QueuedTasks += cellLoad.QueuedTasks
@@ -53,6 +56,9 @@
 	if o.late.Load() {
 		l.LateCells = 1
 	}
+	if since := o.withoutTableSince.Load(); since != nil {
+		l.TableWait = now.Sub(*since)
+	}
 	if p, ok := o.planner.(QueuePlanner); ok {
 		l.QueuedTasks = int64(p.Queued())
 	}
--- a/relay/jobs/owner.go
+++ b/relay/jobs/owner.go
@@ -63,6 +63,8 @@
 	// syncs in progress. late says whether the owner has fallen behind.
 	queuedEvents, queuedCalls, syncsInProgress atomic.Int64
 	late                                       atomic.Bool
+	// withoutTableSince is when the owner took its cell over without a table; nil once it has one.
+	withoutTableSince atomic.Pointer[time.Time]
 
 	// savedEstimates is the stored encoding of the planner's estimates. It is used by restoreEstimates and after that
 	// only by saveEstimatesPeriodically, so that it needs no lock.
@@ -322,6 +324,27 @@
 	o.planner.SetTable(t)
 	o.apply(o.cell.SetTable(o.now(), t))
 	o.planNeeded = true
+	if waited, ok := o.endTableWait(); ok {
+		o.logDecision(EventTableReceived, Fields{FieldTable: o.tableRevision(), FieldWaitedMs: waited.Milliseconds()})
+	}
+}
+
+// beginTableWait notes that this owner has taken its cell over without a table.
+func (o *owner) beginTableWait() {
+	now := o.now()
+	o.withoutTableSince.Store(&now)
+	o.logDecision(EventTableMissing, Fields{})
+}
+
+// endTableWait counts the wait for the first table; ok is false if none was in progress.
+func (o *owner) endTableWait() (waited time.Duration, ok bool) {
+	since := o.withoutTableSince.Swap(nil)
+	if since == nil {
+		return 0, false
+	}
+	waited = o.now().Sub(*since)
+	o.stats.TableWait.Add(int64(waited))
+	return waited, true
 }
 
 // replaced stops the owner because another host has the cell.
@@ -342,4 +365,5 @@
 	o.stopped.Store(true)
 	o.cancel()
 	o.wg.Wait()
+	o.endTableWait()
 }
--- a/relay/jobs/service.go
+++ b/relay/jobs/service.go
@@ -68,6 +68,8 @@
 	PlannedStarts, StartedTasks, RefusedStarts, UnknownStarts atomic.Int64
 	AcceptedJobs, RefusedJobs, UnknownJobs                    atomic.Int64
 	ReplacedOwners                                            atomic.Int64
+	// TableWait is the time that owners have waited for their first table, in nanoseconds.
+	TableWait atomic.Int64
 }
 
 // Service runs the jobs of the cells that this host owns. It is safe for concurrent use.
@@ -157,6 +159,9 @@
 		o.cell.Replay(r)
 	}
 	o.logger.WithFields(logrus.Fields{"records": len(state.records), "clean": state.isClean()}).Info("cell acquired")
+	if !o.cell.HasTable() {
+		o.beginTableWait()
+	}
 	o.apply(o.cell.Recover(o.now(), state.isClean(), members))
 	// Changes made by the predecessor are not reported again.
 	o.cell.TakeChangedJobs()
--- a/relay/jobs/table_test.go
+++ b/relay/jobs/table_test.go
@@ -102,3 +102,30 @@
 		fx.verify(h, long, waiting)
 	})
 }
+
+// Guards against a cell that waits for the table without a trace in the logs and the metrics.
+func TestWaitForTheTableIsReported(t *testing.T) {
+	scenario(t, 1, func(fx *fixture, h *host) {
+		require.Zero(t, fx.decisions.count(jobs.EventTableMissing))
+		fx.kill(h)
+		h = fx.hostWithTable(nil)
+		fx.giveCell(h)
+		time.Sleep(5 * time.Second)
+		require.Equal(t, 5*time.Second, h.svc.Load().TableWait)
+		require.Equal(t, 1, fx.decisions.count(jobs.EventTableMissing))
+		require.Zero(t, fx.decisions.count(jobs.EventTableReceived))
+		h.svc.SetTable(testTable)
+		h.svc.SetTable(oneRetryTable)
+		time.Sleep(5 * time.Second)
+		require.Zero(t, h.svc.Load().TableWait)
+		require.Equal(t, 1, fx.decisions.count(jobs.EventTableReceived))
+		require.Equal(t, int64(5*time.Second), h.svc.Stats().TableWait.Load())
+
+		fx.kill(h)
+		h = fx.hostWithTable(nil)
+		fx.giveCell(h)
+		time.Sleep(2 * time.Second)
+		fx.kill(h)
+		require.Equal(t, int64(2*time.Second), h.svc.Stats().TableWait.Load(), "the owner stopped without a table")
+	})
+}
