--- a/relay/jobs/eventlist.go
+++ b/relay/jobs/eventlist.go
@@ -28,6 +28,8 @@
 	EventTrusted            EventName = "worker_trusted"
 	EventOwnerLate          EventName = "owner_late"
 	EventOwnerOnTime        EventName = "owner_on_time"
+	EventTableMissing       EventName = "table_missing"
+	EventTableReceived      EventName = "table_received"
 	EventDependencyLost     EventName = "dependency_lost"
 	EventDependencyRegained EventName = "dependency_regained"
 	EventClockSet           EventName = "clock_set"
@@ -140,6 +142,10 @@
 		{EventOwnerOnTime, "the owner keeps up again: no event has been queued for long during the last second", []FieldName{
 			FieldCell, FieldEpoch, FieldLoopMs, FieldLateMs, FieldContactMs, FieldSilent, FieldWaiting, FieldUnsent, FieldEvents,
 		}},
+		{EventTableMissing, "the owner has taken its cell over without a table: it starts and accepts nothing until it has one", []FieldName{
+			FieldCell, FieldEpoch,
+		}},
+		{EventTableReceived, "the owner has its first table, after table_missing", []FieldName{FieldCell, FieldEpoch, FieldTable, FieldWaitedMs}},
 		{EventDependencyLost, "several consecutive calls to a dependency failed", []FieldName{
 			FieldDependency, FieldFailures, FieldReason,
 		}},
@@ -190,7 +196,7 @@
 	FieldFailures:    "number of consecutive calls that failed",
 	FieldLostMs:      "milliseconds during which the dependency was lost",
 	FieldStepMs:      "milliseconds by which the time of day changed beyond the time that has passed",
-	FieldWaitedMs:    "milliseconds for which the task has waited",
+	FieldWaitedMs:    "milliseconds for which the task has waited, or the owner for its first table",
 	FieldRoom:        "number of workers with enough free resources, whether they may take the task or not",
 	FieldRuledOut:    "workers with room that do not take the task, by reason",
 }
