--- a/relay/jobs/slowevents_test.go
+++ b/relay/jobs/slowevents_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
 	"github.com/bulrushrelay/bulrushrelay/core/placement"
+	"github.com/bulrushrelay/bulrushrelay/core/store"
 	"github.com/bulrushrelay/bulrushrelay/core/table"
 	"github.com/bulrushrelay/bulrushrelay/core/verdict"
 	"github.com/bulrushrelay/bulrushrelay/relay/jobs"
@@ -110,3 +112,30 @@
 		require.Equal(t, verdict.CodeUnavailable, verdict.FromError(err).Code)
 	})
 }
+
+// Guards against a snapshot that waits behind the other events of a busy cell: no record becomes durable meanwhile.
+func TestSnapshotDoesNotWaitBehindSlowEvents(t *testing.T) {
+	slowEventsScenario(t, func(fx *fixture, h *host) {
+		// One commit each. A snapshot is due after 256.
+		var ids []ident.JobID
+		for range 230 {
+			ids = append(ids, h.submit(spec("batch", 1, "work=10m")))
+		}
+		head := func() []store.Entry {
+			r, err := fx.engine.Range(bg, fmt.Sprintf("/cell/%d/snap", cell))
+			require.NoError(t, err)
+			return r.Entries
+		}
+		before := head()
+		for i := range 400 {
+			go h.svc.SetMembers(cell, fx.membersWithLabel(i))
+		}
+		time.Sleep(time.Second)
+		for _, id := range ids[:40] {
+			ctx, cancel := context.WithTimeout(bg, time.Second)
+			require.NoError(t, h.svc.Cancel(ctx, id))
+			cancel()
+		}
+		require.NotEqual(t, before, head(), "no snapshot was due")
+	})
+}
