Log a worker again that comes back while its removal is written

No task may start on a worker that the log does not name: a successor waits for the workers in the log before it starts tasks that may still run. A worker that had lapsed and left, and that came back before the record of its removal was durable, was still taken for logged, got tasks at once, and then disappeared from the log. Callers would see a task run twice if the owner was lost later and the host list of the next one did not show the worker yet.

Cause: the set of logged workers followed the removal when its record was durable rather than when it was queued.

The worker now leaves the set when the record is queued, so that its next claim queues a new record behind it, which must be durable before the first start.

Evidence: TestRemovedWorkerIsLoggedAgain failed before (the worker was given to the planner at once).

--- a/core/lifecycle/commit.go
+++ b/core/lifecycle/commit.go
@@ -55,7 +55,7 @@
 			c.putWorker(w, eff)
 		}
 	case WorkerRemoved:
-		delete(c.loggedWorkers, r.Worker)
+		// The worker was removed when the record was queued.
 	}
 }
 
--- a/core/lifecycle/recovery_test.go
+++ b/core/lifecycle/recovery_test.go
@@ -106,3 +106,23 @@
 	require.Len(t, moved, 1, "the batch task would be held after it was stopped")
 	require.Equal(t, lasting, moved[0].Task)
 }
+
+// Guards against a start on a worker that the log does not name: the worker came back before the record of its removal
+// was durable.
+func TestRemovedWorkerIsLoggedAgain(t *testing.T) {
+	f := newFixture(t, 7, "w1")
+	f.c.CallFailed("w1")
+	f.tickUntil(f.now.Add(time.Minute))
+	f.holdLog = true
+	f.log = nil
+	f.apply(f.c.SetMembers(f.now, nil))
+	require.Equal(t, []Record{WorkerRemoved{Worker: "w1"}}, f.log)
+	f.apply(f.c.SetMembers(f.now, []Member{{ID: "w1"}}))
+	f.commands = nil
+	f.claim("w1", Report{})
+	require.Empty(t, commandsOf[PutWorker](f))
+	require.Equal(t, []Record{WorkerRemoved{Worker: "w1"}, WorkerAdded{Worker: "w1"}}, f.log)
+	f.apply(f.c.RecordsCommitted(f.now, f.log))
+	require.Len(t, commandsOf[PutWorker](f), 1)
+	require.Contains(t, f.c.Snapshot(f.now, false).Workers, WorkerAdded{Worker: "w1"})
+}
--- a/core/lifecycle/worker.go
+++ b/core/lifecycle/worker.go
@@ -177,6 +177,8 @@
 	c.sortedCache = nil
 	eff.do(ForgetWorker{Worker: id})
 	if _, ok := c.loggedWorkers[id]; ok {
+		// If the worker comes back before this record is durable, it needs a new record before the first start on it.
+		delete(c.loggedWorkers, id)
 		eff.log(WorkerRemoved{Worker: id})
 	}
 }
