Recover without the workers on which no predecessor can have started anything

After a change of owner all held tasks waited for every listed worker, new ones included.

Cause: the owner waited for all workers that it knew, although it reads in the log on which ones tasks may have been started: the record of a worker is durable before the first start on it, and no predecessor can write to the log any more when the new owner reads it.

Only workers in the log hold up the recovery now.

Evidence: TestWorkersThatAreNotInTheLogDoNotHoldUpRecovery failed before (nothing queued). TestNoTickIsDueWhileInventoriesAreAwaited used a worker that was not in the log; it now replays the record of the worker, and its checks are the same.

--- a/core/lifecycle/answer_test.go
+++ b/core/lifecycle/answer_test.go
@@ -159,6 +159,7 @@
 // Guards against an owner that spins because NextTick returns a time in the past while inventories are awaited.
 func TestNoTickIsDueWhileInventoriesAreAwaited(t *testing.T) {
 	f := &fixture{t: t, c: NewCell(1, 9, newFixture(t, 7).c.table), now: testStart}
+	f.c.Replay(WorkerAdded{Worker: "w1"})
 	f.c.SetAuthority(f.now, true, true)
 	f.apply(f.c.Recover(f.now, false, []Member{{ID: "w1"}}))
 	require.Zero(t, f.c.NextTick(), "the claim is not answered yet")
--- a/core/lifecycle/recovery.go
+++ b/core/lifecycle/recovery.go
@@ -6,7 +6,7 @@
 )
 
 // The recovery after a change of owner has two steps. Once every worker has listed what it runs, or its leases have
-// lapsed, no held task runs any more. A lasting task can then start again. Any other task may have been completed by
+// lapsed, no held task runs any more. Only the workers in the log count: nothing was started on any other one. A lasting task can then start again. Any other task may have been completed by
 // an end that a worker has not listed yet, so that it is held until all of these ends are known.
 
 // releaseTasksLeftOn queues the held tasks that the predecessor left on the worker, which has answered without them.
@@ -106,7 +106,7 @@
 func (c *Cell) allRunsListed(now time.Time) bool {
 	lapsed := !c.predecessorStoppedAt.IsZero() && !now.Before(c.predecessorStoppedAt.Add(c.policy.lapseAfter()))
 	for _, w := range c.workers {
-		if !w.claimed && !w.lapsed && !(lapsed && w.unanswered) {
+		if w.mayHold && !w.claimed && !w.lapsed && !(lapsed && w.unanswered) {
 			return false
 		}
 	}
@@ -116,7 +116,7 @@
 // awaitsAnswer reports whether the claim of a worker is under way, or its answer not yet handled.
 func (c *Cell) awaitsAnswer() bool {
 	for _, w := range c.workers {
-		if !w.claimed && !w.unanswered {
+		if w.mayHold && !w.claimed && !w.unanswered {
 			return true
 		}
 	}
@@ -126,7 +126,7 @@
 // awaitsEnds reports whether a worker may list further ends of attempts that the predecessor started.
 func (c *Cell) awaitsEnds() bool {
 	for _, w := range c.workers {
-		if w.claimed && w.endsMissing || !w.claimed && !w.unanswered {
+		if w.mayHold && (w.claimed && w.endsMissing || !w.claimed && !w.unanswered) {
 			return true
 		}
 	}
--- a/core/lifecycle/recovery_test.go
+++ b/core/lifecycle/recovery_test.go
@@ -107,6 +107,20 @@
 	require.Equal(t, lasting, moved[0].Task)
 }
 
+// Guards against a new worker that holds up the recovery although the predecessor cannot have started anything on it.
+func TestWorkersThatAreNotInTheLogDoNotHoldUpRecovery(t *testing.T) {
+	old := newFixture(t, 7, "w1")
+	task := ident.TaskID{Job: old.submit(1)}
+	old.startTask(task, "w1")
+	f := old.takeOver(false, "w1", "unreachable")
+	f.c.CallFailed("unreachable")
+	f.apply(f.c.SetMembers(f.now, []Member{{ID: "w1"}, {ID: "unreachable"}, {ID: "joined"}}))
+	require.Empty(t, f.takeEnqueued())
+	f.claim("w1", Report{})
+	require.Equal(t, []ident.TaskID{task}, f.takeEnqueued())
+	require.False(t, f.c.Recovering())
+}
+
 // Guards against a start on a worker that the log does not name: the worker came back before the record of its removal
 // was durable.
 func TestRemovedWorkerIsLoggedAgain(t *testing.T) {
--- a/core/lifecycle/restore.go
+++ b/core/lifecycle/restore.go
@@ -205,11 +205,11 @@
 		eff.do(ClaimWorker{Member: m})
 	}
 	for id, address := range c.loggedWorkers {
-		if _, ok := listed[id]; ok {
-			continue
+		if _, ok := listed[id]; !ok {
+			w := c.addWorker(Member{ID: id, Address: address})
+			eff.do(ClaimWorker{Member: w.member})
 		}
-		w := c.addWorker(Member{ID: id, Address: address})
-		eff.do(ClaimWorker{Member: w.member})
+		c.workers[id].mayHold = true
 	}
 	c.enqueue(now, idle, &eff)
 	c.finishRecovery(now, &eff)
--- a/core/lifecycle/worker.go
+++ b/core/lifecycle/worker.go
@@ -19,6 +19,8 @@
 	claimed bool
 	// inPlanner is set while the planner knows the worker.
 	inPlanner bool
+	// mayHold is set if a predecessor may have started attempts on the worker: it is in the log.
+	mayHold bool
 	// lapsed is set once the leases of the worker have certainly ended, until it is claimed again.
 	lapsed bool
 	// silent is set while the worker has not answered for Policy.SilentAfter.
