--- a/explore/jobhost_test.go
+++ b/explore/jobhost_test.go
@@ -88,14 +88,14 @@
 	return p
 }
 
-func (c *jobCell) followWorkers(ctx context.Context, _ func() time.Duration, changed func([]lifecycle.Member)) {
+func (c *jobCell) followWorkers(ctx context.Context, _ func() time.Duration, changed func(workers []lifecycle.Member, complete bool)) {
 	var list []lifecycle.Member
 	for _, w := range c.fleet {
 		m := w.Member()
 		m.DataCentre = "nelson"
 		list = append(list, m)
 	}
-	changed(list)
+	changed(list, true)
 	<-ctx.Done()
 }
 
