Keep half of the workers out of quarantine when jobs fail everywhere

Callers would see that accepted tasks do not start for minutes although all workers are idle and sound: 8 tasks behind 60 jobs of one task that fails by itself were still queued after 18 s, with 4 idle workers, and the last one ended after 13 min 33 s in a trial without a limit.

Cause: a job of one task with two attempts cannot show that it fails on three workers, so that its failures are held against the workers. Each worker with three such failures and no success between them went into quarantine, all of them in the end. Each probe was one task, most of them failed, and the pause between probes doubles up to 5 min. Class of fault: a rule for single workers that has no bound for all of them together.

Now failures of jobs that have succeeded nowhere put at most half of the claimed workers in quarantine. A worker that fails what succeeds elsewhere is quarantined as before, however many are.

TestFailingJobsPutAtMostHalfOfTheWorkersInQuarantine fails before. The fixtures of eight tests of quarantine had a single worker, which is never the minority; they have a second, sound one now, and check what they checked.

--- a/core/lifecycle/delayedstart_test.go
+++ b/core/lifecycle/delayedstart_test.go
@@ -10,7 +10,7 @@
 // Guards against a quarantine that is lifted by an attempt that has hardly run: its start waited to be sent for longer
 // than provenRunTime.
 func TestDelayedStartDoesNotEndQuarantine(t *testing.T) {
-	f := newFixture(t, 1, "w")
+	f := newFixture(t, 1, "w", "sound")
 	f.quarantineWorker("w")
 	f.waitForProbe("w")
 	attempt := f.planStart(taskID(f.accept(JobSpec{Groups: []TaskGroup{{Count: 1, Need: oneCore, Lasting: true}}}), 0, 0), "w")
@@ -25,7 +25,7 @@
 
 // Guards against a worker that fails everything and is not blamed because its starts waited to be sent.
 func TestFailureAfterDelayedStartIsBlamed(t *testing.T) {
-	f := newFixture(t, 1, "w")
+	f := newFixture(t, 1, "w", "sound")
 	for range quarantineFailures {
 		attempt := f.planStart(taskID(f.accept(JobSpec{Groups: []TaskGroup{{Count: 1, Need: oneCore, Lasting: true}}}), 0, 0), "w")
 		for until := f.now.Add(provenRunTime); f.now.Before(until); {
--- a/core/lifecycle/failure.go
+++ b/core/lifecycle/failure.go
@@ -219,6 +219,9 @@
 	if w.health.quarantined || !c.failsEverything(w) {
 		return
 	}
+	if !c.failsWhatSucceedsElsewhere(w) && c.mostInQuarantineWith(w) {
+		return
+	}
 	w.health.quarantined = true
 	w.health.quarantinedAt = now
 	w.health.provenHealthy = false
@@ -258,14 +261,37 @@
 // failsEverything reports whether the worker has enough failures, and these are from several jobs or from a job that
 // succeeds elsewhere.
 func (c *Cell) failsEverything(w *worker) bool {
-	total, proven := 0, len(w.health.failuresByJob) >= 2
-	for id, n := range w.health.failuresByJob {
+	total := 0
+	for _, n := range w.health.failuresByJob {
 		total += n
+	}
+	return total >= quarantineFailures && (len(w.health.failuresByJob) >= 2 || c.failsWhatSucceedsElsewhere(w))
+}
+
+// failsWhatSucceedsElsewhere reports whether a failure of the worker is from a job that has succeeded elsewhere.
+func (c *Cell) failsWhatSucceedsElsewhere(w *worker) bool {
+	for id := range w.health.failuresByJob {
 		if j, ok := c.jobs[id]; ok && j.succeeded {
-			proven = true
+			return true
+		}
+	}
+	return false
+}
+
+// mostInQuarantineWith reports whether more than half of the claimed workers would be in quarantine if w was. Failures of
+// jobs that have succeeded nowhere on that many workers are more likely the fault of the jobs.
+func (c *Cell) mostInQuarantineWith(w *worker) bool {
+	claimed, quarantined := 0, 0
+	for _, o := range c.workers {
+		if !o.claimed {
+			continue
+		}
+		claimed++
+		if o == w || o.health.quarantined {
+			quarantined++
 		}
 	}
-	return proven && total >= quarantineFailures
+	return 2*quarantined > claimed
 }
 
 func (c *Cell) scheduleProbe(now time.Time, w *worker) {
--- a/core/lifecycle/quarantine_test.go
+++ b/core/lifecycle/quarantine_test.go
@@ -39,7 +39,7 @@
 		"filler":  {Count: 1, Need: oneCore, Constraints: placement.Constraints{Filler: true}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			f := newFixture(t, 1, "w")
+			f := newFixture(t, 1, "w", "sound")
 			f.quarantineWorker("w")
 			since := f.now
 			f.waitForProbe("w")
@@ -60,7 +60,7 @@
 // Guards against a quarantine that is lifted by attempts from before it: a worker may fail all new attempts while the
 // running ones continue.
 func TestEarlierAttemptsDoNotEndTheQuarantine(t *testing.T) {
-	f := newFixture(t, 1, "w")
+	f := newFixture(t, 1, "w", "sound")
 	f.startTask(taskID(f.accept(JobSpec{Groups: []TaskGroup{{Count: 1, Need: oneCore, Lasting: true}}}), 0, 0), "w")
 	f.now = f.now.Add(time.Second)
 	f.reportEnds("w")
@@ -74,7 +74,7 @@
 
 // Guards against frequent probes of a worker that still fails everything: each probe costs a task an attempt.
 func TestProbePauseGrowsAfterFailures(t *testing.T) {
-	f := newFixture(t, 1, "w")
+	f := newFixture(t, 1, "w", "sound")
 	f.quarantineWorker("w")
 	last := time.Duration(0)
 	for range 5 {
@@ -92,7 +92,7 @@
 
 // Guards against a start on a worker that does not answer: only a worker that fails its attempts is a last resort.
 func TestSilentWorkerIsNoLastResort(t *testing.T) {
-	f := newFixture(t, 1, "w")
+	f := newFixture(t, 1, "w", "sound")
 	last := func() placement.Worker {
 		puts := commandsOf[PutWorker](f)
 		return puts[len(puts)-1].Worker
@@ -108,7 +108,7 @@
 // Guards against quarantining a sound worker on which lasting tasks of two jobs failed after they had run: they may
 // fail at any time, and they never succeed, which would clear the blame.
 func TestLastingTaskFailureAfterRunIsNotBlamed(t *testing.T) {
-	f := newFixture(t, 1, "w")
+	f := newFixture(t, 1, "w", "sound")
 	var jobs []ident.JobID
 	for range quarantineFailures {
 		jobs = append(jobs, f.accept(JobSpec{Groups: []TaskGroup{{Count: 1, Need: oneCore, Lasting: true}}}))
@@ -129,7 +129,7 @@
 // Guards against a quarantine that is lifted when a task from before it completes while the worker is probed: the
 // worker may still fail everything that it starts.
 func TestEarlierSuccessDoesNotEndTheQuarantine(t *testing.T) {
-	f := newFixture(t, 1, "w")
+	f := newFixture(t, 1, "w", "sound")
 	earlier := f.startTask(ident.TaskID{Job: f.submit(1)}, "w")
 	f.now = f.now.Add(time.Second)
 	f.reportEnds("w")
@@ -142,3 +142,34 @@
 	f.reportEnds("w", EndedAttempt{AttemptID: probe, End: EndDone})
 	require.False(t, f.c.workers["w"].health.quarantined)
 }
+
+// Guards against jobs that fail by themselves and put all workers in quarantine: nothing would run although all workers
+// are sound.
+func TestFailingJobsPutAtMostHalfOfTheWorkersInQuarantine(t *testing.T) {
+	workers := []ident.WorkerID{"w1", "w2", "w3", "w4"}
+	f := newFixture(t, 1, "w1", "w2", "w3", "w4")
+	inQuarantine := func() (n int) {
+		for _, w := range workers {
+			if f.c.workers[w].health.quarantined {
+				n++
+			}
+		}
+		return n
+	}
+	failOn := func(w ident.WorkerID, job ident.JobID) {
+		attempt := f.startTask(ident.TaskID{Job: job}, w)
+		f.reportEnds(w, EndedAttempt{AttemptID: attempt, End: EndFailed})
+	}
+	for range quarantineFailures {
+		for _, w := range workers {
+			failOn(w, f.submit(1))
+		}
+	}
+	require.Equal(t, 2, inQuarantine())
+	// A job that succeeds elsewhere shows that a worker is at fault.
+	job := f.submit(2)
+	succeeding := f.startTask(ident.TaskID{Job: job, Index: 1}, "w4")
+	f.reportEnds("w4", EndedAttempt{AttemptID: succeeding, End: EndDone})
+	failOn("w3", job)
+	require.True(t, f.c.workers["w3"].health.quarantined)
+}
