--- a/core/lifecycle/recovery.go
+++ b/core/lifecycle/recovery.go
@@ -106,7 +106,8 @@
 func (c *Cell) allRunsListed(now time.Time) bool {
 	lapsed := !c.predecessorStoppedAt.IsZero() && !now.Before(c.predecessorStoppedAt.Add(c.policy.lapseAfter()))
 	for _, w := range c.workers {
-		if w.mayHold && !w.claimed && !w.lapsed && !(lapsed && w.unanswered) {
+		stopped := w.lapsed || lapsed && w.unanswered
+		if w.mayHold && !w.claimed && !stopped {
 			return false
 		}
 	}
