--- a/core/lifecycle/recovery.go
+++ b/core/lifecycle/recovery.go
@@ -5,9 +5,10 @@
 	"time"
 )
 
-// The recovery after a change of owner has two steps. Once every worker has listed what it runs, or its leases have
-// lapsed, no held task runs any more. Only the workers in the log count: nothing was started on any other one. A lasting task can then start again. Any other task may have been completed by
-// an end that a worker has not listed yet, so that it is held until all of these ends are known.
+// The recovery after a change of owner has two steps. Once every worker of the log has listed what it runs, or its leases
+// have lapsed, no held task runs any more: nothing was started on any other worker. A lasting task can then start again.
+// Any other task may have been completed by an end that a worker has not listed yet, so that it is held until all of
+// these ends are known.
 
 // releaseTasksLeftOn queues the held tasks that the predecessor left on the worker, which has answered without them.
 func (c *Cell) releaseTasksLeftOn(now time.Time, w *worker, eff *Effects) {
--- a/core/placement/explain.go
+++ b/core/placement/explain.go
@@ -93,9 +93,9 @@
 // Description returns the reason as a phrase for messages.
 func (r WaitReason) Description() string { return waitDescriptions[r] }
 
-// LongestWaiting explains at most limit tasks, in a large cell fewer, that have waited for minWait or longer since they were queued or last
-// explained, those that have waited for longest first, so that repeated calls reach all of them. It changes no
-// decision.
+// LongestWaiting explains tasks that have waited for minWait or longer since they were queued or last explained: at most
+// limit, in a large cell fewer, and those that have waited for longest first, so that repeated calls reach all of them. It
+// changes no decision.
 func (c *Cell) LongestWaiting(now time.Time, minWait time.Duration, limit int) []Waiting {
 	c.mu.Lock()
 	defer c.mu.Unlock()
