--- a/adapter/cellpb/codec_test.go
+++ b/adapter/cellpb/codec_test.go
@@ -17,7 +17,7 @@
 	job     = ident.JobID{Cell: 3, Epoch: 9, Seq: 4}
 	attempt = lifecycle.AttemptID{Task: ident.TaskID{Job: job, Index: 2}, Attempt: 66}
 	spec    = lifecycle.JobSpec{
-		Name: "n", Class: "c", Tenant: "t", Kind: "batch", ClientToken: "k",
+		Name: "n", Class: "c", Tenant: "t", Kind: "batch", MaxFailures: 3, ClientToken: "k",
 		ClientNumber: 1<<63 + 5, Pool: "p", FailFast: true, Stretch: 1.5, Grace: time.Second,
 		Groups: []lifecycle.TaskGroup{{
 			Count: 3, Need: resource.Vector{MilliCPU: 1, MemoryMB: 2, Accelerators: 3},
@@ -79,7 +79,11 @@
 
 // Guards against a panic on a value that another program wrote, and against accepting it.
 func TestDecodeRejectsForeignValues(t *testing.T) {
-	_, _, err := Codec{}.DecodeBatch([]byte("not a batch"))
+	_, err := Codec{}.DecodeHead(nil)
+	require.Error(t, err, "an empty value is no empty cell")
+	_, _, err = Codec{}.DecodeBatch(nil)
+	require.Error(t, err, "an empty value is no empty batch")
+	_, _, err = Codec{}.DecodeBatch([]byte("not a batch"))
 	require.Error(t, err)
 	_, err = Codec{}.DecodeHead([]byte{0xff})
 	require.Error(t, err)
--- a/core/lifecycle/attempt.go
+++ b/core/lifecycle/attempt.go
@@ -132,6 +132,7 @@
 		t.run.noteSeen(now)
 		t.noteRan(attempt.Attempt)
 		t.refusals = 0
+		t.refusedBy = nil
 		if t.run.phase == phaseStarting {
 			t.run.phase = phaseActive
 			c.setState(now, t, Running)
@@ -140,6 +141,9 @@
 	case Refused:
 		t.maybeSent = t.run.maybeSentBefore
 		t.refusals++
+		if a.Reason == ReasonUnhealthy && !slices.Contains(t.refusedBy, id) {
+			t.refusedBy = append(t.refusedBy, id)
+		}
 		pause := t.refusalPause()
 		c.endRun(now, t, &eff)
 		c.requeue(now, t, pause, WaitRefused, &eff)
@@ -172,7 +176,7 @@
 }
 
 func (c *Cell) evictIfLeaving(now time.Time, t *task, eff *Effects) {
-	if w := c.workers[t.run.worker]; w.leaving() && !c.inDoubt && !c.recovering {
+	if w := c.workers[t.run.worker]; c.certainlyLeaves(w) && !c.inDoubt && !c.mustHold(t) {
 		c.evict(now, t, false, eff)
 	}
 }
--- a/core/lifecycle/cell.go
+++ b/core/lifecycle/cell.go
@@ -30,6 +30,7 @@
 	mu    sync.Mutex
 	id    ident.CellID
 	epoch ident.Epoch
+	// table is nil until the first one is known.
 	table *table.Table
 	// policy is set before the first event.
 	policy Policy
@@ -43,7 +44,12 @@
 	sortedCache []*worker
 	// loggedWorkers holds the addresses of the workers that are recorded in the log.
 	loggedWorkers map[ident.WorkerID]string
-	// heldTasks holds the tasks that may still run on a worker that has not answered since the takeover.
+	// hostListKnown is set once SetMembers has been called. Before that, a worker that is not listed may belong to the cell.
+	hostListKnown bool
+	// newestLogTime is the latest time that the restored log and snapshot state.
+	newestLogTime time.Time
+	// heldTasks holds the tasks that may still run on a worker that has not answered since the takeover, and all tasks
+	// that could start while no table is known.
 	heldTasks map[ident.TaskID]*task
 	delayed   delayQueue
 	// deadlines orders the workers by their next deadline.
@@ -56,18 +62,23 @@
 	unloggedEnds map[AttemptID]unloggedEnd
 	// unloggedByWorker counts unloggedEnds by worker.
 	unloggedByWorker map[ident.WorkerID]int
-	changedJobs      map[ident.JobID]struct{}
+	// undecidedFailures lists the failures that were reported before the table was known. They are in unloggedEnds, too.
+	undecidedFailures []undecidedFailure
+	changedJobs       map[ident.JobID]struct{}
 	// finishedJobs lists the jobs that have finished since the last TakeFinishedJobs, and ackedWorkers the workers with
 	// newly durable ends since the last TakeAckedWorkers.
 	finishedJobs []*job
 	ackedWorkers []ident.WorkerID
+	// sweepPosition is the position in jobOrder of the job at which WaitingTasks last looked.
+	sweepPosition int
 
 	// callSeq numbers the calls for reports and the confirmations of starts, so that a report that was requested before
 	// a start was confirmed can be told from a later one.
 	callSeq uint64
 	// reportSeq numbers the reports of all workers.
-	reportSeq  uint64
-	recovering bool
+	reportSeq uint64
+	// recovering is set while tasks are held, and runsListed once none of them can run any more.
+	recovering, runsListed bool
 	// takeoverDurable is set once the Takeover record is durable. No task is started before that.
 	takeoverDurable bool
 	// predecessorStoppedAt is when the predecessor was confirmed to renew no more leases; zero if it is not confirmed.
@@ -91,7 +102,8 @@
 	phaseStopping
 )
 
-// NewCell returns an empty cell for the owner with the given epoch.
+// NewCell returns an empty cell for the owner with the given epoch. t is nil if the table is not known yet; a class that
+// a known table lacks has been taken out.
 func NewCell(id ident.CellID, epoch ident.Epoch, t *table.Table) *Cell {
 	return &Cell{
 		id:               id,
@@ -110,20 +122,6 @@
 	}
 }
 
-// SetTable replaces the table of classes and limits.
-func (c *Cell) SetTable(t *table.Table) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.table = t
-}
-
-// TableRevision returns the revision of the current table.
-func (c *Cell) TableRevision() table.Revision {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.table.Revision()
-}
-
 // Fenced reports whether a worker has refused a call because it knows a higher epoch, that is, of a later owner.
 func (c *Cell) Fenced() bool {
 	c.mu.Lock()
@@ -139,13 +137,14 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	row, ok := c.table.Lookup(spec.Class)
-	if !ok {
+	row, ok := c.lookup(spec.Class)
+	if !ok && c.table != nil {
 		return ident.JobID{}, Effects{}, verdict.New(verdict.NotRun, verdict.CodeInvalid,
 			"class %q is not in table revision %d", spec.Class, c.table.Revision())
 	}
 	spec.Tenant = row.Tenant
 	spec.Kind = row.Kind
+	spec.MaxFailures = maxFailures(row)
 	id := ident.CallerAssignedJobID(c.id, spec.ClientNumber)
 	spec.ClientToken = spec.idempotencyToken(c.id)
 	if earlier, used := c.tokens[spec.ClientToken]; used && spec.ClientToken != "" {
@@ -155,6 +154,10 @@
 		}
 		return earlier.job, Effects{}, nil
 	}
+	if c.table == nil {
+		return ident.JobID{}, Effects{}, verdict.New(verdict.NotRun, verdict.CodeUnavailable,
+			"the owner of cell %d has not read the table yet", c.id).WithRetryAfter(time.Second)
+	}
 	for i, g := range spec.Groups {
 		if err := c.checkFits(i, g.Need); err != nil {
 			return ident.JobID{}, Effects{}, err
@@ -245,7 +248,7 @@
 	t.state = s
 	t.job.counts[s]++
 	if t.job.final() {
-		t.job.finishedAt = now
+		t.job.finishedAt, t.job.keptSince = now, now
 		if !before {
 			c.finishedJobs = append(c.finishedJobs, t.job)
 		}
@@ -262,10 +265,10 @@
 	j := &job{
 		id:         id,
 		spec:       spec,
-		acceptedAt: at,
-		tasks:      make([]task, spec.TaskCount()),
-		failedOn:   make(map[ident.WorkerID]struct{}),
-		groups:     make([]groupState, len(spec.Groups)),
+		acceptedAt: at, queuedSince: at,
+		tasks:    make([]task, spec.TaskCount()),
+		failedOn: make(map[ident.WorkerID]struct{}),
+		groups:   make([]groupState, len(spec.Groups)),
 	}
 	chains, longest := spec.CriticalPaths()
 	j.objective = spec.Objective(longest)
--- a/core/lifecycle/failure.go
+++ b/core/lifecycle/failure.go
@@ -6,18 +6,20 @@
 	"time"
 
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
+	"github.com/bulrushrelay/bulrushrelay/core/table"
 )
 
 const (
-	// defaultRetries is the retry budget of a task whose class is no longer in the table. It stops a task that fails on
-	// every worker.
+	// defaultRetries is the retry budget of a task whose class is no longer in the table and whose job was accepted by a
+	// build that did not record its retries. It stops a task that fails on every worker.
 	defaultRetries = 5
 	// The pause after a failed attempt doubles from firstBackoff to maxBackoff.
 	firstBackoff = time.Second
 	maxBackoff   = time.Minute
 	// The pause after a start that certainly did not run doubles from startRetryPause to maxStartRetryPause.
-	startRetryPause    = 200 * time.Millisecond
-	maxStartRetryPause = 10 * time.Second
+	startRetryPause = 200 * time.Millisecond
+	// A task with room on some worker must start within 3 s.
+	maxStartRetryPause = 2 * time.Second
 	// maxLastingRetryPause replaces maxStartRetryPause for lasting tasks, which have 6 s to run again and may have to
 	// try several workers.
 	maxLastingRetryPause = time.Second
@@ -66,6 +68,11 @@
 }
 
 func (c *Cell) attemptFailed(now time.Time, w *worker, t *task, e EndedAttempt, eff *Effects) {
+	if c.table == nil && !t.job.cancelled {
+		c.deferFailure(w, e)
+		c.requeue(now, t, c.backoff(c.chargedFailures(t)+1), WaitBackoff, eff)
+		return
+	}
 	final, charged := c.recordFailure(now, w, t, e, eff)
 	switch {
 	case final:
@@ -85,6 +92,10 @@
 // workers report the ends of earlier attempts in any order.
 func (c *Cell) handleLateFailure(now time.Time, w *worker, t *task, e EndedAttempt, eff *Effects) {
 	t.nextAttempt = max(t.nextAttempt, e.Attempt+1)
+	if c.table == nil {
+		c.deferFailure(w, e)
+		return
+	}
 	final, _ := c.recordFailure(now, w, t, e, eff)
 	if !final {
 		return
@@ -155,12 +166,19 @@
 }
 
 func (c *Cell) retries(t *task) int {
-	if row, ok := c.table.Lookup(t.job.spec.Class); ok {
+	if row, ok := c.lookup(t.job.spec.Class); ok {
 		return row.Retries
 	}
+	if known := t.job.spec.MaxFailures; known > 0 {
+		return known - 1
+	}
 	return defaultRetries
 }
 
+func maxFailures(row table.Row) int {
+	return row.Retries + 1
+}
+
 // chargedFailures counts the failures that count against the retries. Those on quarantined workers do not, unless the
 // policy sets ChargeAllFailures.
 func (c *Cell) chargedFailures(t *task) int {
@@ -201,6 +219,9 @@
 	if w.health.quarantined || !c.failsEverything(w) {
 		return
 	}
+	if !c.failsWhatSucceedsElsewhere(w) && c.mostInQuarantineWith(w) {
+		return
+	}
 	w.health.quarantined = true
 	w.health.quarantinedAt = now
 	w.health.provenHealthy = false
@@ -240,14 +261,37 @@
 // failsEverything reports whether the worker has enough failures, and these are from several jobs or from a job that
 // succeeds elsewhere.
 func (c *Cell) failsEverything(w *worker) bool {
-	total, proven := 0, len(w.health.failuresByJob) >= 2
-	for id, n := range w.health.failuresByJob {
+	total := 0
+	for _, n := range w.health.failuresByJob {
 		total += n
+	}
+	return total >= quarantineFailures && (len(w.health.failuresByJob) >= 2 || c.failsWhatSucceedsElsewhere(w))
+}
+
+// failsWhatSucceedsElsewhere reports whether a failure of the worker is from a job that has succeeded elsewhere.
+func (c *Cell) failsWhatSucceedsElsewhere(w *worker) bool {
+	for id := range w.health.failuresByJob {
 		if j, ok := c.jobs[id]; ok && j.succeeded {
-			proven = true
+			return true
+		}
+	}
+	return false
+}
+
+// mostInQuarantineWith reports whether more than half of the claimed workers would be in quarantine if w was. Failures of
+// jobs that have succeeded nowhere on that many workers are more likely the fault of the jobs.
+func (c *Cell) mostInQuarantineWith(w *worker) bool {
+	claimed, quarantined := 0, 0
+	for _, o := range c.workers {
+		if !o.claimed {
+			continue
+		}
+		claimed++
+		if o == w || o.health.quarantined {
+			quarantined++
 		}
 	}
-	return proven && total >= quarantineFailures
+	return 2*quarantined > claimed
 }
 
 func (c *Cell) scheduleProbe(now time.Time, w *worker) {
--- a/core/lifecycle/job.go
+++ b/core/lifecycle/job.go
@@ -24,12 +24,18 @@
 
 // job is an accepted job and the progress of its tasks.
 type job struct {
-	id         ident.JobID
-	spec       JobSpec
+	id   ident.JobID
+	spec JobSpec
+	// acceptedAt and finishedAt are shown to callers. After a change of owner they are times of day of an earlier owner,
+	// so that no decision depends on them.
 	acceptedAt time.Time
 	finishedAt time.Time
-	tasks      []task
-	counts     [len(stateNames)]int
+	// queuedSince is acceptedAt by the clock of this owner, as well as it is known.
+	queuedSince time.Time
+	// keptSince is when this owner learnt that the job has finished.
+	keptSince time.Time
+	tasks     []task
+	counts    [len(stateNames)]int
 	// cancelling is set once a cancellation is requested, cancelled once its record is durable.
 	cancelling bool
 	cancelled  bool
@@ -81,8 +87,10 @@
 	failures   []Failure
 	evictions  int
 	refusals   int
-	notBefore  time.Time
-	wait       WaitReason
+	// refusedBy lists the workers that refused a start as unhealthy since the last start that ran, oldest first.
+	refusedBy []ident.WorkerID
+	notBefore time.Time
+	wait      WaitReason
 	// message says why the last attempt failed or why the task is impossible.
 	message string
 	// leftOn is the worker on which the predecessor left an attempt running. knownIdle is set if it certainly left none.
@@ -140,9 +148,14 @@
 	return j.counts[Done]+j.counts[Failed]+j.counts[Cancelled] == len(j.tasks)
 }
 
+// open reports whether the end of an attempt may still change how the task continues.
+func (t *task) open() bool {
+	return !t.settled && !t.state.Final() && !t.job.cancelling
+}
+
 // startable reports whether the task needs another attempt and has none running.
 func (t *task) startable() bool {
-	return !t.settled && !t.state.Final() && !t.job.cancelling && t.run == nil
+	return t.open() && t.run == nil
 }
 
 func (c *Cell) task(id ident.TaskID) *task {
--- a/core/lifecycle/queue.go
+++ b/core/lifecycle/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
@@ -20,41 +21,59 @@
 		Pool:        t.job.spec.Pool,
 		Constraints: t.group.Constraints,
 		Lasting:     t.group.Lasting,
-		SubmittedAt: t.job.acceptedAt,
+		Restart:     t.group.Lasting && t.maybeSent,
+		SubmittedAt: t.job.queuedSince,
 		Evictions:   t.evictions,
 	}
 	if t.run != nil {
 		p.Attempt = t.run.Attempt
 	}
 	if j := t.job; j.objective > 0 {
-		p.Deadline = placement.Deadline{At: j.acceptedAt.Add(j.objective), Objective: j.objective, CriticalPath: j.groups[t.id.Group()].criticalPath, JobStarted: j.started}
+		p.Deadline = placement.Deadline{At: j.queuedSince.Add(j.objective), Objective: j.objective, CriticalPath: j.groups[t.id.Group()].criticalPath, JobStarted: j.started}
 	}
 	p.Avoid = c.workersToAvoid(t)
 	return p
 }
 
-// workersToAvoid returns the workers of the latest failures, at most half of the usable ones: a task that has failed on
-// every worker must still find one for its last retries.
+// workersToAvoid returns the workers that refused the task as unhealthy and those of its latest failures, at most half of
+// the usable ones on which the task may run: a task that has failed on every worker must still find one for its last
+// retries.
 func (c *Cell) workersToAvoid(t *task) []ident.WorkerID {
-	if len(t.failures) == 0 {
+	if len(t.failures) == 0 && len(t.refusedBy) == 0 {
 		return nil
 	}
 	usable := 0
 	for _, w := range c.workers {
-		if w.usable() {
+		if w.usable() && w.suits(t) {
 			usable++
 		}
 	}
 	var avoid []ident.WorkerID
-	for i := len(t.failures) - 1; i >= 0 && len(avoid) < usable/2; i-- {
-		id := t.failures[i].Worker
-		if w, ok := c.workers[id]; ok && w.usable() && !slices.Contains(avoid, id) {
+	add := func(id ident.WorkerID) {
+		if w, ok := c.workers[id]; ok && len(avoid) < usable/2 && w.usable() && !slices.Contains(avoid, id) {
 			avoid = append(avoid, id)
 		}
 	}
+	for _, id := range slices.Backward(t.refusedBy) {
+		add(id)
+	}
+	for _, f := range slices.Backward(t.failures) {
+		add(f.Worker)
+	}
 	return avoid
 }
 
+// suits reports whether the worker has what the task needs, whatever else runs there.
+func (w *worker) suits(t *task) bool {
+	pool, label := t.job.spec.Pool, t.group.Constraints.Label
+	need := t.group.Need
+	if t.group.Constraints.Filler {
+		need.MilliCPU = 0
+	}
+	return (pool == "" || pool == w.member.Pool) && need.Fits(w.capacity) &&
+		(label == "" || slices.Contains(strings.Fields(w.member.Labels), label))
+}
+
 // refreshWorkersToAvoid queues the tasks that avoid workers again, after the number of usable workers has decreased.
 func (c *Cell) refreshWorkersToAvoid(now time.Time, eff *Effects) {
 	var again []*task
@@ -85,7 +104,12 @@
 		if !t.startable() {
 			continue
 		}
-		if c.recovering && !t.job.acceptedByOwner && !t.knownIdle {
+		if c.table == nil {
+			t.wait = WaitTable
+			c.heldTasks[t.id] = t
+			continue
+		}
+		if c.mustHold(t) {
 			t.wait = WaitRecovery
 			c.heldTasks[t.id] = t
 			continue
--- a/core/lifecycle/restore.go
+++ b/core/lifecycle/restore.go
@@ -16,8 +16,11 @@
 		c.loggedWorkers[w.Worker] = w.Address
 	}
 	for _, js := range s.Jobs {
+		c.noteLogTime(js.AcceptedAt)
+		c.noteLogTime(js.FinishedAt)
 		j := c.insertJob(js.Job, js.Spec, js.AcceptedAt)
 		for _, ts := range js.Tasks {
+			c.noteLogTime(ts.Checkpoint.At)
 			if int(ts.Index) < len(j.tasks) {
 				j.restoreTask(&j.tasks[ts.Index], ts)
 			}
@@ -66,6 +69,7 @@
 func (c *Cell) Replay(record Record) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.noteLogTime(timeOf(record))
 	switch r := record.(type) {
 	case JobAccepted:
 		if _, ok := c.jobs[r.Job]; !ok {
@@ -185,7 +189,7 @@
 }
 
 // Recover takes over the cell after the log has been replayed. clean means that the predecessor drained. A task that
-// may still run is not started until every worker has answered or its leases have lapsed.
+// may still run is not started until every worker has answered or its leases have lapsed; see recovery.go.
 func (c *Cell) Recover(now time.Time, clean bool, members []Member) Effects {
 	c.Replay(Takeover{Epoch: c.epoch, Clean: clean})
 	c.mu.Lock()
@@ -195,6 +199,7 @@
 	c.recovering = true
 	slices.SortFunc(c.jobOrder, compareJobs)
 	var idle []*task
+	c.adoptTimes(now)
 	for _, id := range c.jobOrder {
 		idle = append(idle, c.holdPossiblyRunningTasks(c.jobs[id], clean)...)
 	}
@@ -205,11 +210,11 @@
 		eff.do(ClaimWorker{Member: m})
 	}
 	for id, address := range c.loggedWorkers {
-		if _, ok := listed[id]; ok {
-			continue
+		if _, ok := listed[id]; !ok {
+			w := c.addWorker(Member{ID: id, Address: address})
+			eff.do(ClaimWorker{Member: w.member})
 		}
-		w := c.addWorker(Member{ID: id, Address: address})
-		eff.do(ClaimWorker{Member: w.member})
+		c.workers[id].mayHold = true
 	}
 	c.enqueue(now, idle, &eff)
 	c.finishRecovery(now, &eff)
@@ -239,22 +244,6 @@
 	return idle
 }
 
-// releaseTasksLeftOn queues the held tasks that the predecessor left on the worker, which has answered without them.
-func (c *Cell) releaseTasksLeftOn(now time.Time, id ident.WorkerID, eff *Effects) {
-	var idle []*task
-	for _, t := range c.heldTasks {
-		if t.leftOn == id {
-			idle = append(idle, t)
-		}
-	}
-	slices.SortFunc(idle, func(a, b *task) int { return compareTasks(a.id, b.id) })
-	for _, t := range idle {
-		delete(c.heldTasks, t.id)
-		t.knownIdle = true
-	}
-	c.enqueue(now, idle, eff)
-}
-
 // SetAuthority applies the authority of the owner. full is false while a successor may exist. confirmed means that the
 // predecessor has stopped and renews no more leases.
 func (c *Cell) SetAuthority(now time.Time, full, confirmed bool) Effects {
@@ -282,54 +271,6 @@
 	return eff
 }
 
-// Recovering reports whether tasks may still run on workers that have not answered.
-func (c *Cell) Recovering() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.recovering
-}
-
-// finishRecovery queues the held tasks once none of them can run on a worker that has not answered.
-func (c *Cell) finishRecovery(now time.Time, eff *Effects) {
-	if !c.recovering || c.inDoubt || c.awaitsInventories() {
-		return
-	}
-	lapsed := !c.predecessorStoppedAt.IsZero() && !now.Before(c.predecessorStoppedAt.Add(c.policy.lapseAfter()))
-	for _, w := range c.workers {
-		if !w.claimed && !lapsed {
-			return
-		}
-	}
-	c.recovering = false
-	tasks := make([]*task, 0, len(c.heldTasks))
-	for _, t := range c.heldTasks {
-		tasks = append(tasks, t)
-	}
-	clear(c.heldTasks)
-	slices.SortFunc(tasks, func(a, b *task) int { return compareTasks(a.id, b.id) })
-	c.enqueue(now, tasks, eff)
-	for _, w := range c.sortedWorkers() {
-		if !w.claimed {
-			w.lapsed = true
-			c.forgetIfGone(w, eff)
-			continue
-		}
-		if w.leaving() {
-			c.evictFromLeaving(now, w, eff)
-		}
-	}
-}
-
-// awaitsInventories reports whether the inventory of a worker is under way, not yet handled, or incomplete.
-func (c *Cell) awaitsInventories() bool {
-	for _, w := range c.workers {
-		if w.claimed && w.partial || !w.claimed && !w.unanswered {
-			return true
-		}
-	}
-	return false
-}
-
 func (c *Cell) runningOf(t *task) placement.Running {
 	return placement.Running{
 		Pending:        c.pending(t),
--- a/core/lifecycle/view.go
+++ b/core/lifecycle/view.go
@@ -1,6 +1,7 @@
 package lifecycle
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -9,7 +10,8 @@
 )
 
 const (
-	// FinishedRetention is how long a finished job stays available.
+	// FinishedRetention is how long a finished job stays available. It begins anew with each owner, because the clocks of
+	// two owners may differ by any amount.
 	FinishedRetention = 24 * time.Hour
 	// maxFinishedJobs is the largest number of finished jobs in a cell. It bounds the size of the snapshot.
 	maxFinishedJobs = 10_000
@@ -30,6 +32,8 @@
 	WaitLog WaitReason = "waits for the cell log in the store"
 	// WaitRecovery means that the task may still run on a worker that has not answered since the change of owner.
 	WaitRecovery WaitReason = "waits for workers to answer after a change of owner"
+	// WaitTable means that the owner does not know the table yet.
+	WaitTable WaitReason = "waits until the owner has read the table"
 	// WaitBackoff means that the last attempt failed and the pause before the next one has not ended.
 	WaitBackoff WaitReason = "waits after a failed attempt"
 	// WaitRefused means that the worker refused the start.
@@ -38,6 +42,9 @@
 	WaitWorker WaitReason = "waits after its worker was lost"
 )
 
+// ReasonPlacement is the reason of a task that waits for the planner, unless the planner has given a closer one.
+const ReasonPlacement = "waits for room: its class is over its share or limit, or no worker has enough free capacity"
+
 // TaskView is the state of a task as shown to callers.
 type TaskView struct {
 	Task     ident.TaskID
@@ -145,7 +152,7 @@
 	out := make([]FinishedJob, len(c.finishedJobs))
 	for i, j := range c.finishedJobs {
 		out[i] = FinishedJob{
-			Job: j.id, Class: j.spec.Class, State: j.state(), Elapsed: j.finishedAt.Sub(j.acceptedAt), Objective: j.objective,
+			Job: j.id, Class: j.spec.Class, State: j.state(), Elapsed: j.finishedAt.Sub(j.queuedSince), Objective: j.objective,
 		}
 	}
 	clear(c.finishedJobs)
@@ -236,35 +243,38 @@
 	case t.wait != WaitNone:
 		return string(t.wait)
 	case t.state == Queued:
-		return "waits for room: its class is over its share or limit, or no worker has enough free capacity"
+		return ReasonPlacement
 	default:
 		return ""
 	}
 }
 
-// forgetFinishedJobs drops finished jobs that exceed FinishedRetention or maxFinishedJobs.
+// forgetFinishedJobs drops finished jobs that exceed FinishedRetention, and those that finished first if there are more
+// than maxFinishedJobs.
 func (c *Cell) forgetFinishedJobs(now time.Time) {
-	finished := 0
+	var finished []*job
 	for _, j := range c.jobs {
 		if j.final() {
-			finished++
+			finished = append(finished, j)
 		}
 	}
-	kept := c.jobOrder[:0]
-	for _, id := range c.jobOrder {
-		j := c.jobs[id]
-		old := j.final() && (finished > maxFinishedJobs || now.Sub(j.finishedAt) > FinishedRetention)
+	slices.SortFunc(finished, func(a, b *job) int {
+		return cmp.Or(a.keptSince.Compare(b.keptSince), a.finishedAt.Compare(b.finishedAt), compareJobs(a.id, b.id))
+	})
+	before := len(c.jobs)
+	for i, j := range finished {
+		old := len(finished)-i > maxFinishedJobs || now.Sub(j.keptSince) > FinishedRetention
 		if !old || j.hasRunningAttempts() {
-			kept = append(kept, id)
 			continue
 		}
-		finished--
-		delete(c.jobs, id)
-		if c.tokens[j.spec.ClientToken].job == id {
+		delete(c.jobs, j.id)
+		if c.tokens[j.spec.ClientToken].job == j.id {
 			delete(c.tokens, j.spec.ClientToken)
 		}
 	}
-	c.jobOrder = kept
+	if len(c.jobs) < before {
+		c.jobOrder = slices.DeleteFunc(c.jobOrder, func(id ident.JobID) bool { return c.jobs[id] == nil })
+	}
 }
 
 // hasRunningAttempts reports whether an attempt of the final job is still being stopped.
--- a/core/lifecycle/worker.go
+++ b/core/lifecycle/worker.go
@@ -19,6 +19,8 @@
 	claimed bool
 	// inPlanner is set while the planner knows the worker.
 	inPlanner bool
+	// mayHold is set if a predecessor may have started attempts on the worker: it is in the log.
+	mayHold bool
 	// lapsed is set once the leases of the worker have certainly ended, until it is claimed again.
 	lapsed bool
 	// silent is set while the worker has not answered for Policy.SilentAfter.
@@ -35,8 +37,12 @@
 	// unanswered is set while the latest claim or sync has failed. A worker is given up only then: an answer that is
 	// still to be handled, or a call in progress, may report that a task has ended.
 	unanswered bool
-	// partial is set while the reports may lack ended attempts.
+	// reportWaiting is set while the report of a claim or sync that was answered is still to be handled.
+	reportWaiting bool
+	// partial is set while the reports may lack ended attempts. endsMissing is set while those may include attempts that
+	// a predecessor started.
 	partial     bool
+	endsMissing bool
 	running     map[ident.TaskID]*task
 	pendingAcks map[AttemptID]struct{}
 	health      health
@@ -76,23 +82,42 @@
 	return w.member.Leaving || !w.listed
 }
 
+// certainlyLeaves reports whether the host list shows that the worker leaves, so that its tasks have to move.
+func (c *Cell) certainlyLeaves(w *worker) bool {
+	return w.member.Leaving || !w.listed && c.hostListKnown
+}
+
 // usable reports whether the planner may place any task on the worker.
 func (w *worker) usable() bool {
 	return w.inPlanner && !w.leaving() && !w.silent && !w.health.quarantined
 }
 
-// SetMembers applies the workers of the cell by the host list.
+// UpdateMembers applies workers of the cell by a host list that may lack others.
+func (c *Cell) UpdateMembers(now time.Time, members []Member) Effects {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var eff Effects
+	for _, m := range members {
+		c.setMember(now, m, &eff)
+	}
+	return eff
+}
+
+// SetMembers applies the workers of the cell by the host list. It must be called only with a complete list: a
+// worker that it lacks counts as gone.
 func (c *Cell) SetMembers(now time.Time, members []Member) Effects {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var eff Effects
+	first := !c.hostListKnown
+	c.hostListKnown = true
 	listed := make(map[ident.WorkerID]struct{}, len(members))
 	for _, m := range members {
 		listed[m.ID] = struct{}{}
 		c.setMember(now, m, &eff)
 	}
 	for _, w := range c.sortedWorkers() {
-		if _, ok := listed[w.member.ID]; ok || !w.listed {
+		if _, ok := listed[w.member.ID]; ok || !w.listed && !first {
 			continue
 		}
 		w.listed = false
@@ -148,11 +173,11 @@
 
 // evictFromLeaving checkpoints and stops the tasks of a leaving worker, so that they resume elsewhere.
 func (c *Cell) evictFromLeaving(now time.Time, w *worker, eff *Effects) {
-	if c.inDoubt || c.recovering {
+	if c.inDoubt || !c.certainlyLeaves(w) {
 		return
 	}
 	for _, t := range w.sortedTasks() {
-		if t.run.phase == phaseActive && t.worthMoving() {
+		if t.run.phase == phaseActive && t.worthMoving() && !c.mustHold(t) {
 			c.evict(now, t, false, eff)
 		}
 	}
@@ -165,7 +190,7 @@
 }
 
 func (c *Cell) forgetIfGone(w *worker, eff *Effects) {
-	if w.listed || w.claimed || !w.lapsed || len(w.running) > 0 {
+	if w.listed || !c.hostListKnown || w.claimed || !w.lapsed || len(w.running) > 0 {
 		return
 	}
 	id := w.member.ID
@@ -173,6 +198,8 @@
 	c.sortedCache = nil
 	eff.do(ForgetWorker{Worker: id})
 	if _, ok := c.loggedWorkers[id]; ok {
+		// If the worker comes back before this record is durable, it needs a new record before the first start on it.
+		delete(c.loggedWorkers, id)
 		eff.log(WorkerRemoved{Worker: id})
 	}
 }
@@ -224,6 +251,7 @@
 	w.incarnation = incarnation
 	w.lastContact = now
 	w.unanswered = false
+	w.reportWaiting = false
 	c.scheduleTick(w)
 	c.setToken(now, w, report)
 	// The predecessor renewed the leases of adopted tasks with tokens that this owner has not seen. None of them is
@@ -249,9 +277,8 @@
 		eff.do(StopTasks{Worker: id, Attempts: orphans})
 	}
 	w.partial = report.Partial
-	if !w.partial {
-		c.releaseTasksLeftOn(now, id, &eff)
-	}
+	w.endsMissing = report.Partial
+	c.releaseTasksLeftOn(now, w, &eff)
 	c.finishRecovery(now, &eff)
 	return eff
 }
--- a/core/placement/booking.go
+++ b/core/placement/booking.go
@@ -58,6 +58,9 @@
 		return
 	}
 	c.shares.total = c.shares.total.Add(n.worker.Capacity.Scale(int64(sign)))
+	if n.worker.AcceptsProbe {
+		c.probingWorkers += sign
+	}
 	c.shares.keysStale = true
 	if c.shapes.add(n.worker.Capacity, sign) {
 		c.recheckDue = true
@@ -85,6 +88,7 @@
 // book places a task on a worker and updates all counts.
 func (c *Cell) book(t *task, n *node) {
 	t.state = running
+	c.waiting.remove(t)
 	n.addTask(t)
 	c.spread.addTasks(t.id.Job, n.rack, 1)
 	c.shares.addHeld(t.class, t.desired, 1)
@@ -162,6 +166,7 @@
 }
 
 func (c *Cell) untrack(t *task) {
+	c.waiting.remove(t)
 	delete(c.tasks, t.id)
 	t.tenant.tasks--
 	t.class.pruneTenant(t.tenant)
--- a/core/placement/cell.go
+++ b/core/placement/cell.go
@@ -31,6 +31,8 @@
 	resubmitted map[ident.TaskID]Pending
 	// parked holds the tasks that fit no worker or exceed a limit of their class. They are in no queue.
 	parked map[ident.TaskID]*task
+	// waiting lists the queued, claimed and parked tasks.
+	waiting waitingList
 
 	shares *shares
 	spread *rackSpread
@@ -75,10 +77,13 @@
 	disturbances  []imageDisturbance
 	// measuredNodes lists the workers whose fillers or serving tasks were measured since the last Plan.
 	measuredNodes []*node
+	// probingWorkers counts the workers that accept probes.
+	probingWorkers int
 	// fillerMisses holds, for each signature of fillers, when a search last found no worker.
 	fillerMisses map[taskSignature]stamp
-	// now is the time of the last Plan call.
-	now stamp
+	// poolUses caches isMostlyFree by pool.
+	poolUses map[string]poolUse
+	clock
 }
 
 var _ Planner = (*Cell)(nil)
@@ -97,11 +102,12 @@
 		spread:       newRackSpread(),
 		images:       make(map[string]int),
 		fillerMisses: make(map[taskSignature]stamp),
+		poolUses:     make(map[string]poolUse),
 		shapes:       newShapes(),
 		required: []Filter{
 			leavingFilter{}, quarantineFilter{}, avoidFilter{}, poolFilter{}, labelFilter{}, perWorkerFilter{}, fillerFilter{},
 		},
-		preferred: []Filter{spreadFilter{}},
+		preferred: []Filter{spreadFilter{}, preferUnavoidedFilter{}},
 		scores: []weightedScore{
 			{interferenceScore{opts.Interference}, 2},
 			{packingScore{}, 1},
@@ -171,7 +177,7 @@
 	lost := make([]Running, 0, len(n.tasks))
 	for len(n.tasks) > 0 {
 		t := n.tasks[0]
-		lost = append(lost, t.running())
+		lost = append(lost, c.running(t))
 		c.unbook(t)
 		c.resubmit(t.id)
 	}
@@ -194,17 +200,17 @@
 			return
 		}
 		if t.node != nil && r.Attempt == t.attempt && t.node.worker.ID == r.Worker {
-			t.startedAt = stampOf(r.StartedAt)
-			t.checkpointedAt = max(t.checkpointedAt, stampOf(r.CheckpointedAt))
+			t.startedAt = c.stampOf(r.StartedAt)
+			t.checkpointedAt = max(t.checkpointedAt, c.stampOf(r.CheckpointedAt))
 			return
 		}
 		c.removeTask(t)
 	}
 	cl := c.shares.class(r.Class, r.Kind)
-	t := newTask(r.Pending, cl)
+	t := c.newTask(r.Pending, cl)
 	t.image = c.imageOf(r.Constraints)
-	t.startedAt = stampOf(r.StartedAt)
-	t.checkpointedAt = stampOf(r.CheckpointedAt)
+	t.startedAt = c.stampOf(r.StartedAt)
+	t.checkpointedAt = c.stampOf(r.CheckpointedAt)
 	// The pace that the previous owner of the cell set is unknown.
 	t.paceKnown = false
 	c.track(t)
@@ -213,6 +219,16 @@
 	c.distributeFree(n)
 }
 
+// startClock starts the clock with the first Plan. The tasks that were submitted before count as queued from now on.
+func (c *Cell) startClock(now time.Time) {
+	c.advance(now)
+	for _, t := range c.tasks {
+		if t.queuedAt == noTime {
+			t.queuedAt = c.now
+		}
+	}
+}
+
 // Submit implements Planner. A task that is known and not running is replaced. A higher attempt of a booked task is
 // queued when the booked attempt is released; otherwise a booked task stays as it is.
 func (c *Cell) Submit(tasks []Pending) {
@@ -234,10 +250,13 @@
 		}
 		c.removeTask(old)
 	}
-	t := newTask(p, c.shares.class(p.Class, p.Kind))
+	t := c.newTask(p, c.shares.class(p.Class, p.Kind))
 	t.image = c.imageOf(p.Constraints)
-	t.queuedAt = c.now
+	if !c.plannedAt.IsZero() {
+		t.queuedAt = c.now
+	}
 	c.track(t)
+	c.waiting.add(t)
 	if d, largest := c.impossibleDimension(t); d != "" {
 		c.park(t, d, largest)
 		return
@@ -286,7 +305,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if t, ok := c.tasks[id]; ok && t.node != nil {
-		t.checkpointedAt = max(t.checkpointedAt, stampOf(at))
+		t.checkpointedAt = max(t.checkpointedAt, c.stampOf(at))
 	}
 }
 
@@ -303,7 +322,7 @@
 			t.usedMilliCPU = min(max(o.Usage.MilliCPU, 0), maxAmount)
 			c.noteMeasured(t.node)
 		case o.TailRatio > 0:
-			t.tail, t.tailAt = o.TailRatio, stampOf(o.At)
+			t.tail, t.tailAt = o.TailRatio, c.stampOf(o.At)
 			serving = append(serving, t)
 			c.noteMeasured(t.node)
 		default:
--- a/core/placement/framework.go
+++ b/core/placement/framework.go
@@ -57,9 +57,13 @@
 	// Booking is what the task will have booked.
 	Booking resource.Vector
 	Avoid   []ident.WorkerID
-	Lasting bool
+	// HasWaited is set once the task has been queued for Options.ReserveAfter.
+	HasWaited bool
+	Lasting   bool
 	// LastResort is set for a restart for which only quarantined workers are left.
-	LastResort  bool
+	LastResort bool
+	// Probe is set for an urgent or lasting task that has waited for a sound worker.
+	Probe       bool
 	Pool        string
 	Constraints Constraints
 	// DemandMilliCPU is the processors that a filler would use if available, in thousandths.
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -1,10 +1,8 @@
 package placement
 
 import (
-	"math"
 	"time"
 
-	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/resource"
 )
 
@@ -68,7 +66,11 @@
 	if c.shares.keysStale {
 		c.shares.recomputeKeys()
 	}
-	c.now = max(c.now, stampOf(now))
+	if c.plannedAt.IsZero() {
+		c.startClock(now)
+	} else {
+		c.advance(now)
+	}
 	c.shares.now = c.now
 	r := &planRun{Cell: c, limit: limit, maxBatchShare: c.shares.maxBatchShare()}
 	if c.shares.cyclePlans == 0 {
@@ -183,8 +185,15 @@
 		r.failedDisplacements++
 		r.undisplaceable = append(r.undisplaceable, t)
 	}
-	if first && r.reserve(t) {
-		return placed
+	if first && r.hasWaited(t) {
+		if n := r.chooseProbe(t); n != nil {
+			r.shares.dequeue(t)
+			r.start(t, n)
+			return placed
+		}
+		if r.reserve(t) {
+			return placed
+		}
 	}
 	return unplaced
 }
@@ -235,38 +244,12 @@
 
 // missedRecently reports whether no worker was found for a filler of the signature within fillerRetryDelay. In a
 // flood hundreds of signatures wait, and a search looks at every worker.
-func (r *planRun) missedRecently(t *task, signature taskSignature) bool {
+func (c *Cell) missedRecently(t *task, signature taskSignature) bool {
 	if !t.constraints.Filler {
 		return false
 	}
-	at, ok := r.fillerMisses[signature]
-	return ok && r.now.since(at) < fillerRetryDelay
-}
-
-// taskSignature is equal for tasks that placement cannot tell apart.
-type taskSignature struct {
-	job            ident.JobID
-	group          int
-	avoidedWorkers int
-	maxTail        float64
-}
-
-func (r *planRun) signatureOf(t *task) taskSignature {
-	return taskSignature{t.id.Job, t.id.Group(), len(t.avoid), r.maxTail(t)}
-}
-
-// maxTail returns the tail, relative to the target, that a filler may be expected to cause. It rises with the time
-// for which the filler waits, so that a filler that harms all serving tasks runs eventually, at the pace that
-// pacing allows.
-func (r *planRun) maxTail(t *task) float64 {
-	switch waited := r.now.since(t.queuedAt); {
-	case waited < r.opts.FillerPatience:
-		return highTail
-	case waited < tailLimitTimeout:
-		return impatientMaxTail
-	default:
-		return math.Inf(1)
-	}
+	at, ok := c.fillerMisses[signature]
+	return ok && c.now.since(at) < fillerRetryDelay
 }
 
 func (r *planRun) isTooLarge(need resource.Vector) bool {
@@ -296,16 +279,16 @@
 	return false
 }
 
-func (r *planRun) request(t *task) Request {
+func (c *Cell) request(t *task) Request {
 	req := Request{
 		Task: t.id, Class: t.class.index, Urgent: t.class.urgent, Booking: t.desired, Avoid: t.avoid,
-		Lasting: t.lasting,
-		Pool:    t.pool, Constraints: t.constraints, DemandMilliCPU: t.demandMilliCPU,
+		Lasting: t.lasting, HasWaited: c.hasQueued(t),
+		Pool: t.pool, Constraints: t.constraints, DemandMilliCPU: t.demandMilliCPU,
 		image:   t.image,
-		MaxTail: r.maxTail(t),
+		MaxTail: c.maxTail(t),
 	}
 	if t.constraints.Filler {
-		req.disturbance = r.disturbance(t)
+		req.disturbance = c.disturbance(t)
 	}
 	return req
 }
--- a/core/placement/task.go
+++ b/core/placement/task.go
@@ -24,34 +24,6 @@
 	evicting
 )
 
-// noTime stands for the zero time.Time in a stamp.
-const noTime = stamp(math.MinInt64)
-
-// stamp is a time in nanoseconds since 1970. It takes a third of the memory of a time.Time.
-type stamp int64
-
-func stampOf(t time.Time) stamp {
-	if t.IsZero() {
-		return noTime
-	}
-	return stamp(t.UnixNano())
-}
-
-func (s stamp) time() time.Time {
-	if s == noTime {
-		return time.Time{}
-	}
-	return time.Unix(0, int64(s))
-}
-
-// since returns the time from o to s, at least 0.
-func (s stamp) since(o stamp) time.Duration {
-	if o == noTime {
-		return 0
-	}
-	return max(0, time.Duration(s-o))
-}
-
 // task is a task known to the planner.
 type task struct {
 	id      ident.TaskID
@@ -63,6 +35,9 @@
 	tenant    *tenantQueue
 	// prev and next link the tasks of a queue, so that a cancelled task leaves it at once.
 	prev, next *task
+	// waitingPrev and waitingNext link the tasks in Cell.waiting; explainedAt is when LongestWaiting last took the task.
+	waitingPrev, waitingNext *task
+	explainedAt              stamp
 
 	declared resource.Vector
 	// desired is what the task should have booked, booked what it has booked, never more than desired. They differ
@@ -74,7 +49,7 @@
 	runTime     time.Duration
 	pool        string
 	constraints Constraints
-	// queuedAt is when the task was queued.
+	// queuedAt is when the task was queued; noTime until the first Plan.
 	queuedAt stamp
 	// demandMilliCPU is the processors that a filler would use if available, usedMilliCPU those last measured, in
 	// thousandths.
@@ -98,7 +73,9 @@
 	comparedUses []use
 	comparedAt   stamp
 	lasting      bool
-	submittedAt  stamp
+	// restart is set for a lasting task that may have run before.
+	restart     bool
+	submittedAt stamp
 	// deadline, objective, criticalPath and jobStarted are those of Deadline; deadline is noTime without an
 	// objective. rank is the rank under which the task is queued.
 	deadline       stamp
@@ -122,7 +99,7 @@
 	claim *claim
 }
 
-func newTask(p Pending, cl *class) *task {
+func (c *Cell) newTask(p Pending, cl *class) *task {
 	demand := int64(0)
 	if p.Constraints.Filler {
 		demand = min(max(p.Need.MilliCPU, 0), maxAmount)
@@ -146,9 +123,11 @@
 		slowedAt:       noTime,
 		tailAt:         noTime,
 		comparedAt:     noTime,
+		explainedAt:    noTime,
 		lasting:        p.Lasting,
-		submittedAt:    stampOf(p.SubmittedAt),
-		deadline:       stampOf(p.Deadline.At),
+		restart:        p.Restart,
+		submittedAt:    c.stampOf(p.SubmittedAt),
+		deadline:       c.stampOf(p.Deadline.At),
 
 		objective:      p.Deadline.Objective,
 		criticalPath:   p.Deadline.CriticalPath,
@@ -156,13 +135,14 @@
 		startedAt:      noTime,
 		checkpointedAt: noTime,
 		blockedSince:   noTime,
+		queuedAt:       noTime,
 		retryAt:        noTime,
 		avoid:          p.Avoid,
 	}
 }
 
 // pending returns the task as it was submitted.
-func (t *task) pending() Pending {
+func (c *Cell) pending(t *task) Pending {
 	need := t.declared
 	need.MilliCPU += t.demandMilliCPU
 	return Pending{
@@ -176,19 +156,20 @@
 		Pool:        t.pool,
 		Constraints: t.constraints,
 		Lasting:     t.lasting,
-		SubmittedAt: t.submittedAt.time(),
-		Deadline:    Deadline{At: t.deadline.time(), Objective: t.objective, CriticalPath: t.criticalPath, JobStarted: t.jobStarted},
+		Restart:     t.restart,
+		SubmittedAt: c.timeOf(t.submittedAt),
+		Deadline:    Deadline{At: c.timeOf(t.deadline), Objective: t.objective, CriticalPath: t.criticalPath, JobStarted: t.jobStarted},
 		Evictions:   int(t.evictions),
 		Avoid:       t.avoid,
 	}
 }
 
-func (t *task) running() Running {
+func (c *Cell) running(t *task) Running {
 	return Running{
-		Pending:        t.pending(),
+		Pending:        c.pending(t),
 		Worker:         t.node.worker.ID,
-		StartedAt:      t.startedAt.time(),
-		CheckpointedAt: t.checkpointedAt.time(),
+		StartedAt:      c.timeOf(t.startedAt),
+		CheckpointedAt: c.timeOf(t.checkpointedAt),
 	}
 }
 
--- a/daemon/jobhost.go
+++ b/daemon/jobhost.go
@@ -39,8 +39,6 @@
 	jobSyncGap = 80 * time.Millisecond
 	// jobDurableWait is how long a submission waits for the store and for an owner of its cell.
 	jobDurableWait = 1500 * time.Millisecond
-	// incarnationReadTimeout bounds the read of the last incarnation at the start.
-	incarnationReadTimeout = 500 * time.Millisecond
 	// jobStallLimit is how long the store may leave a commit unanswered before new jobs are refused at once: a
 	// hundred times its usual response time.
 	jobStallLimit = 400 * time.Millisecond
@@ -101,7 +99,7 @@
 	s.Cells = s.CellCount()
 	h := &JobHost{
 		settings: s, ports: p, log: log,
-		self:    ident.Instance{Host: s.HostID, Incarnation: nextIncarnation(s, p, log)},
+		self:    nextInstance(s.HostID, p.Store, log),
 		cellMap: cellmap.New(s.Cells, s.regions()),
 		metrics: p.Metrics,
 		pool:    peergrpc.NewPool(insecure.NewCredentials()),
@@ -111,19 +109,6 @@
 	return h, h.listen()
 }
 
-// nextIncarnation returns an incarnation above the last one of this host. It reads the last one from the store,
-// because the clock may have jumped back since. If the store does not answer in time, the incarnation is derived from
-// the clock alone.
-func nextIncarnation(s JobSettings, p JobPorts, log *logrus.Entry) ident.Incarnation {
-	ctx, cancel := context.WithTimeout(context.Background(), incarnationReadTimeout)
-	defer cancel()
-	next, err := cluster.NextIncarnation(ctx, p.Store, clusterrecord.Codec{}, s.HostID, time.Now())
-	if err != nil {
-		log.WithError(err).Warn("cannot read the last incarnation of this host: the new one is derived from the clock alone")
-	}
-	return next
-}
-
 func (h *JobHost) createServices() {
 	codec := clusterrecord.Codec{}
 	ownershipConfig := ownership.ConfigForTTL(h.settings.leaseTime())
@@ -163,7 +148,7 @@
 		RecordLatency: func(class ident.ClassName, took time.Duration) {
 			h.metrics.Histogram("job_ms", telemetry.Label{Name: "class", Value: string(class)}).Update(took.Milliseconds())
 		},
-	}, table.New(0, nil))
+	}, nil)
 }
 
 func (h *JobHost) newPlanner(id ident.CellID, t *table.Table) placement.Planner {
@@ -190,7 +175,7 @@
 		{&h.metricsServer, h.settings.MetricsAddress, maxStatusConnections},
 	}
 	for _, s := range servers {
-		l, err := listenTCP(s.address)
+		l, err := h.ports.listen(s.address)
 		if err != nil {
 			return fmt.Errorf("listen on %s: %w", s.address, err)
 		}
@@ -243,7 +228,7 @@
 	defer stopBackground()
 	group, background := errgroup.WithContext(background)
 	h.cluster.Listen(h.grantChanged(background))
-	peerListener, err := listenTCP(h.settings.PeerAddress)
+	peerListener, err := h.ports.listen(h.settings.PeerAddress)
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", h.settings.PeerAddress, err)
 	}
@@ -258,6 +243,7 @@
 		func(ctx context.Context) { h.ports.FollowTable(ctx, h.setTable) },
 		func(ctx context.Context) { h.ports.FollowWorkers(ctx, h.workerUpdateInterval, h.setWorkers) },
 		every(metricsInterval, h.publishState),
+		every(clockCheckInterval, newClockMonitor(h.log, h.metrics).check),
 	} {
 		group.Go(func() error {
 			loop(background)
@@ -300,11 +286,12 @@
 }
 
 // setWorkers assigns the workers to the cells.
-func (h *JobHost) setWorkers(list []lifecycle.Member) {
+func (h *JobHost) setWorkers(list []lifecycle.Member, complete bool) {
 	next := h.assignToCells(list)
+	next.complete = complete
 	h.fleet.current.Store(next)
 	for _, id := range CellIDs(h.settings.Cells) {
-		h.jobs.SetMembers(id, next.workers[id])
+		h.fleet.passOn(h.jobs, id)
 	}
 	h.metrics.Gauge("workers_listed").Update(int64(len(list)))
 }
--- a/daemon/jobsettings.go
+++ b/daemon/jobsettings.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"net"
 	"slices"
 	"time"
 
@@ -49,12 +50,22 @@
 	Store       store.Store
 	Workers     jobs.WorkerPort
 	// FollowWorkers and FollowTable call changed with the present state and after each change, until ctx ends.
-	// FollowWorkers may collect changes for as long as gatherTime returns.
-	FollowWorkers func(ctx context.Context, gatherTime func() time.Duration, changed func([]lifecycle.Member))
+	// FollowWorkers may collect changes for as long as gatherTime returns. Until its list is complete, workers that it
+	// lacks may be alive.
+	FollowWorkers func(ctx context.Context, gatherTime func() time.Duration, changed func(workers []lifecycle.Member, complete bool))
 	FollowTable   func(ctx context.Context, changed func(*table.Table))
 	// RegisterCallers adds the routes of callers, RegisterStatus those of the platform's health checks.
 	RegisterCallers func(e *echo.Echo, r *jobs.Router)
 	RegisterStatus  func(e *echo.Echo, ready func() bool)
+	// Listen replaces the TCP listeners.
+	Listen func(address string) (net.Listener, error)
+}
+
+func (p JobPorts) listen(address string) (net.Listener, error) {
+	if p.Listen == nil {
+		return listenTCP(address)
+	}
+	return p.Listen(address)
 }
 
 // regions lists the regions in a fixed order, so that every host numbers the cells in the same way.
--- a/daemon/loops.go
+++ b/daemon/loops.go
@@ -21,6 +21,7 @@
 	localStateInterval   = 200 * time.Millisecond
 	ledgerExpiryInterval = time.Minute
 	metricsInterval      = time.Second
+	clockCheckInterval   = time.Second
 	acquireRetryInterval = 500 * time.Millisecond
 )
 
@@ -33,6 +34,7 @@
 		every(localStateInterval, h.publishLocalState),
 		every(ledgerExpiryInterval, h.expireLedgers),
 		every(metricsInterval, h.exportMetrics),
+		every(clockCheckInterval, newClockMonitor(h.log, h.metrics).check),
 		func(ctx context.Context) { h.cells.RunLoans(ctx, h.loanRouter) },
 	}
 }
@@ -125,7 +127,8 @@
 		}
 		err := owned.Acquire(ctx, g, workers.workersOf(g.Cell))
 		if err == nil {
-			owned.SetMembers(g.Cell, workers.workersOf(g.Cell))
+			// The host list may have been read or have changed meanwhile.
+			workers.passOn(owned, g.Cell)
 			return
 		}
 		metrics.Counter("acquire_failures_total").Inc(1)
@@ -157,7 +160,9 @@
 // fleetSnapshot holds the workers of each cell, and the number of slots of all targets.
 type fleetSnapshot struct {
 	workers map[ident.CellID][]lifecycle.Member
-	slots   int
+	// complete is false before the host list has been read, and while it may lack workers.
+	complete bool
+	slots    int
 }
 
 func newFleet(cells cellmap.Map) *fleet {
@@ -170,6 +175,21 @@
 	return f.current.Load().workers[id]
 }
 
+// memberUpdates takes the workers of a cell from a host list.
+type memberUpdates interface {
+	SetMembers(cell ident.CellID, members []lifecycle.Member)
+	UpdateMembers(cell ident.CellID, members []lifecycle.Member)
+}
+
+// passOn passes the workers of a cell on. Workers that an incomplete list lacks do not count as gone.
+func (f *fleet) passOn(to memberUpdates, id ident.CellID) {
+	if s := f.current.Load(); s.complete {
+		to.SetMembers(id, s.workers[id])
+	} else {
+		to.UpdateMembers(id, s.workers[id])
+	}
+}
+
 // Capacity implements operatorhttp.Fleet. It leaves out the workers, because the host list does not give their size.
 func (f *fleet) Capacity() table.Capacity {
 	return table.Capacity{TargetSlots: f.current.Load().slots, Cells: f.cellMap.Cells()}
--- a/relay/jobs/calls.go
+++ b/relay/jobs/calls.go
@@ -44,6 +44,9 @@
 // connect starts to claim and sync a worker, and ends the claim and the syncs at its earlier address, if there is
 // one.
 func (o *owner) connect(m lifecycle.Member) {
+	if o.connsStopped {
+		return
+	}
 	c, ok := o.conns[m.ID]
 	if ok {
 		c.cancel()
@@ -65,7 +68,9 @@
 	}
 }
 
+// stopConns ends all claims and syncs. No worker is claimed from then on, because each claim can add records.
 func (o *owner) stopConns() {
+	o.connsStopped = true
 	for _, c := range o.conns {
 		c.cancel()
 	}
@@ -162,6 +167,11 @@
 			callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 			c := o.cfg.Workers.Claim(callCtx, m, o.cellID, o.epoch)
 			cancel()
+			if c.Report.PartialActive {
+				// The tasks that the list lacks would start again while they run. If the worker goes on like this, its leases
+				// lapse.
+				c = ClaimAnswer{}
+			}
 			o.recordAnswer(ctx, m, c.Answer)
 			if c.Outcome == lifecycle.Applied {
 				o.logDecision(EventWorkerClaimed, Fields{
@@ -285,7 +295,7 @@
 		defer cancel()
 		a := o.cfg.Workers.Stop(ctx, m, o.epoch, c.Attempts)
 		if a.Outcome == lifecycle.Applied {
-			o.cell.AnswerArrived(m.ID)
+			o.cell.StopArrived(m.ID)
 		}
 		o.stopIfFenced(m, a.Answer)
 		return func() lifecycle.Effects {
--- a/relay/jobs/eventlist.go
+++ b/relay/jobs/eventlist.go
@@ -21,14 +21,18 @@
 	EventTaskMoved          EventName = "task_moved"
 	EventTaskStopped        EventName = "task_stopped"
 	EventTaskSlowed         EventName = "task_slowed"
+	EventTaskWaits          EventName = "task_waits"
 	EventWorkerClaimed      EventName = "worker_claimed"
 	EventWorkerLost         EventName = "worker_lost"
 	EventQuarantined        EventName = "worker_quarantined"
 	EventTrusted            EventName = "worker_trusted"
 	EventOwnerLate          EventName = "owner_late"
 	EventOwnerOnTime        EventName = "owner_on_time"
+	EventTableMissing       EventName = "table_missing"
+	EventTableReceived      EventName = "table_received"
 	EventDependencyLost     EventName = "dependency_lost"
 	EventDependencyRegained EventName = "dependency_regained"
+	EventClockSet           EventName = "clock_set"
 	EventLinesDropped       EventName = "lines_dropped"
 )
 
@@ -76,6 +80,10 @@
 	FieldDependency  FieldName = "dependency"
 	FieldFailures    FieldName = "failures"
 	FieldLostMs      FieldName = "lost_ms"
+	FieldStepMs      FieldName = "step_ms"
+	FieldWaitedMs    FieldName = "waited_ms"
+	FieldRoom        FieldName = "workers_with_room"
+	FieldRuledOut    FieldName = "ruled_out"
 )
 
 // EventKind describes a kind of event.
@@ -119,6 +127,9 @@
 		{EventTaskSlowed, "an attempt was throttled to a halt, or told to continue at full speed", []FieldName{
 			FieldCell, FieldEpoch, FieldTask, FieldAttempt, FieldWorker, FieldFraction,
 		}},
+		{EventTaskWaits, "a task has waited for more than 3 s; again for each other reason, and when its wait has doubled", []FieldName{
+			FieldCell, FieldEpoch, FieldTask, FieldClass, FieldWaitedMs, FieldReason, FieldRoom, FieldRuledOut,
+		}},
 		{EventWorkerClaimed, "a worker accepts commands from this owner only", []FieldName{
 			FieldCell, FieldEpoch, FieldWorker, FieldLife, FieldRunning, FieldEnded,
 		}},
@@ -131,10 +142,15 @@
 		{EventOwnerOnTime, "the owner keeps up again: no event has been queued for long during the last second", []FieldName{
 			FieldCell, FieldEpoch, FieldLoopMs, FieldLateMs, FieldContactMs, FieldSilent, FieldWaiting, FieldUnsent, FieldEvents,
 		}},
+		{EventTableMissing, "the owner has taken its cell over without a table: it starts and accepts nothing until it has one", []FieldName{
+			FieldCell, FieldEpoch,
+		}},
+		{EventTableReceived, "the owner has its first table, after table_missing", []FieldName{FieldCell, FieldEpoch, FieldTable, FieldWaitedMs}},
 		{EventDependencyLost, "several consecutive calls to a dependency failed", []FieldName{
 			FieldDependency, FieldFailures, FieldReason,
 		}},
 		{EventDependencyRegained, "a call to a lost dependency succeeded", []FieldName{FieldDependency, FieldFailures, FieldLostMs}},
+		{EventClockSet, "the time of day of the host was set, or jumped because the host was suspended", []FieldName{FieldStepMs}},
 		{EventLinesDropped, "events above the rate limit were not logged; one field for each kind of event holds their number", nil},
 	}
 }
@@ -179,6 +195,10 @@
 	FieldDependency:  "name of the dependency",
 	FieldFailures:    "number of consecutive calls that failed",
 	FieldLostMs:      "milliseconds during which the dependency was lost",
+	FieldStepMs:      "milliseconds by which the time of day changed beyond the time that has passed",
+	FieldWaitedMs:    "milliseconds for which the task has waited, or the owner for its first table",
+	FieldRoom:        "number of workers with enough free resources, whether they may take the task or not",
+	FieldRuledOut:    "workers with room that do not take the task, by reason",
 }
 
 // EventReference returns the reference of all events and fields as Markdown.
--- a/relay/jobs/load.go
+++ b/relay/jobs/load.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
 )
 
@@ -13,6 +14,10 @@
 	// CommitDelay records, for one commit, the longest time from a decision until its record was durable and its
 	// effect visible.
 	CommitDelay(d time.Duration)
+	// LongestWait records the longest present wait of a task of a class in a cell; 0 if none waits for long. TaskWaits
+	// counts a task that has waited for long, once for each reason of the wait.
+	LongestWait(cell ident.CellID, class ident.ClassName, d time.Duration)
+	TaskWaits(reason string)
 }
 
 // discardMeasurements is the Meter of a service that was given none.
@@ -21,10 +26,15 @@
 func (discardMeasurements) LoopDelay(time.Duration)   {}
 func (discardMeasurements) CommitDelay(time.Duration) {}
 
+func (discardMeasurements) LongestWait(ident.CellID, ident.ClassName, time.Duration) {}
+func (discardMeasurements) TaskWaits(string)                                         {}
+
 // Load describes the work that is queued in the cells of this host.
 type Load struct {
 	// LateCells counts the cells whose owner does not keep up with its events.
 	LateCells int
+	// TableWait is the longest time that an owner has been waiting for its first table; 0 if none waits.
+	TableWait time.Duration
 	// WorkerContact covers the claimed workers of all cells.
 	lifecycle.WorkerContact
 	// QueuedTasks counts the tasks that wait for a worker, QueuedCalls the calls to workers that wait behind others to
@@ -38,6 +48,7 @@
 	for _, o := range s.allOwners() {
 		cellLoad := o.load(o.now())
 		sum.LateCells += cellLoad.LateCells
+		sum.TableWait = max(sum.TableWait, cellLoad.TableWait)
 		sum.LongestSilence = max(sum.LongestSilence, cellLoad.LongestSilence)
 		sum.SilentWorkers += cellLoad.SilentWorkers
 		sum.QueuedTasks += cellLoad.QueuedTasks
@@ -53,6 +64,9 @@
 	if o.late.Load() {
 		l.LateCells = 1
 	}
+	if since := o.withoutTableSince.Load(); since != nil {
+		l.TableWait = now.Sub(*since)
+	}
 	if p, ok := o.planner.(QueuePlanner); ok {
 		l.QueuedTasks = int64(p.Queued())
 	}
--- a/relay/jobs/owner.go
+++ b/relay/jobs/owner.go
@@ -12,6 +12,7 @@
 	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
 	"github.com/bulrushrelay/bulrushrelay/core/ownership"
 	"github.com/bulrushrelay/bulrushrelay/core/placement"
+	"github.com/bulrushrelay/bulrushrelay/core/table"
 )
 
 const (
@@ -57,17 +58,22 @@
 	callsDone chan struct{}
 
 	watchers watchers
+	waits    waitTracker
 
 	// queuedEvents counts the events in the mailboxes, queuedCalls the calls in the outboxes, and syncsInProgress the
 	// syncs in progress. late says whether the owner has fallen behind.
 	queuedEvents, queuedCalls, syncsInProgress atomic.Int64
 	late                                       atomic.Bool
+	// withoutTableSince is when the owner took its cell over without a table; nil once it has one.
+	withoutTableSince atomic.Pointer[time.Time]
 
 	// savedEstimates is the stored encoding of the planner's estimates. It is used by restoreEstimates and after that
 	// only by saveEstimatesPeriodically, so that it needs no lock.
 	savedEstimates []byte
 
 	// The fields below are used by the loop only.
+	// table is the one in force; nil if none is known yet.
+	table              *table.Table
 	conns              map[ident.WorkerID]*workerConn
 	pendingSubmissions map[ident.JobID]*pendingRecord
 	// pendingCancellations holds the cancellations that are not durable yet.
@@ -83,13 +89,17 @@
 	predecessorConfirmed bool
 	shareShift           uint8
 	callsDoneClosed      bool
-	lateness             lifecycle.Lateness
+	// connsStopped is set once the owner claims and syncs no workers any more.
+	connsStopped bool
+	lateness     lifecycle.Lateness
 	// longestWait is the longest time that an event of the current iteration was queued.
 	longestWait time.Duration
 	// wakeAt is when the timer of the loop fires.
 	wakeAt time.Time
 	// quarantined holds the workers whose quarantine has been logged.
 	quarantined map[ident.WorkerID]struct{}
+	// waitsCheckedAt is when the loop last looked for tasks that wait.
+	waitsCheckedAt time.Time
 }
 
 func (o *owner) now() time.Time {
@@ -112,6 +122,7 @@
 			// A late timer shows that the host is short of processor time, even if no event was queued.
 			o.longestWait = max(o.longestWait, o.now().Sub(o.wakeAt))
 		case <-o.ctx.Done():
+			o.waits.clear(o.cfg.Meter, o.cellID)
 			close(o.loopDone)
 			o.stopConns()
 			return
@@ -124,6 +135,7 @@
 		o.watchers.notify(o.cell.TakeChangedJobs())
 		o.checkCallsDone()
 		now := o.now()
+		o.checkWaits(now)
 		o.checkLateness(now)
 		wake := o.nextWake(now)
 		o.wakeAt = now.Add(wake)
@@ -179,13 +191,20 @@
 		o.apply(o.cell.SetAuthority(o.now(), full && !o.draining.Load(), confirmed))
 		o.planNeeded = true
 	}
-	if p, ok := o.planner.(LimitSharePlanner); ok && g.ShareShift != o.shareShift {
-		o.shareShift = g.ShareShift
-		p.SetLimitShare(o.cfg.Cells, g.ShareShift)
+	if g.ShareShift != o.shareShift {
+		o.setLimitShare(g.ShareShift)
 	}
 	if !o.recovered && !o.cell.Recovering() {
 		o.recovered = true
-		o.logger.Info("every worker of the cell has answered or lapsed")
+		o.logger.Info("every worker of the cell has answered or lapsed, and the table is known")
+	}
+}
+
+// setLimitShare tells the planner which share of the limits it may use.
+func (o *owner) setLimitShare(shareShift uint8) {
+	o.shareShift = shareShift
+	if p, ok := o.planner.(LimitSharePlanner); ok {
+		p.SetLimitShare(o.cfg.Cells, shareShift)
 	}
 }
 
@@ -251,6 +270,7 @@
 	case lifecycle.Dequeue:
 		for _, id := range c.Tasks {
 			o.planner.Cancel(id)
+			o.waits.forget(id)
 		}
 	case lifecycle.Release:
 		o.planner.Release(c.Task)
@@ -272,6 +292,7 @@
 	case lifecycle.ForgetWorker:
 		o.disconnect(c.Worker)
 	case lifecycle.StartTask:
+		o.waits.forget(c.Task)
 		o.enqueueCall(c.Worker, c)
 	case lifecycle.StopTasks:
 		o.enqueueCall(c.Worker, c)
@@ -310,6 +331,38 @@
 	return s, ok
 }
 
+// useTable puts a table in force in the cell and its planner.
+func (o *owner) useTable(t *table.Table) {
+	if t == o.table {
+		return
+	}
+	o.table = t
+	o.planner.SetTable(t)
+	o.apply(o.cell.SetTable(o.now(), t))
+	o.planNeeded = true
+	if waited, ok := o.endTableWait(); ok {
+		o.logDecision(EventTableReceived, Fields{FieldTable: o.tableRevision(), FieldWaitedMs: waited.Milliseconds()})
+	}
+}
+
+// beginTableWait notes that this owner has taken its cell over without a table.
+func (o *owner) beginTableWait() {
+	now := o.now()
+	o.withoutTableSince.Store(&now)
+	o.logDecision(EventTableMissing, Fields{})
+}
+
+// endTableWait counts the wait for the first table; ok is false if none was in progress.
+func (o *owner) endTableWait() (waited time.Duration, ok bool) {
+	since := o.withoutTableSince.Swap(nil)
+	if since == nil {
+		return 0, false
+	}
+	waited = o.now().Sub(*since)
+	o.stats.TableWait.Add(int64(waited))
+	return waited, true
+}
+
 // replaced stops the owner because another host has the cell.
 func (o *owner) replaced(reason string) {
 	if o.stopped.Swap(true) {
@@ -328,4 +381,5 @@
 	o.stopped.Store(true)
 	o.cancel()
 	o.wg.Wait()
+	o.endTableWait()
 }
--- a/relay/jobs/service.go
+++ b/relay/jobs/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -68,17 +69,20 @@
 	PlannedStarts, StartedTasks, RefusedStarts, UnknownStarts atomic.Int64
 	AcceptedJobs, RefusedJobs, UnknownJobs                    atomic.Int64
 	ReplacedOwners                                            atomic.Int64
+	// TableWait is the time that owners have waited for their first table, in nanoseconds.
+	TableWait atomic.Int64
 }
 
 // Service runs the jobs of the cells that this host owns. It is safe for concurrent use.
 type Service struct {
 	cfg    Config
 	owners *shard.Map[ident.CellID, *owner]
-	table  atomic.Pointer[table.Table]
-	stats  Stats
+	// table is nil until the first one is known.
+	table atomic.Pointer[table.Table]
+	stats Stats
 }
 
-// New returns a service that owns no cell and starts with table t.
+// New returns a service that owns no cell and starts with table t, or without one if t is nil.
 func New(cfg Config, t *table.Table) *Service {
 	if cfg.Clock == nil {
 		cfg.Clock = SystemClock{}
@@ -127,11 +131,7 @@
 func (s *Service) SetTable(t *table.Table) {
 	s.table.Store(t)
 	for _, o := range s.allOwners() {
-		o.post(func() {
-			o.cell.SetTable(t)
-			o.planner.SetTable(t)
-			o.planNeeded = true
-		})
+		o.post(func() { o.useTable(s.table.Load()) })
 	}
 }
 
@@ -146,9 +146,10 @@
 }
 
 // Acquire starts to own a cell: it rebuilds the state from the store and claims the workers. After an error nothing
-// has been started, and the caller may try again under the same grant.
+// has been started, and the caller may try again under the same grant. If the host loses the grant meanwhile, the cell is
+// left to the acquisition under the next one.
 func (s *Service) Acquire(ctx context.Context, g ownership.Grant, members []lifecycle.Member) error {
-	s.StopCell(g.Cell)
+	s.stopOwner(g.Cell, g.Epoch)
 	state, err := readStoredState(ctx, s.cfg.Store, s.cfg.Codec, g.Cell)
 	if err != nil {
 		return verdict.Wrap(err, verdict.NotRun, verdict.CodeUnavailable, "acquire cell %d", g.Cell)
@@ -160,10 +161,14 @@
 		o.cell.Replay(r)
 	}
 	o.logger.WithFields(logrus.Fields{"records": len(state.records), "clean": state.isClean()}).Info("cell acquired")
+	if !o.cell.HasTable() {
+		o.beginTableWait()
+	}
 	o.apply(o.cell.Recover(o.now(), state.isClean(), members))
 	// Changes made by the predecessor are not reported again.
 	o.cell.TakeChangedJobs()
 	o.cell.TakeFinishedJobs()
+	o.setLimitShare(o.cfg.Grants.Grant(o.cellID).ShareShift)
 	o.checkAuthority()
 	o.wg.Add(3)
 	go o.loop()
@@ -175,7 +180,28 @@
 		defer o.wg.Done()
 		o.log.run(o.ctx)
 	}()
-	s.owners.Set(g.Cell, o)
+	return s.install(o)
+}
+
+// install makes o the owner of its cell and stops the one under an earlier grant. If the host has lost the grant of o, it
+// stops o instead: the call of StopCell for that loss may have come before.
+func (s *Service) install(o *owner) error {
+	var replaced *owner
+	granted := false
+	s.owners.WithShard(o.cellID, func(entries map[ident.CellID]*owner) {
+		if granted = o.authority() != ownership.None; granted {
+			replaced, entries[o.cellID] = entries[o.cellID], o
+		}
+	})
+	if !granted {
+		o.stop()
+		return errNotOwned(o.cellID)
+	}
+	if replaced != nil {
+		replaced.stop()
+	}
+	// SetTable passes over an owner that is not installed yet.
+	o.post(func() { o.useTable(s.table.Load()) })
 	return nil
 }
 
@@ -184,7 +210,7 @@
 	//nolint:gosec // The context lives as long as the ownership, not as long as the call.
 	ctx, cancel := context.WithCancel(context.Background())
 	o := &owner{
-		cfg: &s.cfg, cellID: g.Cell, epoch: g.Epoch, stats: &s.stats,
+		cfg: &s.cfg, cellID: g.Cell, epoch: g.Epoch, stats: &s.stats, table: t,
 		cell:    lifecycle.NewCell(g.Cell, g.Epoch, t),
 		planner: s.cfg.NewPlanner(g.Cell, t),
 		logger:  s.cfg.Logger.WithFields(logrus.Fields{"cell": g.Cell, "epoch": g.Epoch}),
@@ -217,23 +243,37 @@
 
 // StopCell stops a cell at once, without a hand-over. Running tasks stay on their workers for the next owner.
 func (s *Service) StopCell(cell ident.CellID) {
-	var o *owner
+	s.stopOwner(cell, math.MaxUint64)
+}
+
+// stopOwner stops the owner of a cell if its epoch is at most latest.
+func (s *Service) stopOwner(cell ident.CellID, latest ident.Epoch) {
+	var stopped *owner
 	s.owners.WithShard(cell, func(entries map[ident.CellID]*owner) {
-		o = entries[cell]
-		delete(entries, cell)
+		if o, ok := entries[cell]; ok && o.epoch <= latest {
+			stopped = o
+			delete(entries, cell)
+		}
 	})
-	if o != nil {
-		o.stop()
+	if stopped != nil {
+		stopped.stop()
 	}
 }
 
-// SetMembers sets the workers of a cell, as the host list shows them.
+// SetMembers sets the workers of a cell, as a complete host list shows them.
 func (s *Service) SetMembers(cell ident.CellID, members []lifecycle.Member) {
 	if o, ok := s.owners.Get(cell); ok {
 		o.post(func() { o.apply(o.cell.SetMembers(o.now(), members)) })
 	}
 }
 
+// UpdateMembers updates workers of a cell from a host list that may lack others.
+func (s *Service) UpdateMembers(cell ident.CellID, members []lifecycle.Member) {
+	if o, ok := s.owners.Get(cell); ok {
+		o.post(func() { o.apply(o.cell.UpdateMembers(o.now(), members)) })
+	}
+}
+
 // Recovering reports whether a cell still waits for answers of workers after a change of owner.
 func (s *Service) Recovering(cell ident.CellID) bool {
 	o, ok := s.owners.Get(cell)
@@ -247,10 +287,10 @@
 	if !ok {
 		return nil
 	}
-	defer s.StopCell(cell)
+	defer s.stopOwner(cell, o.epoch)
 	o.draining.Store(true)
 	if !o.call(ctx, func() { o.apply(o.cell.SetAuthority(o.now(), false, o.predecessorConfirmed)) }) {
-		return errNotOwned(cell)
+		return o.errNotRun(ctx)
 	}
 	select {
 	case <-o.callsDone:
@@ -286,7 +326,7 @@
 		return snapshot, verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeDeadline, "drain cell %d: write the queued records", o.cellID)
 	}
 	if !o.call(ctx, o.stopConns) {
-		return snapshot, errNotOwned(o.cellID)
+		return snapshot, o.errNotRun(ctx)
 	}
 	for !snapshotTaken {
 		if err := o.log.flush(ctx); err != nil {
@@ -303,16 +343,26 @@
 			continue
 		}
 		// The snapshot was taken, the owner was stopped, or the caller gave up.
+		err := o.errNotRun(ctx)
 		o.cancel()
 		o.wg.Wait()
 		if !snapshotTaken {
-			return snapshot, errNotOwned(o.cellID)
+			return snapshot, err
 		}
 	}
 	o.wg.Wait()
 	return snapshot, nil
 }
 
+// errNotRun returns the error of a call that the loop has not run: the caller's context ended before the loop had time
+// for it, or the owner has stopped.
+func (o *owner) errNotRun(ctx context.Context) error {
+	if ctx.Err() != nil && o.ctx.Err() == nil {
+		return verdict.Wrap(ctx.Err(), verdict.NotRun, verdict.CodeDeadline, "the owner of cell %d had no time for the call", o.cellID)
+	}
+	return errNotOwned(o.cellID)
+}
+
 func errNotOwned(cell ident.CellID) error {
 	return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "this host does not own cell %d", cell)
 }
