--- a/core/placement/clock_test.go
+++ b/core/placement/clock_test.go
@@ -24,23 +24,40 @@
 	return limit, false
 }
 
-// Guards against a filler that found no worker and is not tried again until the clock of the host, which was set back,
-// shows the time of the search again.
-func TestFillerStartsAlthoughClockWasSetBack(t *testing.T) {
+// fillerWithoutWorker returns a cell in which a Plan at a time found no worker for a filler, and one that would take it
+// has joined since.
+func fillerWithoutWorker(t *testing.T, at time.Time) *placement.Cell {
 	c := placement.NewCell(1, placement.Options{})
 	worker := placement.Worker{ID: "w", Rack: "r", Pool: "other", Capacity: vec(8000, 8000, 0)}
 	c.UpsertWorker(worker)
 	filler := pendingTask(1, "etl", vec(4000, 4000, 0))
 	filler.Constraints.Filler, filler.Pool = true, "etl"
 	c.Submit([]placement.Pending{filler})
-	require.Empty(t, c.Plan(epoch, 10).Starts)
+	require.Empty(t, c.Plan(at, 10).Starts)
 	worker.Pool = "etl"
 	c.UpsertWorker(worker)
+	return c
+}
+
+// Guards against a filler that found no worker and is not tried again until the clock of the host, which was set back,
+// shows the time of the search again.
+func TestFillerStartsAlthoughClockWasSetBack(t *testing.T) {
+	c := fillerWithoutWorker(t, epoch)
 	waited, started := planUntilStart(c, epoch.Add(-10*time.Minute))
 	require.True(t, started)
 	require.LessOrEqual(t, waited, 100*time.Millisecond)
 }
 
+// Guards against a planner whose time runs ahead because the times of two Plans arrive in the wrong order.
+func TestPlanTimesInWrongOrderCountOnce(t *testing.T) {
+	begin := time.Now() // has a monotonic reading
+	c := fillerWithoutWorker(t, begin)
+	for range 5 {
+		require.Empty(t, c.Plan(begin.Add(20*time.Millisecond), 10).Starts)
+		require.Empty(t, c.Plan(begin, 10).Starts)
+	}
+}
+
 // Guards against a restart that waits for the clock of the host, which was set back: the pause after a failed attempt to
 // make room for it would last until the clock shows its end again.
 func TestRestartStartsAlthoughClockWasSetBack(t *testing.T) {
