Count only workers that take tasks for the bound of quarantine

All workers of a pool could still be in quarantine because of jobs that fail by themselves, so that sound tasks wait: workers that leave, do not answer or belong to other pools counted as out of it. The failures of a worker that the bound keeps out of quarantine grew without limit, and each further failure looked at all of them.

TestLeavingWorkersDoNotCountAsOutOfQuarantine, TestWorkersOfOtherPoolsDoNotCountAsOutOfQuarantine and TestFailuresOfWorkersOutOfQuarantineAreBounded fail before and pass now. In two fixtures the second worker has to answer now, so that it counts.

--- a/core/lifecycle/delayedstart_test.go
+++ b/core/lifecycle/delayedstart_test.go
@@ -31,6 +31,7 @@
 		for until := f.now.Add(provenRunTime); f.now.Before(until); {
 			f.tickUntil(f.now.Add(100 * time.Millisecond))
 			f.reportEnds("w")
+			f.reportEnds("sound")
 		}
 		f.apply(f.c.StartAnswered(f.now, "w", attempt, Answer{Outcome: Applied}))
 		f.reportEnds("w", EndedAttempt{AttemptID: attempt, End: EndFailed})
--- a/core/lifecycle/failure.go
+++ b/core/lifecycle/failure.go
@@ -28,6 +28,8 @@
 	// quarantineFailures is the number of failures without a success after which a worker is quarantined. Two failures
 	// can still be due to chance or to one job.
 	quarantineFailures = 3
+	// maxBlamedJobs bounds the jobs whose failures are held against a worker. Beyond it counting starts anew.
+	maxBlamedJobs = 32
 	// The pause before a quarantined worker is probed doubles from firstProbePause to maxProbePause. An attempt that
 	// was started in quarantine and has run for provenRunTime shows that the worker does not fail everything it starts.
 	// firstProbePause and provenRunTime leave 1 s of the 6 s within which a lasting task must run again if a worker has
@@ -209,7 +211,7 @@
 }
 
 func (w *worker) countFailure(id ident.JobID) {
-	if w.health.failuresByJob == nil {
+	if w.health.failuresByJob == nil || len(w.health.failuresByJob) >= maxBlamedJobs {
 		w.health.failuresByJob = make(map[ident.JobID]int)
 	}
 	w.health.failuresByJob[id]++
@@ -278,20 +280,21 @@
 	return false
 }
 
-// mostInQuarantineWith reports whether more than half of the claimed workers would be in quarantine if w was. Failures of
-// jobs that have succeeded nowhere on that many workers are more likely the fault of the jobs.
+// mostInQuarantineWith reports whether more than half of the workers of its pool that could take tasks would be in
+// quarantine if w was. Failures of jobs that have succeeded nowhere on that many workers are more likely the fault of the
+// jobs.
 func (c *Cell) mostInQuarantineWith(w *worker) bool {
-	claimed, quarantined := 0, 0
+	all, quarantined := 0, 0
 	for _, o := range c.workers {
-		if !o.claimed {
+		if o.member.Pool != w.member.Pool || !o.claimed || o.silent || o.leaving() {
 			continue
 		}
-		claimed++
+		all++
 		if o == w || o.health.quarantined {
 			quarantined++
 		}
 	}
-	return 2*quarantined > claimed
+	return 2*quarantined > all
 }
 
 func (c *Cell) scheduleProbe(now time.Time, w *worker) {
--- a/core/lifecycle/quarantine_test.go
+++ b/core/lifecycle/quarantine_test.go
@@ -119,6 +119,7 @@
 			for until := f.now.Add(ranFor); f.now.Before(until); {
 				f.tickUntil(f.now.Add(time.Second))
 				f.reportEnds("w")
+				f.reportEnds("sound")
 			}
 			f.reportEnds("w", EndedAttempt{AttemptID: attempt, End: EndFailed})
 		}
@@ -173,3 +174,56 @@
 	failOn("w3", job)
 	require.True(t, f.c.workers["w3"].health.quarantined)
 }
+
+// quarantineByHopelessJobs lets single-task jobs that succeed nowhere fail on workers, and returns how many of them are in
+// quarantine.
+func (f *fixture) quarantineByHopelessJobs(workers ...ident.WorkerID) (quarantined int) {
+	for range 2 * quarantineFailures {
+		for _, w := range workers {
+			f.reportEnds(w, EndedAttempt{AttemptID: f.startTask(ident.TaskID{Job: f.submit(1)}, w), End: EndFailed})
+		}
+	}
+	for _, w := range workers {
+		if f.c.workers[w].health.quarantined {
+			quarantined++
+		}
+	}
+	return quarantined
+}
+
+// Guards against jobs that fail by themselves and put every worker that takes tasks in quarantine, because workers that
+// leave count as being out of it.
+func TestLeavingWorkersDoNotCountAsOutOfQuarantine(t *testing.T) {
+	f := newFixture(t, 1, "w1", "w2", "leaving1", "leaving2")
+	f.apply(f.c.SetMembers(f.now, []Member{
+		{ID: "w1"}, {ID: "w2"}, {ID: "leaving1", Leaving: true}, {ID: "leaving2", Leaving: true},
+	}))
+	require.Less(t, f.quarantineByHopelessJobs("w1", "w2"), 2)
+}
+
+// Guards against jobs that fail by themselves and put every worker of their pool in quarantine, because the workers of other
+// pools are out of it.
+func TestWorkersOfOtherPoolsDoNotCountAsOutOfQuarantine(t *testing.T) {
+	f := newFixture(t, 1, "a1", "a2", "b1", "b2")
+	f.apply(f.c.SetMembers(f.now, []Member{{ID: "a1", Pool: "a"}, {ID: "a2", Pool: "a"}, {ID: "b1", Pool: "b"}, {ID: "b2", Pool: "b"}}))
+	require.Less(t, f.quarantineByHopelessJobs("a1", "a2"), 2)
+}
+
+// Guards against failures that a worker collects without bound because it must not be quarantined: each further failure
+// looks at all of them.
+func TestFailuresOfWorkersOutOfQuarantineAreBounded(t *testing.T) {
+	workers := []ident.WorkerID{"w1", "w2", "w3", "w4"}
+	f := newFixture(t, 1, workers...)
+	for range 500 {
+		for _, w := range workers {
+			job := f.submit(1)
+			f.reportEnds(w, EndedAttempt{AttemptID: f.startTask(ident.TaskID{Job: job}, w), End: EndFailed})
+			eff, _, err := f.c.Cancel(f.now, job)
+			require.NoError(t, err)
+			f.apply(eff)
+		}
+	}
+	for _, w := range workers {
+		require.LessOrEqual(t, len(f.c.workers[w].health.failuresByJob), 100, "worker %s", w)
+	}
+}
