Name the wait for the table

The event and the metric of a task that waits for the table had an empty reason, and a task of an earlier owner went on to say that it waits for workers after all of them had answered. Found by review.

TestEveryReasonOfAWaitInTheCellHasACode and TestTaskThatWaitsOnlyForTheTableSaysSo fail before and pass now.

--- a/core/lifecycle/recovery.go
+++ b/core/lifecycle/recovery.go
@@ -50,7 +50,15 @@
 
 // finishRecovery queues the held tasks as soon as the table is known and the answers of the workers allow it.
 func (c *Cell) finishRecovery(now time.Time, eff *Effects) {
-	if !c.recovering || c.table == nil || c.inDoubt {
+	if !c.recovering || c.inDoubt {
+		return
+	}
+	if c.table == nil {
+		if c.allRunsListed(now) && !c.awaitsEnds() {
+			for _, t := range c.heldTasks {
+				t.wait = WaitTable
+			}
+		}
 		return
 	}
 	if !c.runsListed {
--- a/core/lifecycle/waits.go
+++ b/core/lifecycle/waits.go
@@ -13,7 +13,7 @@
 }
 
 var waitCodes = map[WaitReason]string{
-	WaitGroups: "groups", WaitLog: "log", WaitRecovery: "recovery", WaitBackoff: "backoff", WaitRefused: "refused", WaitWorker: "worker",
+	WaitGroups: "groups", WaitLog: "log", WaitRecovery: "recovery", WaitTable: "table", WaitBackoff: "backoff", WaitRefused: "refused", WaitWorker: "worker",
 }
 
 // Code returns the reason as an identifier for logs and metrics.
--- a/core/lifecycle/waits_test.go
+++ b/core/lifecycle/waits_test.go
@@ -50,3 +50,25 @@
 	}
 	require.Len(t, seen, jobs)
 }
+
+// Guards against a reason for which tasks wait that has no identifier: the event and the metric of the wait then name none.
+func TestEveryReasonOfAWaitInTheCellHasACode(t *testing.T) {
+	old := newFixture(t, 7, "w1")
+	failed := old.startTask(ident.TaskID{Job: old.submit(1)}, "w1")
+	f := old.successorWithoutTable("w1")
+	f.claim("w1", Report{Ended: []EndedAttempt{{AttemptID: failed, End: EndFailed}}})
+	found := f.c.WaitingTasks(10)
+	require.Len(t, found, 1)
+	require.Equal(t, WaitTable, found[0].Reason)
+	require.NotEmpty(t, found[0].Reason.Code())
+}
+
+// Guards against a task that is shown as waiting for workers, all of which have answered: it waits for the table.
+func TestTaskThatWaitsOnlyForTheTableSaysSo(t *testing.T) {
+	old := newFixture(t, 7, "w1")
+	job := old.submit(1)
+	f := old.successorWithoutTable("w1")
+	f.claim("w1", Report{})
+	f.tickUntil(f.now.Add(time.Minute))
+	require.Equal(t, string(WaitTable), f.taskView(job, 0).Reason)
+}
