Pass no older host list on behind a newer one

A worker that has begun to leave could get tasks until the next change of the list: the goroutine that acquires a cell and the one that follows the workers both pass lists on, and the older list could come last. Found by review.

Now a list is passed on again if it has changed meanwhile. TestAcquisitionDoesNotPassOnAnOlderHostList fails before and passes now.

--- a/daemon/loops.go
+++ b/daemon/loops.go
@@ -181,12 +181,19 @@
 	UpdateMembers(cell ident.CellID, members []lifecycle.Member)
 }
 
-// passOn passes the workers of a cell on. Workers that an incomplete list lacks do not count as gone.
+// passOn passes the workers of a cell on. Workers that an incomplete list lacks do not count as gone. It repeats this if the
+// list has changed meanwhile: another goroutine may have passed the newer one on before.
 func (f *fleet) passOn(to memberUpdates, id ident.CellID) {
-	if s := f.current.Load(); s.complete {
-		to.SetMembers(id, s.workers[id])
-	} else {
-		to.UpdateMembers(id, s.workers[id])
+	for {
+		s := f.current.Load()
+		if s.complete {
+			to.SetMembers(id, s.workers[id])
+		} else {
+			to.UpdateMembers(id, s.workers[id])
+		}
+		if f.current.Load() == s {
+			return
+		}
 	}
 }
 
