Choose probes and last resorts by one function

Two rules had the same name (hasWaited), one by the time in the queue and one by the time without room; the second is failsToFit now. No decision changes.

--- a/core/lifecycle/table.go
+++ b/core/lifecycle/table.go
@@ -71,7 +71,7 @@
 	}
 }
 
-// enqueueHeld passes the held tasks to the planner that only waited for the table.
+// enqueueHeld looks at the held tasks again: those that only waited for the table go to the planner, the others are held on.
 func (c *Cell) enqueueHeld(now time.Time, eff *Effects) {
 	tasks := make([]*task, 0, len(c.heldTasks))
 	for _, t := range c.heldTasks {
--- a/core/placement/claims.go
+++ b/core/placement/claims.go
@@ -83,8 +83,8 @@
 	r.completeClaims = append(r.completeClaims[:0], r.completeClaims[i:]...)
 }
 
-// hasWaited reports whether the first task of a queue has not fitted for Options.ReserveAfter.
-func (r *planRun) hasWaited(t *task) bool {
+// failsToFit reports whether the first task of a queue has not fitted for Options.ReserveAfter.
+func (r *planRun) failsToFit(t *task) bool {
 	if t.blockedSince == noTime {
 		t.blockedSince = r.now
 	}
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -185,7 +185,7 @@
 		r.failedDisplacements++
 		r.undisplaceable = append(r.undisplaceable, t)
 	}
-	if first && r.hasWaited(t) {
+	if first && r.failsToFit(t) {
 		if n := r.chooseProbe(t); n != nil {
 			r.shares.dequeue(t)
 			r.start(t, n)
--- a/core/placement/probe.go
+++ b/core/placement/probe.go
@@ -7,15 +7,7 @@
 	if r.probingWorkers == 0 || !t.class.urgent && !t.lasting || r.limitReached() {
 		return nil
 	}
-	r.sampleNodesWhere(func(n *node) bool {
-		return n.worker.Quarantined && n.acceptsTasks() && r.now >= n.nextLastResortAt && t.desired.Fits(n.Available())
-	})
 	req := r.request(t)
 	req.Probe = true
-	r.filterSampled(&req)
-	best := r.bestNode(&req)
-	if best != nil {
-		best.nextLastResortAt = r.now + stamp(lastResortInterval)
-	}
-	return best
+	return r.chooseQuarantined(t, &req, func(n *node) bool { return n.acceptsTasks() })
 }
--- a/core/placement/restarts.go
+++ b/core/placement/restarts.go
@@ -95,14 +95,19 @@
 // chooseLastResort returns a quarantined worker that can hold a restart, or nil. A restart that fails there has at
 // least been tried, and one that keeps running shows that the worker is sound again.
 func (r *planRun) chooseLastResort(t *task) *node {
-	r.sampleNodesWhere(func(n *node) bool {
-		w := &n.worker
-		return w.Quarantined && w.LastResort && n.described && r.now >= n.nextLastResortAt && t.desired.Fits(n.Available())
-	})
 	req := r.request(t)
 	req.LastResort = true
-	r.filterSampled(&req)
-	best := r.bestNode(&req)
+	return r.chooseQuarantined(t, &req, func(n *node) bool { return n.worker.LastResort && n.described })
+}
+
+// chooseQuarantined returns a quarantined worker for which takes holds and that can hold the task, or nil. A worker gets
+// one such task in each lastResortInterval.
+func (r *planRun) chooseQuarantined(t *task, req *Request, takes func(*node) bool) *node {
+	r.sampleNodesWhere(func(n *node) bool {
+		return n.worker.Quarantined && takes(n) && r.now >= n.nextLastResortAt && t.desired.Fits(n.Available())
+	})
+	r.filterSampled(req)
+	best := r.bestNode(req)
 	if best != nil {
 		best.nextLastResortAt = r.now + stamp(lastResortInterval)
 	}
