Take an answer for a killed issuer of a key for what it says

The trace: its key was issued by motueka-2, which was killed 1.3 s before the stop and started again as another instance; the write was sent 9.6 ms before the stop and answered 0.7 ms after its begin with "this host does not answer for" the old instance. Three more attempts, at hosts that did not stop, got the same outcome. The stop added nothing.

In runs with other failures this reason now counts as another cause than the stop, like the other reasons of keys whose issuer is gone.

--- a/history/drain.go
+++ b/history/drain.go
@@ -64,9 +64,11 @@
 
 // otherFailureReasons are parts of the reasons of answers that traces have shown to be caused by a failure other than
 // the planned stop: a connection to a target that was reset, a peer that was paused or cut off and failed the calls of
-// all hosts at that moment, and keys whose issuer was paused or whose entry host had no table yet.
+// all hosts at that moment, keys whose issuer was paused or whose entry host had no table yet, and keys whose issuer was
+// killed and has started again as another instance.
 var otherFailureReasons = []string{
 	"the connection broke before the answer", "no reply from peer", "under this key", "the issuer of the key", "the outcome",
+	"this host does not answer for",
 }
 
 // hasOtherCause reports whether, in a run with other failures, the lack of a definite verdict has another cause than
