Ask all members for reports only when an owner needs them

Cause: a host took its lease for one that is about to lapse when less than 2 s of it were left. On a platform with worker leases of 6 s a host's lease lasts 2 s, so that this was always so, and every host exchanged state with every other one twice a second. Hosts without a cell did so too, although only owners and the first host of a cluster use reports.

Change: the ownership rules say from when reports are needed (Machine.ReportsNeededFrom): by owners, two ninths of the lease before its end, as before for a lease of 9 s. The loop wakes up at that time, and paces rounds from their starts.

--- a/core/ownership/config.go
+++ b/core/ownership/config.go
@@ -16,6 +16,9 @@
 	Margin time.Duration
 	// ReportMaxAge is the age up to which a report of another member is valid.
 	ReportMaxAge time.Duration
+	// ReportLead is how long before the end of its lease an owner starts to ask all members for reports. It is shorter
+	// than what is left of the lease when the second renewal in a row is late, so that an answered store causes none.
+	ReportLead time.Duration
 	// ContactWait is how long a member whose store contact has returned claims no cell of an owner that may still run,
 	// so that the owner can renew its lease first.
 	ContactWait time.Duration
@@ -55,6 +58,7 @@
 		TTL:                     9 * time.Second,
 		Margin:                  time.Second,
 		ReportMaxAge:            time.Second,
+		ReportLead:              2 * time.Second,
 		ContactWait:             10 * time.Second,
 		ContactTimeout:          4 * time.Second,
 		AckWait:                 10 * time.Second,
@@ -78,6 +82,7 @@
 		TTL:                     ttl,
 		Margin:                  margin,
 		ReportMaxAge:            reportMaxAge,
+		ReportLead:              2 * margin,
 		ContactWait:             ttl + reportMaxAge,
 		ContactTimeout:          ttl / 2,
 		AckWait:                 ttl + reportMaxAge,
--- a/core/ownership/peers.go
+++ b/core/ownership/peers.go
@@ -151,9 +151,13 @@
 	return m.candidate && !m.established
 }
 
-// LeaseUntil returns until when the lease certainly exists.
-func (m *Machine) LeaseUntil() time.Time {
-	return m.fullUntil
+// ReportsNeededFrom returns from when this host needs fresh reports of all other members; needed is false if it needs
+// none. An owner needs them before its lease can lapse, a candidate at once.
+func (m *Machine) ReportsNeededFrom() (from time.Time, needed bool) {
+	if m.Candidate() {
+		return time.Time{}, true
+	}
+	return m.fullUntil.Add(-m.cfg.ReportLead), len(m.held) > 0
 }
 
 // NeedsRoster reports whether the roster should be read from the store.
--- a/relay/cluster/gossip.go
+++ b/relay/cluster/gossip.go
@@ -12,19 +12,14 @@
 )
 
 // gossipLoop exchanges state with other members: with one member a second when idle, more often while changes are
-// pending or no member has acknowledged this host, and with all members while the store does not answer or this host
-// may be the first of the cluster.
+// pending or no member has acknowledged this host, and with all members while this host needs their reports.
 func (s *Service) gossipLoop(ctx context.Context) {
 	var lastExchange, lastReconnect time.Time
 	for {
-		all, fast := s.exchangeMode()
+		mode := s.exchangeMode()
 		now := s.now()
-		switch {
-		case all:
-			s.exchangeRound(ctx, true)
-			lastExchange = now
-		case fast || now.Sub(lastExchange) >= idleExchangeInterval:
-			s.exchangeRound(ctx, false)
+		if now.Sub(lastExchange) >= mode.interval() {
+			s.exchangeRound(ctx, mode.all)
 			lastExchange = now
 		}
 		if now.Sub(lastReconnect) >= reconnectInterval {
@@ -32,13 +27,7 @@
 			s.reconnect(ctx)
 		}
 		s.updateView(func(v *membership.View, now time.Time) { v.Tick(now) })
-		wait := idleExchangeInterval
-		if all {
-			wait = fullExchangeInterval
-		} else if fast {
-			wait = fastExchangeInterval
-		}
-		t := time.NewTimer(wait)
+		t := time.NewTimer(mode.waitUntilNext(lastExchange, s.now()))
 		select {
 		case <-t.C:
 		case <-s.exchangeSoon:
@@ -53,16 +42,49 @@
 	}
 }
 
-// exchangeMode reports whether to exchange state with all members, and whether to exchange it more often than when
-// idle.
-func (s *Service) exchangeMode() (all, fast bool) {
+// exchangeMode says with whom and how often to exchange state.
+type exchangeMode struct {
+	// all is set while this host needs reports of all members, fast while it has changes to send or needs a sponsor.
+	all, fast bool
+	// allFrom is when all will be set if the lease is not renewed; zero if this host needs no reports.
+	allFrom time.Time
+}
+
+func (s *Service) exchangeMode() (mode exchangeMode) {
 	s.withMachine(func(m *ownership.Machine, now time.Time) {
+		from, needed := m.ReportsNeededFrom()
+		switch {
+		case needed && !now.Before(from):
+			mode.all = true
+		case needed:
+			mode.allFrom = from
+		}
 		_, sponsored := m.Sponsor()
-		lapsing := now.Add(2 * time.Second).After(m.LeaseUntil())
-		all, fast = lapsing || m.Candidate(), !m.Established() && !sponsored
+		mode.fast = !m.Established() && !sponsored
 	})
-	s.withView(func(v *membership.View) { fast = fast || v.HasPendingUpdates() })
-	return all, fast
+	s.withView(func(v *membership.View) { mode.fast = mode.fast || v.HasPendingUpdates() })
+	return mode
+}
+
+// interval returns the time between the starts of two rounds.
+func (m exchangeMode) interval() time.Duration {
+	switch {
+	case m.all:
+		return fullExchangeInterval
+	case m.fast:
+		return fastExchangeInterval
+	default:
+		return idleExchangeInterval
+	}
+}
+
+// waitUntilNext returns how long to wait at now for the next round, or until the mode may change.
+func (m exchangeMode) waitUntilNext(lastExchange, now time.Time) time.Duration {
+	next := lastExchange.Add(m.interval())
+	if !m.allFrom.IsZero() && m.allFrom.Before(next) {
+		next = m.allFrom
+	}
+	return max(next.Sub(now), minExchangePause)
 }
 
 // exchangeRound exchanges state with the targets of this round, or with every known member.
--- a/relay/cluster/service.go
+++ b/relay/cluster/service.go
@@ -31,9 +31,11 @@
 	// idleExchangeInterval and fastExchangeInterval are the times between exchanges without and with changes to send.
 	idleExchangeInterval = time.Second
 	fastExchangeInterval = 200 * time.Millisecond
-	// fullExchangeInterval is the time between exchanges with every member while the store does not answer. Reports
-	// are valid for 1 s, so that an answer may take up to half a second; 300 ms cost two thirds more traffic.
+	// fullExchangeInterval is the time between the starts of exchanges with every member while this host needs their
+	// reports. Reports are valid for 700 ms or longer; 300 ms cost two thirds more traffic.
 	fullExchangeInterval = 500 * time.Millisecond
+	// minExchangePause separates rounds that take longer than their interval because members do not answer.
+	minExchangePause = 20 * time.Millisecond
 	// reconnectInterval is the time between attempts to reach members that are considered dead.
 	reconnectInterval = 5 * time.Second
 	fenceInterval     = time.Second
