Follow the registrations of workers only where they are used

Cause: every host watched the registrations of all workers, each of which changes every 1.5 s. With 540 workers that is 200 KB and several milliseconds of decoding in 1.5 s on each of 97 hosts, nearly all of which own no cell.

Change: daemon says how current the list has to be (hostlist.Demand): owners need it, and the three hosts that are preferred as the next owners, for the case that the store fails just after a takeover. Any other host keeps the list that it read at its start, marked as incomplete, so that no worker counts as gone by it, and reads the list at once when it gains a cell.

--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -166,6 +166,17 @@
 	return ranked
 }
 
+// Preference returns the position of this host among the members that may own the cell, 0 for the most preferred one;
+// ranked is false if it has no leased record or is leaving.
+func (m *Machine) Preference(id ident.CellID) (position int, ranked bool) {
+	v, ok := m.views[id]
+	if !ok {
+		return 0, false
+	}
+	position = slices.IndexFunc(m.rank(v.cell), func(member Member) bool { return member.Instance == m.cfg.Self })
+	return position, position >= 0
+}
+
 // SetLeaving makes the host hand over all its cells and claim no others.
 func (m *Machine) SetLeaving() {
 	m.leaving = true
--- a/core/ownership/step.go
+++ b/core/ownership/step.go
@@ -126,12 +126,8 @@
 	if v.lasting.Holder == m.cfg.Self && !v.lasting.Released {
 		return true
 	}
-	for n, member := range m.rank(v.cell) {
-		if member.Instance == m.cfg.Self {
-			return !now.Before(v.absentSince.Add(time.Duration(n) * m.cfg.RankStep))
-		}
-	}
-	return false
+	position, ranked := m.Preference(v.cell.ID)
+	return ranked && !now.Before(v.absentSince.Add(time.Duration(position)*m.cfg.RankStep))
 }
 
 // TransactionDone applies the result of a transaction. revision is the one at which it applied; for a Claim it becomes
--- a/daemon/jobhost.go
+++ b/daemon/jobhost.go
@@ -21,6 +21,7 @@
 	"github.com/bulrushrelay/bulrushrelay/adapter/telemetry"
 	peerv1 "github.com/bulrushrelay/bulrushrelay/api/peer/v1"
 	"github.com/bulrushrelay/bulrushrelay/core/cellmap"
+	"github.com/bulrushrelay/bulrushrelay/core/hostlist"
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
 	"github.com/bulrushrelay/bulrushrelay/core/membership"
@@ -48,9 +49,12 @@
 	// jobLogWriteShare is the share of the store's write rate that all cell logs together may use.
 	jobLogWriteShare = 0.5
 	// How often a host applies changes of the workers' registrations. Each registration carries a clock, so that
-	// those of 48 workers change 30 times a second. Owners of cells need the changes sooner than others.
-	ownerWorkerUpdateInterval = 250 * time.Millisecond
-	otherWorkerUpdateInterval = 1500 * time.Millisecond
+	// those of 48 workers change 30 times a second. Owners of cells need the changes sooner than their successors.
+	ownerWorkerUpdateInterval     = 250 * time.Millisecond
+	successorWorkerUpdateInterval = 1500 * time.Millisecond
+	// successorHosts is the number of hosts that follow the workers without owning a cell, because they are preferred as
+	// its next owners. Any other host reads the list when it becomes an owner.
+	successorHosts = 3
 	// The lease margin is the worker lease divided by leaseMarginDivisor. That is 4 %, twice what a worker whose
 	// clock runs 2 % slow needs.
 	leaseMarginDivisor = 25
@@ -84,6 +88,8 @@
 	members *memberDirectory
 	jobs    *jobs.Service
 	fleet   *fleet
+	// workersNeeded receives a value after this host has become the owner of a cell.
+	workersNeeded chan struct{}
 	// unassigned holds the workers that belong to no cell. Only the goroutine that follows the workers uses it.
 	unassigned map[ident.WorkerID]ident.DataCentre
 
@@ -103,6 +109,8 @@
 		cellMap: cellmap.New(s.Cells, s.regions()),
 		metrics: p.Metrics,
 		pool:    peergrpc.NewPool(insecure.NewCredentials()),
+
+		workersNeeded: make(chan struct{}, 1),
 	}
 	h.fleet = newFleet(h.cellMap)
 	h.createServices()
@@ -241,7 +249,9 @@
 	h.cluster.Start()
 	for _, loop := range []func(context.Context){
 		func(ctx context.Context) { h.ports.FollowTable(ctx, h.setTable) },
-		func(ctx context.Context) { h.ports.FollowWorkers(ctx, h.workerUpdateInterval, h.setWorkers) },
+		func(ctx context.Context) {
+			h.ports.FollowWorkers(ctx, hostlist.DemandSource{Current: h.workerDemand, Raised: h.workersNeeded}, h.setWorkers)
+		},
 		every(metricsInterval, h.publishState),
 		every(clockCheckInterval, newClockMonitor(h.log, h.metrics).check),
 	} {
@@ -269,13 +279,27 @@
 	h.log.WithField("revision", t.Revision()).Info("table in force")
 }
 
-// workerUpdateInterval returns how long changes of the workers may stay unnoticed. An owner must place nothing on a
-// worker that is leaving; other hosts only need to know which workers to claim when they become owners.
-func (h *JobHost) workerUpdateInterval() time.Duration {
-	if len(h.ownedCells()) > 0 {
-		return ownerWorkerUpdateInterval
+// workerDemand returns how current this host's list of the workers has to be. An owner must place nothing on a worker
+// that is leaving. The likely next owners keep a list, so that an outage of the store just after they have taken over
+// does not leave them without one. No other host needs it, because following costs in proportion to the workers.
+func (h *JobHost) workerDemand() hostlist.Demand {
+	switch {
+	case len(h.ownedCells()) > 0:
+		return hostlist.Demand{Needed: true, GatherTime: ownerWorkerUpdateInterval}
+	case h.isSuccessor():
+		return hostlist.Demand{Needed: true, GatherTime: successorWorkerUpdateInterval}
+	default:
+		return hostlist.Demand{}
 	}
-	return otherWorkerUpdateInterval
+}
+
+// isSuccessor reports whether this host is one of the preferred next owners of a cell.
+func (h *JobHost) isSuccessor() bool {
+	return slices.ContainsFunc(CellIDs(h.settings.Cells), func(id ident.CellID) bool {
+		position, ranked := h.cluster.Preference(id)
+		// The most preferred host is the owner, or about to be.
+		return ranked && position <= successorHosts
+	})
 }
 
 // ownedCells lists the cells for which this host holds a grant.
@@ -333,6 +357,10 @@
 		case c.New.Authority == ownership.None:
 			h.jobs.StopCell(c.New.Cell)
 		case c.Old.Authority == ownership.None || c.Old.Epoch != c.New.Epoch:
+			select {
+			case h.workersNeeded <- struct{}{}:
+			default:
+			}
 			go acquireCell(ctx, c.New, h.cluster, h.jobs, h.fleet, h.metrics)
 		}
 	}
--- a/daemon/jobsettings.go
+++ b/daemon/jobsettings.go
@@ -10,6 +10,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/bulrushrelay/bulrushrelay/adapter/telemetry"
+	"github.com/bulrushrelay/bulrushrelay/core/hostlist"
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
 	"github.com/bulrushrelay/bulrushrelay/core/store"
@@ -50,9 +51,9 @@
 	Store       store.Store
 	Workers     jobs.WorkerPort
 	// FollowWorkers and FollowTable call changed with the present state and after each change, until ctx ends.
-	// FollowWorkers may collect changes for as long as gatherTime returns. Until its list is complete, workers that it
+	// FollowWorkers may let its list fall behind as far as demand allows. While the list is not complete, workers that it
 	// lacks may be alive.
-	FollowWorkers func(ctx context.Context, gatherTime func() time.Duration, changed func(workers []lifecycle.Member, complete bool))
+	FollowWorkers func(ctx context.Context, demand hostlist.DemandSource, changed func(workers []lifecycle.Member, complete bool))
 	FollowTable   func(ctx context.Context, changed func(*table.Table))
 	// RegisterCallers adds the routes of callers, RegisterStatus those of the platform's health checks.
 	RegisterCallers func(e *echo.Echo, r *jobs.Router)
--- a/explore/jobhost_test.go
+++ b/explore/jobhost_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/bulrushrelay/bulrushrelay/adapter/telemetry"
+	"github.com/bulrushrelay/bulrushrelay/core/hostlist"
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
 	"github.com/bulrushrelay/bulrushrelay/core/resource"
@@ -88,7 +89,7 @@
 	return p
 }
 
-func (c *jobCell) followWorkers(ctx context.Context, _ func() time.Duration, changed func(workers []lifecycle.Member, complete bool)) {
+func (c *jobCell) followWorkers(ctx context.Context, _ hostlist.DemandSource, changed func(workers []lifecycle.Member, complete bool)) {
 	var list []lifecycle.Member
 	for _, w := range c.fleet {
 		m := w.Member()
--- a/relay/cluster/snapshot.go
+++ b/relay/cluster/snapshot.go
@@ -110,6 +110,13 @@
 	return i, address, address != ""
 }
 
+// Preference returns the position of this host among the members that may own a cell, 0 for the most preferred one;
+// ranked is false if this host is not one of them.
+func (s *Service) Preference(cell ident.CellID) (position int, ranked bool) {
+	s.withMachine(func(m *ownership.Machine, _ time.Time) { position, ranked = m.Preference(cell) })
+	return position, ranked
+}
+
 // Members returns the members, this host included. The caller must not modify the result.
 func (s *Service) Members() []Member {
 	return s.publishedPeers.Load().members
