Keep no list of workers that is not followed

Cause: a host that does not follow the registrations kept the list of its start. A new owner would have used it until its own read, which an outage of the store can delay: a worker that had left since would be in use again.

Change: without demand a host has no list.

--- a/core/hostlist/demand.go
+++ b/core/hostlist/demand.go
@@ -4,7 +4,7 @@
 
 // Demand says how current a list has to be for those who use it.
 type Demand struct {
-	// Needed is false while nobody uses the list, which may then be out of date.
+	// Needed is false while nobody uses the list. It need not be kept then.
 	Needed bool
 	// GatherTime is how long changes may be collected before they are passed on.
 	GatherTime time.Duration
--- a/daemon/jobsettings.go
+++ b/daemon/jobsettings.go
@@ -51,8 +51,8 @@
 	Store       store.Store
 	Workers     jobs.WorkerPort
 	// FollowWorkers and FollowTable call changed with the present state and after each change, until ctx ends.
-	// FollowWorkers may let its list fall behind as far as demand allows. While the list is not complete, workers that it
-	// lacks may be alive.
+	// FollowWorkers may let its list fall behind as far as demand allows, and has none without demand. While the list is
+	// not complete, workers that it lacks may be alive.
 	FollowWorkers func(ctx context.Context, demand hostlist.DemandSource, changed func(workers []lifecycle.Member, complete bool))
 	FollowTable   func(ctx context.Context, changed func(*table.Table))
 	// RegisterCallers adds the routes of callers, RegisterStatus those of the platform's health checks.
