Leave tasks on workers that answer although the host list lacks them

Cause: a worker that the complete host list lacked counted as leaving, and all its tasks that save their progress or last were stopped and started elsewhere. The platform drops a registration after three missed heartbeats, so that a worker that is cut off from the store for 5 s, or slow to report, lost its work although it ran and answered its owner.

Change: only the notice that a worker leaves moves its tasks. A worker that is not listed gets no new ones; if it does not answer, its leases lapse as before.

Tests: TestUnlistedWorkerThatAnswersKeepsItsTasks failed before. TestUnlistedWorkerThatDoesNotAnswerLosesItsTasks passed before too.

--- a/core/lifecycle/attempt.go
+++ b/core/lifecycle/attempt.go
@@ -177,7 +177,7 @@
 }
 
 func (c *Cell) evictIfLeaving(now time.Time, t *task, eff *Effects) {
-	if w := c.workers[t.run.worker]; c.certainlyLeaves(w) && !c.inDoubt && !c.mustHold(t) {
+	if w := c.workers[t.run.worker]; w.member.Leaving && !c.inDoubt && !c.mustHold(t) {
 		c.evict(now, t, false, eff)
 	}
 }
--- a/core/lifecycle/hostlist_test.go
+++ b/core/lifecycle/hostlist_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -32,11 +33,59 @@
 	f.apply(f.c.UpdateMembers(f.now, []Member{{ID: "w1"}}))
 	require.Empty(t, commandsOf[CheckpointTask](f), "the list may lack w2")
 	require.False(t, commandsOf[PutWorker](f)[len(commandsOf[PutWorker](f))-1].Worker.Leaving)
-	f.apply(f.c.SetMembers(f.now, []Member{{ID: "w1"}}))
+	f.apply(f.c.SetMembers(f.now, []Member{{ID: "w1"}, {ID: "w2", Leaving: true}}))
 	require.Equal(t, []CheckpointTask{{AttemptID: second, Worker: "w2", Stop: true}}, commandsOf[CheckpointTask](f))
 	require.Equal(t, Running, f.taskView(job, 0).State)
 }
 
+// Guards against work that is stopped, and started again elsewhere, because its worker was silent towards the platform
+// for a while: the host list has dropped the worker, but it answers its owner.
+func TestUnlistedWorkerThatAnswersKeepsItsTasks(t *testing.T) {
+	f := newFixture(t, 7, "w1", "w2")
+	job := f.submit(2)
+	first := f.startTask(taskID(job, 0, 0), "w1")
+	second := f.startTask(taskID(job, 0, 1), "w2")
+	f.sync("w1", []AttemptID{first})
+	f.sync("w2", []AttemptID{second})
+	f.commands = nil
+
+	f.apply(f.c.SetMembers(f.now, []Member{{ID: "w1"}}))
+	for range 30 {
+		f.tickUntil(f.now.Add(time.Second))
+		f.sync("w1", []AttemptID{first})
+		f.sync("w2", []AttemptID{second})
+	}
+	require.Empty(t, commandsOf[CheckpointTask](f))
+	require.Empty(t, commandsOf[StopTasks](f))
+	require.Equal(t, Running, f.taskView(job, 1).State)
+	puts := commandsOf[PutWorker](f)
+	require.NotEmpty(t, puts)
+	require.True(t, puts[len(puts)-1].Worker.Leaving, "it gets no new tasks")
+
+	f.apply(f.c.SetMembers(f.now, []Member{{ID: "w1"}, {ID: "w2"}}))
+	puts = commandsOf[PutWorker](f)
+	require.False(t, puts[len(puts)-1].Worker.Leaving, "it is back")
+	require.Equal(t, Running, f.taskView(job, 1).State)
+}
+
+// Guards against tasks that stay on a worker that is gone: it is not listed any more, and does not answer.
+func TestUnlistedWorkerThatDoesNotAnswerLosesItsTasks(t *testing.T) {
+	f := newFixture(t, 7, "w1", "w2")
+	job := f.submit(2)
+	first := f.startTask(taskID(job, 0, 0), "w1")
+	second := f.startTask(taskID(job, 0, 1), "w2")
+	f.sync("w2", []AttemptID{second})
+	f.apply(f.c.SetMembers(f.now, []Member{{ID: "w1"}}))
+	f.c.CallFailed("w2")
+	for end := f.now.Add(LeaseDuration + LeaseMargin); f.now.Before(end); {
+		f.tickUntil(f.now.Add(time.Second))
+		f.sync("w1", []AttemptID{first})
+	}
+	require.Equal(t, Queued, f.taskView(job, 1).State)
+	require.Equal(t, Running, f.taskView(job, 0).State)
+	require.Equal(t, []ForgetWorker{{Worker: "w2"}}, commandsOf[ForgetWorker](f))
+}
+
 // Guards against a worker that is forgotten, and its record removed, because the host list has not been read yet.
 func TestOwnerWithoutHostListForgetsNoWorker(t *testing.T) {
 	old := newFixture(t, 7, "w1")
--- a/core/lifecycle/worker.go
+++ b/core/lifecycle/worker.go
@@ -76,17 +76,13 @@
 	}
 }
 
-// leaving reports whether the worker gets no new tasks because it leaves. The host list may drop a worker that still
-// answers.
+// leaving reports whether the worker gets no new tasks because it leaves or is not listed. Only the notice that it leaves
+// moves its tasks: the host list also drops workers that are cut off from it but run and answer. If such a worker is gone,
+// its leases lapse.
 func (w *worker) leaving() bool {
 	return w.member.Leaving || !w.listed
 }
 
-// certainlyLeaves reports whether the host list shows that the worker leaves, so that its tasks have to move.
-func (c *Cell) certainlyLeaves(w *worker) bool {
-	return w.member.Leaving || !w.listed && c.hostListKnown
-}
-
 // usable reports whether the planner may place any task on the worker.
 func (w *worker) usable() bool {
 	return w.inPlanner && !w.leaving() && !w.silent && !w.health.quarantined
@@ -173,7 +169,7 @@
 
 // evictFromLeaving checkpoints and stops the tasks of a leaving worker, so that they resume elsewhere.
 func (c *Cell) evictFromLeaving(now time.Time, w *worker, eff *Effects) {
-	if c.inDoubt || !c.certainlyLeaves(w) {
+	if c.inDoubt || !w.member.Leaving {
 		return
 	}
 	for _, t := range w.sortedTasks() {
