Keep a panic in one goroutine from ending the host

Cause: an unexpected error in the handling of one peer message, one worker's answer or one cell ended the process, with all callers and cells of the host; the next owner met the same input.

Change: internal/contain recovers a panic, logs it with its stack and counts it (panics_total). In handlers of peer calls it ends the call, with an open outcome; in background loops, the run, which starts again after 1 s; in a goroutine of an owner, that owner. The host then gives its grant up (ownership.Machine.GiveUp): the cell is drained, released and claimed under a higher epoch, which fences calls that are still under way. A call that the owner was working on gets MayHaveRun: before, its caller could have been told that it had run, because the wait for it ended by a deferred close.

Not covered: a panic in the goroutine of platform.Store.watch, which decodes pages, and in adapters of targets.

--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -88,6 +88,8 @@
 	// draining is set from the decision to hand the cell over, drained once nothing runs in it any more.
 	draining bool
 	drained  bool
+	// givenUp is set if the cell must be claimed anew because the work in it has ended.
+	givenUp bool
 }
 
 // New returns the Machine of a host that starts at now.
--- a/core/ownership/step.go
+++ b/core/ownership/step.go
@@ -217,8 +217,8 @@
 	return settled
 }
 
-// startHandOvers returns the cells to drain now: all of them if the host leaves, otherwise one at a time to a more
-// preferred member. A hand-over needs full authority, because the release needs the store.
+// startHandOvers returns the cells to drain now: all of them if the host leaves, otherwise those that are given up, and
+// one at a time to a more preferred member. A hand-over needs full authority, because the release needs the store.
 func (m *Machine) startHandOvers(now time.Time) []Action {
 	var actions []Action
 	for _, c := range m.cfg.Cells {
@@ -232,7 +232,7 @@
 			}
 			continue
 		}
-		if m.leaving || len(actions) == 0 && m.outranked(c, h, now) {
+		if m.leaving || h.givenUp || len(actions) == 0 && m.outranked(c, h, now) {
 			actions = append(actions, Action{Kind: HandOver, Cell: c.ID, Epoch: h.epoch})
 		}
 	}
@@ -272,3 +272,11 @@
 		h.drained = true
 	}
 }
+
+// GiveUp makes this host hand over the cell that it holds under the given epoch, although no other host is preferred. Any
+// host, this one included, then claims it under a higher epoch, which fences what is still under way.
+func (m *Machine) GiveUp(id ident.CellID, epoch ident.Epoch) {
+	if h, ok := m.held[id]; ok && h.epoch == epoch {
+		h.givenUp = true
+	}
+}
--- a/daemon/host.go
+++ b/daemon/host.go
@@ -33,6 +33,7 @@
 	"github.com/bulrushrelay/bulrushrelay/core/ownership"
 	"github.com/bulrushrelay/bulrushrelay/core/placement"
 	"github.com/bulrushrelay/bulrushrelay/core/table"
+	"github.com/bulrushrelay/bulrushrelay/internal/contain"
 	"github.com/bulrushrelay/bulrushrelay/relay/cell"
 	"github.com/bulrushrelay/bulrushrelay/relay/cluster"
 	"github.com/bulrushrelay/bulrushrelay/relay/config"
@@ -195,7 +196,7 @@
 	h.callerServer = newHTTPServer(listeners[0], newHTTPLimits(h.settings.MaxCallerConnections, maxAnswerTime), nil)
 	h.operatorServer = newHTTPServer(listeners[1], newHTTPLimits(maxOperatorConnections, maxAnswerTime), security.operators)
 	h.peerListener = netutil.LimitListener(listeners[2], h.settings.MaxPeerConnections)
-	h.peerServer = grpc.NewServer(peergrpc.ServerOptions(security.server)...)
+	h.peerServer = grpc.NewServer(append(peergrpc.ServerOptions(security.server), peergrpc.ContainPanics(h.log)...)...)
 	return nil
 }
 
@@ -244,6 +245,7 @@
 		CommitInterval: commitInterval(h.settings.Cells),
 		Logger:         h.log.Logger,
 		Meter:          newOwnerMeter(h.metrics),
+		OnReplaced:     h.cluster.GiveUp,
 	}, nil)
 	router := &cellRouter{
 		self:       h.self,
@@ -357,7 +359,7 @@
 	h.cluster.Start()
 	for _, loop := range h.loops() {
 		group.Go(func() error {
-			loop(background)
+			contain.Loop(background, h.log, "a background loop of the host", loop)
 			return nil
 		})
 	}
--- a/daemon/jobhost.go
+++ b/daemon/jobhost.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -23,11 +22,11 @@
 	"github.com/bulrushrelay/bulrushrelay/core/cellmap"
 	"github.com/bulrushrelay/bulrushrelay/core/hostlist"
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
-	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
 	"github.com/bulrushrelay/bulrushrelay/core/membership"
 	"github.com/bulrushrelay/bulrushrelay/core/ownership"
 	"github.com/bulrushrelay/bulrushrelay/core/placement"
 	"github.com/bulrushrelay/bulrushrelay/core/table"
+	"github.com/bulrushrelay/bulrushrelay/internal/contain"
 	"github.com/bulrushrelay/bulrushrelay/relay/cluster"
 	"github.com/bulrushrelay/bulrushrelay/relay/jobs"
 )
@@ -48,13 +47,6 @@
 	jobCommitInterval = 20 * time.Millisecond
 	// jobLogWriteShare is the share of the store's write rate that all cell logs together may use.
 	jobLogWriteShare = 0.5
-	// How often a host applies changes of the workers' registrations. Each registration carries a clock, so that
-	// those of 48 workers change 30 times a second. Owners of cells need the changes sooner than their successors.
-	ownerWorkerUpdateInterval     = 250 * time.Millisecond
-	successorWorkerUpdateInterval = 1500 * time.Millisecond
-	// successorHosts is the number of hosts that follow the workers without owning a cell, because they are preferred as
-	// its next owners. Any other host reads the list when it becomes an owner.
-	successorHosts = 3
 	// The lease margin is the worker lease divided by leaseMarginDivisor. That is 4 %, twice what a worker whose
 	// clock runs 2 % slow needs.
 	leaseMarginDivisor = 25
@@ -153,6 +145,7 @@
 		Logger:         h.log.Logger,
 		DecisionLog:    h.ports.DecisionLog,
 		Meter:          newOwnerMeter(h.metrics),
+		OnReplaced:     h.cluster.GiveUp,
 		RecordLatency: func(class ident.ClassName, took time.Duration) {
 			h.metrics.Histogram("job_ms", telemetry.Label{Name: "class", Value: string(class)}).Update(took.Milliseconds())
 		},
@@ -194,7 +187,7 @@
 	h.ports.RegisterCallers(h.callerServer.echo, router)
 	h.ports.RegisterStatus(h.statusServer.echo, h.ready)
 	telemetry.Register(h.metricsServer.echo, h.metrics)
-	h.peerServer = grpc.NewServer(peergrpc.ServerOptions(insecure.NewCredentials())...)
+	h.peerServer = grpc.NewServer(append(peergrpc.ServerOptions(insecure.NewCredentials()), peergrpc.ContainPanics(h.log)...)...)
 	peerv1.RegisterJobsServer(h.peerServer, peergrpc.NewJobsServer(h.jobs))
 	peergrpc.RegisterGossip(h.peerServer, h.cluster)
 	return nil
@@ -256,7 +249,7 @@
 		every(clockCheckInterval, newClockMonitor(h.log, h.metrics).check),
 	} {
 		group.Go(func() error {
-			loop(background)
+			contain.Loop(background, h.log, "a background loop of the host", loop)
 			return nil
 		})
 	}
@@ -279,65 +272,6 @@
 	h.log.WithField("revision", t.Revision()).Info("table in force")
 }
 
-// workerDemand returns how current this host's list of the workers has to be. An owner must place nothing on a worker
-// that is leaving. The likely next owners keep a list, so that an outage of the store just after they have taken over
-// does not leave them without one. No other host needs it, because following costs in proportion to the workers.
-func (h *JobHost) workerDemand() hostlist.Demand {
-	switch {
-	case len(h.ownedCells()) > 0:
-		return hostlist.Demand{Needed: true, GatherTime: ownerWorkerUpdateInterval}
-	case h.isSuccessor():
-		return hostlist.Demand{Needed: true, GatherTime: successorWorkerUpdateInterval}
-	default:
-		return hostlist.Demand{}
-	}
-}
-
-// isSuccessor reports whether this host is one of the preferred next owners of a cell.
-func (h *JobHost) isSuccessor() bool {
-	return slices.ContainsFunc(CellIDs(h.settings.Cells), func(id ident.CellID) bool {
-		position, ranked := h.cluster.Preference(id)
-		// The most preferred host is the owner, or about to be.
-		return ranked && position <= successorHosts
-	})
-}
-
-// ownedCells lists the cells for which this host holds a grant.
-func (h *JobHost) ownedCells() []ident.CellID {
-	return slices.DeleteFunc(CellIDs(h.settings.Cells), func(id ident.CellID) bool {
-		return h.cluster.Grant(id).Authority == ownership.None
-	})
-}
-
-// setWorkers assigns the workers to the cells.
-func (h *JobHost) setWorkers(list []lifecycle.Member, complete bool) {
-	next := h.assignToCells(list)
-	next.complete = complete
-	h.fleet.current.Store(next)
-	for _, id := range CellIDs(h.settings.Cells) {
-		h.fleet.passOn(h.jobs, id)
-	}
-	h.metrics.Gauge("workers_listed").Update(int64(len(list)))
-}
-
-// assignToCells groups the workers by cell. It logs a worker that belongs to no cell only once.
-func (h *JobHost) assignToCells(list []lifecycle.Member) *fleetSnapshot {
-	next := &fleetSnapshot{workers: make(map[ident.CellID][]lifecycle.Member)}
-	unassigned := make(map[ident.WorkerID]ident.DataCentre)
-	for _, m := range list {
-		if id, ok := h.cellMap.Cell(h.settings.Regions[m.DataCentre], m.Rack); ok {
-			next.workers[id] = append(next.workers[id], m)
-			continue
-		}
-		unassigned[m.ID] = m.DataCentre
-		if before, known := h.unassigned[m.ID]; !known || before != m.DataCentre {
-			h.log.WithFields(logrus.Fields{"worker": m.ID, "data_centre": m.DataCentre}).Warn("worker belongs to no cell")
-		}
-	}
-	h.unassigned = unassigned
-	return next
-}
-
 // publishState gossips the cells of this host and copies the counters of the services into the metrics registry.
 func (h *JobHost) publishState() {
 	var local cluster.LocalState
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/bulrushrelay/bulrushrelay/adapter/telemetry"
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/ownership"
+	"github.com/bulrushrelay/bulrushrelay/internal/contain"
 	"github.com/bulrushrelay/bulrushrelay/relay/cluster"
 	"github.com/bulrushrelay/bulrushrelay/relay/jobs"
 )
@@ -40,6 +41,7 @@
 
 func exportCluster(m *telemetry.Registry, s *cluster.Service, cells int) {
 	c := s.Counts()
+	raiseCounter(m, "panics_total", contain.Panics())
 	raiseCounter(m, "cluster_store_calls_total", c.StoreCalls)
 	raiseCounter(m, "cluster_store_errors_total", c.StoreErrors)
 	raiseCounter(m, "gossip_exchanges_total", c.Exchanges)
--- a/relay/cluster/cluster_test.go
+++ b/relay/cluster/cluster_test.go
@@ -379,6 +379,33 @@
 	})
 }
 
+// Guards against a cell that stays with a host whose work in it has ended, and against a new owner that works under the
+// same epoch beside calls that are still under way.
+func TestCellThatIsGivenUpIsClaimedUnderHigherEpoch(t *testing.T) {
+	runFleet(t, 1, func(f *fleet) {
+		hosts := f.launchAll(3)
+		f.checkFor(40 * time.Second)
+		f.requireAllOwned()
+		var before ownership.Grant
+		for _, s := range hosts {
+			if g := s.Grant(0); g.Authority != ownership.None {
+				before = g
+				s.GiveUp(0, g.Epoch-1)
+				time.Sleep(time.Second)
+				require.Equal(t, g, s.Grant(0), "the epoch is not the present one")
+				s.GiveUp(0, g.Epoch)
+			}
+		}
+		f.checkFor(5 * time.Second)
+		f.requireAllOwned()
+		f.forEachHeldGrant(0, func(_ string, g ownership.Grant) {
+			if g.Authority != ownership.None {
+				require.Greater(t, g.Epoch, before.Epoch)
+			}
+		})
+	})
+}
+
 // Guards against listeners that miss a lapse or a recovery of authority.
 func TestListenersSeeLapse(t *testing.T) {
 	runFleet(t, 1, func(f *fleet) {
--- a/relay/cluster/gossip.go
+++ b/relay/cluster/gossip.go
@@ -8,6 +8,7 @@
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/membership"
 	"github.com/bulrushrelay/bulrushrelay/core/ownership"
+	"github.com/bulrushrelay/bulrushrelay/internal/contain"
 	"github.com/bulrushrelay/bulrushrelay/internal/sleep"
 )
 
@@ -109,7 +110,10 @@
 	delete(addresses, s.cfg.PeerAddress)
 	var wg sync.WaitGroup
 	for address := range addresses {
-		wg.Go(func() { s.exchange(ctx, address, request) })
+		wg.Go(func() {
+			defer contain.Recover(s.log, "an exchange", nil)
+			s.exchange(ctx, address, request)
+		})
 	}
 	wg.Wait()
 }
@@ -178,7 +182,7 @@
 		r = v.BeginRound()
 	})
 	if ok {
-		s.running.Go(func() { s.exchange(ctx, m.Payload.PeerAddress, r) })
+		s.spawn("an exchange", func() { s.exchange(ctx, m.Payload.PeerAddress, r) })
 	}
 }
 
@@ -192,7 +196,7 @@
 		rng := s.newRand()
 		s.withView(func(v *membership.View) { target, ok = v.NextProbe(rng) })
 		if ok {
-			s.running.Go(func() { s.probe(ctx, target) })
+			s.spawn("a probe", func() { s.probe(ctx, target) })
 		}
 	}
 }
--- a/relay/cluster/service.go
+++ b/relay/cluster/service.go
@@ -15,6 +15,7 @@
 	"github.com/bulrushrelay/bulrushrelay/core/ownership"
 	"github.com/bulrushrelay/bulrushrelay/core/shard"
 	"github.com/bulrushrelay/bulrushrelay/core/store"
+	"github.com/bulrushrelay/bulrushrelay/internal/contain"
 )
 
 const (
@@ -174,11 +175,22 @@
 	s.mu.Lock()
 	s.cancel = cancel
 	s.mu.Unlock()
-	for _, loop := range []func(context.Context){s.keepLease, s.watchOwners, s.watchMembers, s.stepLoop, s.gossipLoop, s.probeLoop, s.notifyLoop} {
-		s.running.Go(func() { loop(ctx) })
+	for name, loop := range map[string]func(context.Context){
+		"lease": s.keepLease, "owners": s.watchOwners, "members": s.watchMembers, "steps": s.stepLoop,
+		"gossip": s.gossipLoop, "probes": s.probeLoop, "grant changes": s.notifyLoop,
+	} {
+		s.running.Go(func() { contain.Loop(ctx, s.log, "the cluster's loop for "+name, loop) })
 	}
 }
 
+// spawn runs f in a goroutine of the service. A panic in it does not end the process.
+func (s *Service) spawn(name string, f func()) {
+	s.running.Go(func() {
+		defer contain.Recover(s.log, name, nil)
+		f()
+	})
+}
+
 // Close stops the service at once, as a crash would: the lease is left to expire.
 func (s *Service) Close() {
 	s.mu.Lock()
@@ -251,6 +263,13 @@
 	})
 }
 
+// GiveUp releases a cell whose work under the given epoch has ended on this host for another reason than the loss of its
+// grant. This host or another one claims it anew.
+func (s *Service) GiveUp(cell ident.CellID, epoch ident.Epoch) {
+	s.updateMachine(func(m *ownership.Machine, _ time.Time) { m.GiveUp(cell, epoch) })
+	notifyChannel(s.stepSoon)
+}
+
 // SetHostList sets the hosts that the platform lists. A host that was listed and no longer is has stopped.
 func (s *Service) SetHostList(hosts []ident.HostID) {
 	dropped := s.listedHosts.replace(hosts)
--- a/relay/cluster/steps.go
+++ b/relay/cluster/steps.go
@@ -33,7 +33,7 @@
 		})
 		if needRoster && s.inRoster.Load() && at.Sub(rosterAt) >= rosterReadInterval {
 			rosterAt = at
-			s.running.Go(func() { _ = s.readRoster(ctx) })
+			s.spawn("reading the roster", func() { _ = s.readRoster(ctx) })
 		}
 		for _, a := range actions {
 			if a.Kind != ownership.FencePredecessor || pacer.takeTurn(a, at) {
@@ -46,7 +46,7 @@
 func (s *Service) perform(ctx context.Context, a ownership.Action) {
 	switch a.Kind {
 	case ownership.HandOver:
-		s.running.Go(func() {
+		s.spawn("a hand-over", func() {
 			if s.cfg.Drain != nil {
 				s.cfg.Drain(ctx, a.Cell)
 			}
@@ -57,10 +57,10 @@
 		})
 	case ownership.FencePredecessor:
 		if address := s.addressOfHost(a.Target.Host); address != "" {
-			s.running.Go(func() { s.fence(ctx, address, a) })
+			s.spawn("a fencing call", func() { s.fence(ctx, address, a) })
 		}
 	default:
-		s.running.Go(func() { s.transact(ctx, a) })
+		s.spawn("an ownership transaction", func() { s.transact(ctx, a) })
 	}
 }
 
--- a/relay/jobs/calls.go
+++ b/relay/jobs/calls.go
@@ -57,8 +57,8 @@
 	c.member = m
 	ctx, cancel := context.WithCancel(o.ctx)
 	c.cancel = cancel
-	o.wg.Add(1)
-	go o.claimAndSync(ctx, m, c.acked)
+	acked := c.acked
+	o.run("the syncs of a worker", func() { o.claimAndSync(ctx, m, acked) }, nil)
 }
 
 func (o *owner) disconnect(id ident.WorkerID) {
@@ -78,7 +78,6 @@
 
 // claimAndSync claims a worker and syncs with it until the worker lapses or the owner stops.
 func (o *owner) claimAndSync(ctx context.Context, m lifecycle.Member, acked <-chan struct{}) {
-	defer o.wg.Done()
 	if !o.claim(ctx, m) {
 		return
 	}
@@ -252,9 +251,7 @@
 			c.throttlesInFlight++
 		}
 		m := c.member
-		o.wg.Add(1)
-		go func() {
-			defer o.wg.Done()
+		o.run("a call to a worker", func() {
 			answer := o.send(m, command)
 			o.post(func() {
 				c.callsInFlight--
@@ -264,7 +261,7 @@
 				o.apply(answer())
 				o.sendQueuedCalls(c)
 			})
-		}()
+		}, nil)
 	}
 }
 
--- a/relay/jobs/mailboxes.go
+++ b/relay/jobs/mailboxes.go
@@ -25,7 +25,8 @@
 	}
 }
 
-// call runs f in the loop and waits for it. False proves that f has not run and never will.
+// call runs f in the loop and waits for it. False means that f has not run and never will, unless the owner has crashed,
+// possibly while it ran f; see errNotRun.
 func (o *owner) call(ctx context.Context, f func()) bool {
 	return o.callOn(ctx, o.mailbox, f)
 }
@@ -38,8 +39,9 @@
 func (o *owner) callOn(ctx context.Context, mailbox chan<- event, f func()) bool {
 	done := make(chan struct{})
 	wrapped := func() {
-		defer close(done)
 		f()
+		// Not deferred: a panic in f leaves its effect open.
+		close(done)
 	}
 	o.queuedEvents.Add(1)
 	select {
--- a/relay/jobs/owner.go
+++ b/relay/jobs/owner.go
@@ -13,6 +13,7 @@
 	"github.com/bulrushrelay/bulrushrelay/core/ownership"
 	"github.com/bulrushrelay/bulrushrelay/core/placement"
 	"github.com/bulrushrelay/bulrushrelay/core/table"
+	"github.com/bulrushrelay/bulrushrelay/internal/contain"
 )
 
 const (
@@ -50,7 +51,9 @@
 	wg              sync.WaitGroup
 	// stopped is set once the owner is being stopped, or once the store or a worker has proved that another owner has
 	// the cell.
-	stopped  atomic.Bool
+	stopped atomic.Bool
+	// crashed is set once a panic has ended the owner.
+	crashed  atomic.Bool
 	draining atomic.Bool
 	// loopDone is closed when the loop has run its last event.
 	loopDone chan struct{}
@@ -106,9 +109,32 @@
 	return o.cfg.Clock.Now()
 }
 
+// run starts a goroutine of the owner. A panic in it ends the owner but not the process. It calls atEnd, which may be nil,
+// in any case.
+func (o *owner) run(name string, f, atEnd func()) {
+	o.wg.Add(1)
+	go func() {
+		defer o.wg.Done()
+		if atEnd != nil {
+			defer atEnd()
+		}
+		defer contain.Recover(o.logger, name, func() {
+			o.crashed.Store(true)
+			o.replaced("unexpected error in " + name)
+		})
+		f()
+	}()
+}
+
+// endLoop runs when the loop has ended. No event runs any more.
+func (o *owner) endLoop() {
+	o.waits.clear(o.cfg.Meter, o.cellID)
+	close(o.loopDone)
+	o.stopConns()
+}
+
 // loop runs events until the owner stops.
 func (o *owner) loop() {
-	defer o.wg.Done()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	o.wakeAt = o.now()
@@ -122,9 +148,6 @@
 			// A late timer shows that the host is short of processor time, even if no event was queued.
 			o.longestWait = max(o.longestWait, o.now().Sub(o.wakeAt))
 		case <-o.ctx.Done():
-			o.waits.clear(o.cfg.Meter, o.cellID)
-			close(o.loopDone)
-			o.stopConns()
 			return
 		}
 		o.runQueuedEvents()
@@ -363,7 +386,8 @@
 	return waited, true
 }
 
-// replaced stops the owner because another host has the cell.
+// replaced stops the owner because another host has the cell, or because it cannot work on. It does not wait for the end
+// of its goroutines.
 func (o *owner) replaced(reason string) {
 	if o.stopped.Swap(true) {
 		return
--- a/relay/jobs/service.go
+++ b/relay/jobs/service.go
@@ -59,7 +59,9 @@
 	RecordLatency func(class ident.ClassName, took time.Duration)
 	// Meter receives the delays that owners measure; nil drops them.
 	Meter Meter
-	// OnReplaced is called when the store or a worker proves that another host owns a cell; it must not block.
+	// OnReplaced is called when an owner has stopped although this host may still hold the grant: the store or a worker has
+	// proved that another host owns the cell, or an unexpected error has ended the owner. The grant must be given up, so
+	// that the cell is claimed under a higher epoch. It must not block.
 	OnReplaced func(cell ident.CellID, epoch ident.Epoch)
 }
 
@@ -170,16 +172,9 @@
 	o.cell.TakeFinishedJobs()
 	o.setLimitShare(o.cfg.Grants.Grant(o.cellID).ShareShift)
 	o.checkAuthority()
-	o.wg.Add(3)
-	go o.loop()
-	go func() {
-		defer o.wg.Done()
-		o.saveEstimatesPeriodically(o.ctx)
-	}()
-	go func() {
-		defer o.wg.Done()
-		o.log.run(o.ctx)
-	}()
+	o.run("the loop of the owner", o.loop, o.endLoop)
+	o.run("saving estimates", func() { o.saveEstimatesPeriodically(o.ctx) }, nil)
+	o.run("the log writer", func() { o.log.run(o.ctx) }, nil)
 	return s.install(o)
 }
 
@@ -355,8 +350,11 @@
 }
 
 // errNotRun returns the error of a call that the loop has not run: the caller's context ended before the loop had time
-// for it, or the owner has stopped.
+// for it, or the owner has stopped. After a crash of the owner the call may have run.
 func (o *owner) errNotRun(ctx context.Context) error {
+	if o.crashed.Load() {
+		return verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "the owner of cell %d has failed", o.cellID)
+	}
 	if ctx.Err() != nil && o.ctx.Err() == nil {
 		return verdict.Wrap(ctx.Err(), verdict.NotRun, verdict.CodeDeadline, "the owner of cell %d had no time for the call", o.cellID)
 	}
