Check the authority of an owner when a command is sent

Cause: only starts were checked against the grant at the time of the call. A process that had been paused ran the first event of its mailbox before it looked at its grant, and stopped or slowed down tasks that by then belonged to the next owner.

Change: a start or a move needs full authority when it is sent, anything else some authority.

--- a/relay/jobs/calls.go
+++ b/relay/jobs/calls.go
@@ -281,8 +281,26 @@
 	}
 }
 
+// maySend reports whether the authority of the owner still allows a command: it may have been decided, or have queued,
+// before a pause of the process. Only an owner with full authority starts or moves tasks. One in doubt may still stop what
+// nobody wants any more.
+func (o *owner) maySend(command lifecycle.Command) bool {
+	switch command.(type) {
+	case lifecycle.StartTask, lifecycle.CheckpointTask:
+		return o.authority() == ownership.Full
+	default:
+		return o.authority() != ownership.None
+	}
+}
+
 // send performs one call and returns the function that applies its answer, to be run in the loop.
 func (o *owner) send(m lifecycle.Member, command lifecycle.Command) func() lifecycle.Effects {
+	if !o.maySend(command) {
+		return func() lifecycle.Effects {
+			o.answerNotSent(m.ID, command)
+			return lifecycle.Effects{}
+		}
+	}
 	switch c := command.(type) {
 	case lifecycle.StartTask:
 		a := o.sendStart(m, c)
@@ -322,11 +340,11 @@
 	return func() lifecycle.Effects { return lifecycle.Effects{} }
 }
 
-// sendStart sends a start only under full authority, and only if the cell still wants it: the command may have queued
-// behind earlier calls to the worker. A pause of the process between these checks and the call is covered by the lease
+// sendStart sends a start only if the cell still wants it: the command may have queued behind earlier calls to the worker.
+// A pause of the process between these checks and the call is covered by the lease
 // token, which the worker refuses after 10 s.
 func (o *owner) sendStart(m lifecycle.Member, c lifecycle.StartTask) lifecycle.Answer {
-	if o.authority() != ownership.Full || !o.cell.ShouldSendStart(m.ID, c.AttemptID) {
+	if !o.cell.ShouldSendStart(m.ID, c.AttemptID) {
 		return notSentAnswer
 	}
 	ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
