Repeat lost syncs several times within a lease

Cause: an owner waited 2 s beyond the hold of a sync for its answer, 3 s in all on the platform, whose leases last 6 s, and only an answered sync renews them for the full time. Two answers lost in a row therefore lapsed everything that ran on a sound worker, and it was started again elsewhere.

Change: the answer to a sync is awaited for an eighth of a lease beyond its hold. A worker is asked to answer repeats at once; the time for them doubles up to the old 2 s, for owners and workers that are slow.

--- a/relay/jobs/calls.go
+++ b/relay/jobs/calls.go
@@ -26,6 +26,10 @@
 	// expectedCommitTime is how long the store usually takes for a commit, with a margin.
 	expectedCommitTime = 50 * time.Millisecond
 	maxRetryInterval   = time.Second
+	// maxBackoffSteps is the number of failures after which neither the pause nor the time for an answer grows.
+	maxBackoffSteps = 4
+	// answerTimesPerLease is the number of times for an answer to a sync in the duration of a lease.
+	answerTimesPerLease = 8
 )
 
 // workerConn holds the commands queued for or in flight to one worker. Only the loop uses it.
@@ -81,7 +85,7 @@
 	if !o.claim(ctx, m) {
 		return
 	}
-	pause := minRetryInterval
+	failures := 0
 	for ctx.Err() == nil {
 		if !o.mayRenew() {
 			if sleep.For(ctx, maxRetryInterval) != nil {
@@ -105,20 +109,36 @@
 			return
 		}
 		started := o.now()
-		if o.sync(ctx, m, req) {
-			pause = minRetryInterval
-			if sleep.For(ctx, o.cfg.SyncGap-o.now().Sub(started)) != nil {
-				return
-			}
-			continue
+		synced := o.sync(ctx, m, req, o.syncTimes(failures))
+		pause := o.cfg.SyncGap - o.now().Sub(started)
+		if synced {
+			failures = 0
+		} else {
+			pause = min(minRetryInterval<<failures, maxRetryInterval)
+			failures = min(failures+1, maxBackoffSteps)
 		}
 		if sleep.For(ctx, pause) != nil {
 			return
 		}
-		pause = min(2*pause, maxRetryInterval)
 	}
 }
 
+// syncTimes holds how long a worker may hold a sync, and after which time its answer counts as lost.
+type syncTimes struct {
+	hold, timeout time.Duration
+}
+
+// syncTimes returns the times of a sync after a number of failed ones. Only an answered sync renews leases for their full
+// time, so that several attempts have to fit into a lease: each answer is awaited for a fraction of it, and a worker
+// answers a repeat at once. The time grows with each failure, for an owner or a worker that is slow.
+func (o *owner) syncTimes(failures int) syncTimes {
+	patience := min(o.cfg.Policy.LeaseDuration/answerTimesPerLease, callTimeout)
+	if failures == 0 {
+		return syncTimes{hold: o.cfg.SyncWait, timeout: o.cfg.SyncWait + patience}
+	}
+	return syncTimes{timeout: min(patience<<(failures-1), callTimeout)}
+}
+
 // mayRenew reports whether this owner may renew leases: always under full authority, and for a bounded time in doubt.
 // The bound lets a successor know when the tasks of a worker that it cannot reach have ended.
 func (o *owner) mayRenew() bool {
@@ -192,11 +212,11 @@
 }
 
 // sync performs one sync call and waits until the loop has applied its report. It reports whether both succeeded.
-func (o *owner) sync(ctx context.Context, m lifecycle.Member, req lifecycle.SyncRequest) bool {
-	callCtx, cancel := context.WithTimeout(ctx, o.cfg.SyncWait+callTimeout)
+func (o *owner) sync(ctx context.Context, m lifecycle.Member, req lifecycle.SyncRequest, times syncTimes) bool {
+	callCtx, cancel := context.WithTimeout(ctx, times.timeout)
 	defer cancel()
 	o.syncsInProgress.Add(1)
-	c := o.cfg.Workers.Sync(callCtx, m, o.epoch, req, o.cfg.SyncWait)
+	c := o.cfg.Workers.Sync(callCtx, m, o.epoch, req, times.hold)
 	o.syncsInProgress.Add(-1)
 	o.recordAnswer(ctx, m, c.Answer)
 	if c.Reason == lifecycle.ReasonFenced {
