Wait longer for syncs where answers are slow

In the small twin of the large deployment calls to the store take 163 to 215 ms in the mean instead of 10 (metrics of a weak owner, 2 Mbit/s).

Change: an answer counts as lost after four times the usual time for starts and claims, at most after 2 s as before.

--- a/relay/jobs/calls.go
+++ b/relay/jobs/calls.go
@@ -30,6 +30,8 @@
 	maxBackoffSteps = 4
 	// answerTimesPerLease is the number of times for an answer to a sync in the duration of a lease.
 	answerTimesPerLease = 8
+	// slowAnswerFactor is the number of usual answer times after which an answer counts as lost.
+	slowAnswerFactor = 4
 )
 
 // workerConn holds the commands queued for or in flight to one worker. Only the loop uses it.
@@ -130,9 +132,11 @@
 
 // syncTimes returns the times of a sync after a number of failed ones. Only an answered sync renews leases for their full
 // time, so that several attempts have to fit into a lease: each answer is awaited for a fraction of it, and a worker
-// answers a repeat at once. The time grows with each failure, for an owner or a worker that is slow.
+// answers a repeat at once. The time grows with each failure, and with the time that other calls take: repeats must not add
+// to the load of a slow link.
 func (o *owner) syncTimes(failures int) syncTimes {
-	patience := min(o.cfg.Policy.LeaseDuration/answerTimesPerLease, callTimeout)
+	patience := max(o.cfg.Policy.LeaseDuration/answerTimesPerLease, slowAnswerFactor*o.answerTimes.mean())
+	patience = min(patience, callTimeout)
 	if failures == 0 {
 		return syncTimes{hold: o.cfg.SyncWait, timeout: o.cfg.SyncWait + patience}
 	}
@@ -184,8 +188,12 @@
 		if o.authority() != ownership.None {
 			seq := o.cell.NextClaimSeq()
 			callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+			started := o.now()
 			c := o.cfg.Workers.Claim(callCtx, m, o.cellID, o.epoch)
 			cancel()
+			if c.Outcome != lifecycle.Unknown {
+				o.answerTimes.add(o.now().Sub(started))
+			}
 			if c.Report.PartialActive {
 				// The tasks that the list lacks would start again while they run. If the worker goes on like this, its leases
 				// lapse.
@@ -369,7 +377,11 @@
 	}
 	ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
 	defer cancel()
+	started := o.now()
 	a := o.cfg.Workers.Start(ctx, m, o.epoch, c)
+	if a.Outcome != lifecycle.Unknown {
+		o.answerTimes.add(o.now().Sub(started))
+	}
 	switch a.Outcome {
 	case lifecycle.Applied:
 		o.stats.StartedTasks.Add(1)
--- a/relay/jobs/owner.go
+++ b/relay/jobs/owner.go
@@ -62,6 +62,8 @@
 
 	watchers watchers
 	waits    waitTracker
+	// answerTimes are the times that workers take to answer starts and claims.
+	answerTimes movingAverage
 
 	// queuedEvents counts the events in the mailboxes, queuedCalls the calls in the outboxes, and syncsInProgress the
 	// syncs in progress. late says whether the owner has fallen behind.
