--- a/daemon/jobhost.go
+++ b/daemon/jobhost.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -21,12 +20,13 @@
 	"github.com/bulrushrelay/bulrushrelay/adapter/telemetry"
 	peerv1 "github.com/bulrushrelay/bulrushrelay/api/peer/v1"
 	"github.com/bulrushrelay/bulrushrelay/core/cellmap"
+	"github.com/bulrushrelay/bulrushrelay/core/hostlist"
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
-	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
 	"github.com/bulrushrelay/bulrushrelay/core/membership"
 	"github.com/bulrushrelay/bulrushrelay/core/ownership"
 	"github.com/bulrushrelay/bulrushrelay/core/placement"
 	"github.com/bulrushrelay/bulrushrelay/core/table"
+	"github.com/bulrushrelay/bulrushrelay/internal/contain"
 	"github.com/bulrushrelay/bulrushrelay/relay/cluster"
 	"github.com/bulrushrelay/bulrushrelay/relay/jobs"
 )
@@ -47,10 +47,6 @@
 	jobCommitInterval = 20 * time.Millisecond
 	// jobLogWriteShare is the share of the store's write rate that all cell logs together may use.
 	jobLogWriteShare = 0.5
-	// How often a host applies changes of the workers' registrations. Each registration carries a clock, so that
-	// those of 48 workers change 30 times a second. Owners of cells need the changes sooner than others.
-	ownerWorkerUpdateInterval = 250 * time.Millisecond
-	otherWorkerUpdateInterval = 1500 * time.Millisecond
 	// The lease margin is the worker lease divided by leaseMarginDivisor. That is 4 %, twice what a worker whose
 	// clock runs 2 % slow needs.
 	leaseMarginDivisor = 25
@@ -84,6 +80,8 @@
 	members *memberDirectory
 	jobs    *jobs.Service
 	fleet   *fleet
+	// workersNeeded receives a value after this host has become the owner of a cell.
+	workersNeeded chan struct{}
 	// unassigned holds the workers that belong to no cell. Only the goroutine that follows the workers uses it.
 	unassigned map[ident.WorkerID]ident.DataCentre
 
@@ -103,6 +101,8 @@
 		cellMap: cellmap.New(s.Cells, s.regions()),
 		metrics: p.Metrics,
 		pool:    peergrpc.NewPool(insecure.NewCredentials()),
+
+		workersNeeded: make(chan struct{}, 1),
 	}
 	h.fleet = newFleet(h.cellMap)
 	h.createServices()
@@ -145,6 +145,7 @@
 		Logger:         h.log.Logger,
 		DecisionLog:    h.ports.DecisionLog,
 		Meter:          newOwnerMeter(h.metrics),
+		OnReplaced:     h.cluster.GiveUp,
 		RecordLatency: func(class ident.ClassName, took time.Duration) {
 			h.metrics.Histogram("job_ms", telemetry.Label{Name: "class", Value: string(class)}).Update(took.Milliseconds())
 		},
@@ -186,7 +187,7 @@
 	h.ports.RegisterCallers(h.callerServer.echo, router)
 	h.ports.RegisterStatus(h.statusServer.echo, h.ready)
 	telemetry.Register(h.metricsServer.echo, h.metrics)
-	h.peerServer = grpc.NewServer(peergrpc.ServerOptions(insecure.NewCredentials())...)
+	h.peerServer = grpc.NewServer(append(peergrpc.ServerOptions(insecure.NewCredentials()), peergrpc.ContainPanics(h.log)...)...)
 	peerv1.RegisterJobsServer(h.peerServer, peergrpc.NewJobsServer(h.jobs))
 	peergrpc.RegisterGossip(h.peerServer, h.cluster)
 	return nil
@@ -241,12 +242,14 @@
 	h.cluster.Start()
 	for _, loop := range []func(context.Context){
 		func(ctx context.Context) { h.ports.FollowTable(ctx, h.setTable) },
-		func(ctx context.Context) { h.ports.FollowWorkers(ctx, h.workerUpdateInterval, h.setWorkers) },
+		func(ctx context.Context) {
+			h.ports.FollowWorkers(ctx, hostlist.DemandSource{Current: h.workerDemand, Raised: h.workersNeeded}, h.setWorkers)
+		},
 		every(metricsInterval, h.publishState),
 		every(clockCheckInterval, newClockMonitor(h.log, h.metrics).check),
 	} {
 		group.Go(func() error {
-			loop(background)
+			contain.Loop(background, h.log, "a background loop of the host", loop)
 			return nil
 		})
 	}
@@ -269,51 +272,6 @@
 	h.log.WithField("revision", t.Revision()).Info("table in force")
 }
 
-// workerUpdateInterval returns how long changes of the workers may stay unnoticed. An owner must place nothing on a
-// worker that is leaving; other hosts only need to know which workers to claim when they become owners.
-func (h *JobHost) workerUpdateInterval() time.Duration {
-	if len(h.ownedCells()) > 0 {
-		return ownerWorkerUpdateInterval
-	}
-	return otherWorkerUpdateInterval
-}
-
-// ownedCells lists the cells for which this host holds a grant.
-func (h *JobHost) ownedCells() []ident.CellID {
-	return slices.DeleteFunc(CellIDs(h.settings.Cells), func(id ident.CellID) bool {
-		return h.cluster.Grant(id).Authority == ownership.None
-	})
-}
-
-// setWorkers assigns the workers to the cells.
-func (h *JobHost) setWorkers(list []lifecycle.Member, complete bool) {
-	next := h.assignToCells(list)
-	next.complete = complete
-	h.fleet.current.Store(next)
-	for _, id := range CellIDs(h.settings.Cells) {
-		h.fleet.passOn(h.jobs, id)
-	}
-	h.metrics.Gauge("workers_listed").Update(int64(len(list)))
-}
-
-// assignToCells groups the workers by cell. It logs a worker that belongs to no cell only once.
-func (h *JobHost) assignToCells(list []lifecycle.Member) *fleetSnapshot {
-	next := &fleetSnapshot{workers: make(map[ident.CellID][]lifecycle.Member)}
-	unassigned := make(map[ident.WorkerID]ident.DataCentre)
-	for _, m := range list {
-		if id, ok := h.cellMap.Cell(h.settings.Regions[m.DataCentre], m.Rack); ok {
-			next.workers[id] = append(next.workers[id], m)
-			continue
-		}
-		unassigned[m.ID] = m.DataCentre
-		if before, known := h.unassigned[m.ID]; !known || before != m.DataCentre {
-			h.log.WithFields(logrus.Fields{"worker": m.ID, "data_centre": m.DataCentre}).Warn("worker belongs to no cell")
-		}
-	}
-	h.unassigned = unassigned
-	return next
-}
-
 // publishState gossips the cells of this host and copies the counters of the services into the metrics registry.
 func (h *JobHost) publishState() {
 	var local cluster.LocalState
@@ -333,6 +291,10 @@
 		case c.New.Authority == ownership.None:
 			h.jobs.StopCell(c.New.Cell)
 		case c.Old.Authority == ownership.None || c.Old.Epoch != c.New.Epoch:
+			select {
+			case h.workersNeeded <- struct{}{}:
+			default:
+			}
 			go acquireCell(ctx, c.New, h.cluster, h.jobs, h.fleet, h.metrics)
 		}
 	}
--- a/relay/jobs/calls.go
+++ b/relay/jobs/calls.go
@@ -26,6 +26,12 @@
 	// expectedCommitTime is how long the store usually takes for a commit, with a margin.
 	expectedCommitTime = 50 * time.Millisecond
 	maxRetryInterval   = time.Second
+	// maxBackoffSteps is the number of failures after which neither the pause nor the time for an answer grows.
+	maxBackoffSteps = 4
+	// answerTimesPerLease is the number of times for an answer to a sync in the duration of a lease.
+	answerTimesPerLease = 8
+	// slowAnswerFactor is the number of usual answer times after which an answer counts as lost.
+	slowAnswerFactor = 4
 )
 
 // workerConn holds the commands queued for or in flight to one worker. Only the loop uses it.
@@ -57,8 +63,8 @@
 	c.member = m
 	ctx, cancel := context.WithCancel(o.ctx)
 	c.cancel = cancel
-	o.wg.Add(1)
-	go o.claimAndSync(ctx, m, c.acked)
+	acked := c.acked
+	o.run("the syncs of a worker", func() { o.claimAndSync(ctx, m, acked) }, nil)
 }
 
 func (o *owner) disconnect(id ident.WorkerID) {
@@ -78,11 +84,10 @@
 
 // claimAndSync claims a worker and syncs with it until the worker lapses or the owner stops.
 func (o *owner) claimAndSync(ctx context.Context, m lifecycle.Member, acked <-chan struct{}) {
-	defer o.wg.Done()
 	if !o.claim(ctx, m) {
 		return
 	}
-	pause := minRetryInterval
+	failures := 0
 	for ctx.Err() == nil {
 		if !o.mayRenew() {
 			if sleep.For(ctx, maxRetryInterval) != nil {
@@ -106,20 +111,38 @@
 			return
 		}
 		started := o.now()
-		if o.sync(ctx, m, req) {
-			pause = minRetryInterval
-			if sleep.For(ctx, o.cfg.SyncGap-o.now().Sub(started)) != nil {
-				return
-			}
-			continue
+		synced := o.sync(ctx, m, req, o.syncTimes(failures))
+		pause := o.cfg.SyncGap - o.now().Sub(started)
+		if synced {
+			failures = 0
+		} else {
+			pause = min(minRetryInterval<<failures, maxRetryInterval)
+			failures = min(failures+1, maxBackoffSteps)
 		}
 		if sleep.For(ctx, pause) != nil {
 			return
 		}
-		pause = min(2*pause, maxRetryInterval)
 	}
 }
 
+// syncTimes holds how long a worker may hold a sync, and after which time its answer counts as lost.
+type syncTimes struct {
+	hold, timeout time.Duration
+}
+
+// syncTimes returns the times of a sync after a number of failed ones. Only an answered sync renews leases for their full
+// time, so that several attempts have to fit into a lease: each answer is awaited for a fraction of it, and a worker
+// answers a repeat at once. The time grows with each failure, and with the time that other calls take: repeats must not add
+// to the load of a slow link.
+func (o *owner) syncTimes(failures int) syncTimes {
+	patience := max(o.cfg.Policy.LeaseDuration/answerTimesPerLease, slowAnswerFactor*o.answerTimes.mean())
+	patience = min(patience, callTimeout)
+	if failures == 0 {
+		return syncTimes{hold: o.cfg.SyncWait, timeout: o.cfg.SyncWait + patience}
+	}
+	return syncTimes{timeout: min(patience<<(failures-1), callTimeout)}
+}
+
 // mayRenew reports whether this owner may renew leases: always under full authority, and for a bounded time in doubt.
 // The bound lets a successor know when the tasks of a worker that it cannot reach have ended.
 func (o *owner) mayRenew() bool {
@@ -165,8 +188,12 @@
 		if o.authority() != ownership.None {
 			seq := o.cell.NextClaimSeq()
 			callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+			started := o.now()
 			c := o.cfg.Workers.Claim(callCtx, m, o.cellID, o.epoch)
 			cancel()
+			if c.Outcome != lifecycle.Unknown {
+				o.answerTimes.add(o.now().Sub(started))
+			}
 			if c.Report.PartialActive {
 				// The tasks that the list lacks would start again while they run. If the worker goes on like this, its leases
 				// lapse.
@@ -193,11 +220,11 @@
 }
 
 // sync performs one sync call and waits until the loop has applied its report. It reports whether both succeeded.
-func (o *owner) sync(ctx context.Context, m lifecycle.Member, req lifecycle.SyncRequest) bool {
-	callCtx, cancel := context.WithTimeout(ctx, o.cfg.SyncWait+callTimeout)
+func (o *owner) sync(ctx context.Context, m lifecycle.Member, req lifecycle.SyncRequest, times syncTimes) bool {
+	callCtx, cancel := context.WithTimeout(ctx, times.timeout)
 	defer cancel()
 	o.syncsInProgress.Add(1)
-	c := o.cfg.Workers.Sync(callCtx, m, o.epoch, req, o.cfg.SyncWait)
+	c := o.cfg.Workers.Sync(callCtx, m, o.epoch, req, times.hold)
 	o.syncsInProgress.Add(-1)
 	o.recordAnswer(ctx, m, c.Answer)
 	if c.Reason == lifecycle.ReasonFenced {
@@ -252,9 +279,7 @@
 			c.throttlesInFlight++
 		}
 		m := c.member
-		o.wg.Add(1)
-		go func() {
-			defer o.wg.Done()
+		o.run("a call to a worker", func() {
 			answer := o.send(m, command)
 			o.post(func() {
 				c.callsInFlight--
@@ -264,7 +289,7 @@
 				o.apply(answer())
 				o.sendQueuedCalls(c)
 			})
-		}()
+		}, nil)
 	}
 }
 
@@ -284,8 +309,26 @@
 	}
 }
 
+// maySend reports whether the authority of the owner still allows a command: it may have been decided, or have queued,
+// before a pause of the process. Only an owner with full authority starts or moves tasks. One in doubt may still stop what
+// nobody wants any more.
+func (o *owner) maySend(command lifecycle.Command) bool {
+	switch command.(type) {
+	case lifecycle.StartTask, lifecycle.CheckpointTask:
+		return o.authority() == ownership.Full
+	default:
+		return o.authority() != ownership.None
+	}
+}
+
 // send performs one call and returns the function that applies its answer, to be run in the loop.
 func (o *owner) send(m lifecycle.Member, command lifecycle.Command) func() lifecycle.Effects {
+	if !o.maySend(command) {
+		return func() lifecycle.Effects {
+			o.answerNotSent(m.ID, command)
+			return lifecycle.Effects{}
+		}
+	}
 	switch c := command.(type) {
 	case lifecycle.StartTask:
 		a := o.sendStart(m, c)
@@ -325,16 +368,20 @@
 	return func() lifecycle.Effects { return lifecycle.Effects{} }
 }
 
-// sendStart sends a start only under full authority, and only if the cell still wants it: the command may have queued
-// behind earlier calls to the worker. A pause of the process between these checks and the call is covered by the lease
+// sendStart sends a start only if the cell still wants it: the command may have queued behind earlier calls to the worker.
+// A pause of the process between these checks and the call is covered by the lease
 // token, which the worker refuses after 10 s.
 func (o *owner) sendStart(m lifecycle.Member, c lifecycle.StartTask) lifecycle.Answer {
-	if o.authority() != ownership.Full || !o.cell.ShouldSendStart(m.ID, c.AttemptID) {
+	if !o.cell.ShouldSendStart(m.ID, c.AttemptID) {
 		return notSentAnswer
 	}
 	ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
 	defer cancel()
+	started := o.now()
 	a := o.cfg.Workers.Start(ctx, m, o.epoch, c)
+	if a.Outcome != lifecycle.Unknown {
+		o.answerTimes.add(o.now().Sub(started))
+	}
 	switch a.Outcome {
 	case lifecycle.Applied:
 		o.stats.StartedTasks.Add(1)
