--- a/relay/cluster/gossip.go
+++ b/relay/cluster/gossip.go
@@ -17,7 +17,7 @@
 func (s *Service) gossipLoop(ctx context.Context) {
 	var lastExchange, lastReconnect time.Time
 	for {
-		mode := s.exchangeMode()
+		mode := s.currentExchangeMode()
 		now := s.now()
 		if now.Sub(lastExchange) >= mode.interval() {
 			s.exchangeRound(ctx, mode.all)
@@ -51,7 +51,8 @@
 	allFrom time.Time
 }
 
-func (s *Service) exchangeMode() (mode exchangeMode) {
+// currentExchangeMode returns the mode for the present state of the ownership rules and the view.
+func (s *Service) currentExchangeMode() (mode exchangeMode) {
 	s.withMachine(func(m *ownership.Machine, now time.Time) {
 		from, needed := m.ReportsNeededFrom()
 		switch {
--- a/relay/jobs/average_test.go
+++ b/relay/jobs/average_test.go
@@ -25,16 +25,16 @@
 // Guards against syncs that are repeated while their answers are on a slow link, which adds to its load.
 func TestOwnerWaitsLongerForSlowAnswers(t *testing.T) {
 	o := &owner{cfg: &Config{SyncWait: time.Second, Policy: lifecycle.Policy{LeaseDuration: 6 * time.Second}}}
-	fast := o.syncTimes(0)
+	fast := o.timesOfSync(0)
 	require.Equal(t, syncTimes{hold: time.Second, timeout: 1750 * time.Millisecond}, fast)
-	require.Equal(t, syncTimes{timeout: 750 * time.Millisecond}, o.syncTimes(1))
+	require.Equal(t, syncTimes{timeout: 750 * time.Millisecond}, o.timesOfSync(1))
 	for range 100 {
 		o.answerTimes.add(300 * time.Millisecond)
 	}
-	require.Greater(t, o.syncTimes(0).timeout, 2*time.Second)
+	require.Greater(t, o.timesOfSync(0).timeout, 2*time.Second)
 	for range 100 {
 		o.answerTimes.add(10 * time.Second)
 	}
-	require.Equal(t, o.cfg.SyncWait+callTimeout, o.syncTimes(0).timeout)
-	require.Equal(t, callTimeout, o.syncTimes(maxBackoffSteps).timeout)
+	require.Equal(t, o.cfg.SyncWait+callTimeout, o.timesOfSync(0).timeout)
+	require.Equal(t, callTimeout, o.timesOfSync(maxBackoffSteps).timeout)
 }
--- a/relay/jobs/calls.go
+++ b/relay/jobs/calls.go
@@ -111,7 +111,7 @@
 			return
 		}
 		started := o.now()
-		synced := o.sync(ctx, m, req, o.syncTimes(failures))
+		synced := o.sync(ctx, m, req, o.timesOfSync(failures))
 		pause := o.cfg.SyncGap - o.now().Sub(started)
 		if synced {
 			failures = 0
@@ -130,11 +130,11 @@
 	hold, timeout time.Duration
 }
 
-// syncTimes returns the times of a sync after a number of failed ones. Only an answered sync renews leases for their full
+// timesOfSync returns the times of a sync after a number of failed ones. Only an answered sync renews leases for their full
 // time, so that several attempts have to fit into a lease: each answer is awaited for a fraction of it, and a worker
 // answers a repeat at once. The time grows with each failure, and with the time that other calls take: repeats must not add
 // to the load of a slow link.
-func (o *owner) syncTimes(failures int) syncTimes {
+func (o *owner) timesOfSync(failures int) syncTimes {
 	patience := max(o.cfg.Policy.LeaseDuration/answerTimesPerLease, slowAnswerFactor*o.answerTimes.mean())
 	patience = min(patience, callTimeout)
 	if failures == 0 {
