--- a/core/membership/bench_test.go
+++ b/core/membership/bench_test.go
@@ -11,7 +11,9 @@
 
 // settledViews returns the views of two of n members that know all members and have nothing left to send.
 func settledViews(n int) (a, b *View) {
-	instance := func(i int) ident.Instance { return ident.Instance{Host: ident.HostID(fmt.Sprintf("relay-%03d", i)), Incarnation: 1} }
+	instance := func(i int) ident.Instance {
+		return ident.Instance{Host: ident.HostID(fmt.Sprintf("relay-%03d", i)), Incarnation: 1}
+	}
 	views := make([]*View, 2)
 	for i := range views {
 		views[i] = New(DefaultConfig(instance(i)), Payload{PeerAddress: fmt.Sprintf("10.0.0.%d:7000", i)}, testStart)
