Ask all members at once when the lease is about to lapse

Cause: since full exchanges are made only when they are needed, the first one waited for half a second after the last exchange with a single member. If that one came late, an owner with a lease of 2 s had no reports when its lease lapsed, and lost its authority for up to 50 ms at the start of an outage of the store.

Change: rounds with all members have a time of their own.

--- a/relay/cluster/gossip.go
+++ b/relay/cluster/gossip.go
@@ -15,20 +15,26 @@
 // gossipLoop exchanges state with other members: with one member a second when idle, more often while changes are
 // pending or no member has acknowledged this host, and with all members while this host needs their reports.
 func (s *Service) gossipLoop(ctx context.Context) {
-	var lastExchange, lastReconnect time.Time
+	// lastRound is the start of the last round of each kind: exchanges with some members, and with all.
+	var lastRound struct{ some, all time.Time }
+	var lastReconnect time.Time
 	for {
 		mode := s.currentExchangeMode()
 		now := s.now()
-		if now.Sub(lastExchange) >= mode.interval() {
+		last := &lastRound.some
+		if mode.all {
+			last = &lastRound.all
+		}
+		if now.Sub(*last) >= mode.interval() {
+			*last = now
 			s.exchangeRound(ctx, mode.all)
-			lastExchange = now
 		}
 		if now.Sub(lastReconnect) >= reconnectInterval {
 			lastReconnect = now
 			s.reconnect(ctx)
 		}
 		s.updateView(func(v *membership.View, now time.Time) { v.Tick(now) })
-		t := time.NewTimer(mode.waitUntilNext(lastExchange, s.now()))
+		t := time.NewTimer(mode.waitUntilNext(*last, s.now()))
 		select {
 		case <-t.C:
 		case <-s.exchangeSoon:
@@ -81,8 +87,8 @@
 }
 
 // waitUntilNext returns how long to wait at now for the next round, or until the mode may change.
-func (m exchangeMode) waitUntilNext(lastExchange, now time.Time) time.Duration {
-	next := lastExchange.Add(m.interval())
+func (m exchangeMode) waitUntilNext(last, now time.Time) time.Duration {
+	next := last.Add(m.interval())
 	if !m.allFrom.IsZero() && m.allFrom.Before(next) {
 		next = m.allFrom
 	}
