--- a/relay/jobs/panic_test.go
+++ b/relay/jobs/panic_test.go
@@ -46,21 +46,20 @@
 	synctest.Test(t, func(t *testing.T) {
 		fx := newFixture(t, 2)
 		defer fx.close()
-		var (
-			fail     atomic.Bool
-			replaced []ident.Epoch
-		)
+		var fail atomic.Bool
+		replaced := make(chan ident.Epoch, 4)
 		h := fx.hostWith(func(cfg *jobs.Config) {
 			cfg.NewPlanner = func(ident.CellID, *table.Table) placement.Planner {
 				return failingPlanner{placement.NewCell(1, placement.Options{Cell: cell}), &fail}
 			}
-			cfg.OnReplaced = func(_ ident.CellID, epoch ident.Epoch) { replaced = append(replaced, epoch) }
+			cfg.OnReplaced = func(_ ident.CellID, epoch ident.Epoch) { replaced <- epoch }
 		})
 		fx.giveCell(h)
 		id := h.submit(spec("batch", 2, "x"))
 		fail.Store(true)
 		time.Sleep(5 * time.Second)
-		require.Equal(t, []ident.Epoch{h.Grant(cell).Epoch}, replaced)
+		require.Equal(t, h.Grant(cell).Epoch, <-replaced)
+		require.Empty(t, replaced)
 		_, err := h.svc.Submit(bg, cell, spec("batch", 1, "x"))
 		require.Error(t, err)
 
