--- a/review/harness/cluster.go
+++ b/review/harness/cluster.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -27,6 +28,9 @@
 	runs    *runLog
 	dir     string
 	stop    chan struct{}
+	// block holds the block of ports of this harness. firstPort is its first port, nextPort the next one for a host.
+	block               net.Listener
+	firstPort, nextPort int
 
 	// mu guards the record file.
 	mu     sync.Mutex
@@ -59,6 +63,10 @@
 		client: &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
 	}
 	c.runs = newRunLog(c.record)
+	if c.firstPort, c.block, err = takeBlock(); err != nil {
+		return c, err
+	}
+	c.nextPort = c.firstPort + 1
 	go c.store.expireLeases(c.stop)
 	c.store.write("op/config", []byte(manifest()), 0)
 	for n := range workers {
@@ -137,6 +145,9 @@
 	for _, h := range c.hosts {
 		h.kill()
 	}
+	if c.block != nil {
+		_ = c.block.Close()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	_ = c.file.Close()
