Log why a cell cannot be acquired

Change: a warning with the cell, the epoch and the error for the first failure and for each other error; the counter acquire_failures_total stays.

--- a/daemon/jobhost.go
+++ b/daemon/jobhost.go
@@ -295,7 +295,7 @@
 			case h.workersNeeded <- struct{}{}:
 			default:
 			}
-			go acquireCell(ctx, c.New, h.cluster, h.jobs, h.fleet, h.metrics)
+			go acquireCell(ctx, c.New, h.cluster, h.jobs, h.fleet, h.metrics, h.log)
 		}
 	}
 }
--- a/daemon/loops.go
+++ b/daemon/loops.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/bulrushrelay/bulrushrelay/adapter/telemetry"
 	"github.com/bulrushrelay/bulrushrelay/core/cellmap"
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
@@ -110,7 +112,7 @@
 		case c.New.Authority == ownership.None:
 			h.jobs.StopCell(c.New.Cell)
 		case c.Old.Authority == ownership.None || c.Old.Epoch != c.New.Epoch:
-			go acquireCell(ctx, c.New, h.cluster, h.jobs, h.fleet, h.metrics)
+			go acquireCell(ctx, c.New, h.cluster, h.jobs, h.fleet, h.metrics, h.log)
 		}
 	}
 }
@@ -118,7 +120,9 @@
 // acquireCell starts the jobs of a cell. It retries until the store answers or the host has lost the cell.
 func acquireCell(
 	ctx context.Context, g ownership.Grant, grants *cluster.Service, owned *jobs.Service, workers *fleet, metrics *telemetry.Registry,
+	log *logrus.Entry,
 ) {
+	lastError := ""
 	ticker := time.NewTicker(acquireRetryInterval)
 	defer ticker.Stop()
 	for {
@@ -132,6 +136,10 @@
 			return
 		}
 		metrics.Counter("acquire_failures_total").Inc(1)
+		if err.Error() != lastError {
+			lastError = err.Error()
+			log.WithError(err).WithFields(logrus.Fields{"cell": g.Cell, "epoch": g.Epoch}).Warn("cannot acquire the cell; trying again")
+		}
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
