--- a/relay/jobs/log.go
+++ b/relay/jobs/log.go
@@ -29,6 +29,8 @@
 	maxQueueBytes = 32 << 20
 	// entriesPerSnapshot is the number of log entries after which a snapshot is written and the log truncated.
 	entriesPerSnapshot = 256
+	// snapshotRetryEntries is the number of further log entries after which a snapshot that failed is tried again.
+	snapshotRetryEntries = 16
 	// maxTruncateOps bounds the operations of one transaction. The smallest limit of the supported stores is 32, which
 	// includes the condition.
 	maxTruncateOps  = 30
@@ -89,9 +91,14 @@
 	seq                  uint64
 	firstSeq             uint64
 	entriesSinceSnapshot int
-	head                 Head
-	snapshotParts        []string
-	garbageParts         []string
+	// head is the stored snapshot head, headRevision its revision (0 if there is none), and snapshotParts the keys that it names.
+	head          Head
+	headRevision  store.Revision
+	snapshotParts []string
+	// openSnapshot is the snapshot of which it is not known whether its head is stored; nil if there is none.
+	openSnapshot *snapshotWrite
+	// garbageParts are the keys of parts that no head names or will name.
+	garbageParts []string
 }
 
 // append queues records and returns their entries in the queue.
--- a/relay/jobs/service.go
+++ b/relay/jobs/service.go
@@ -231,7 +231,7 @@
 		wake:         make(chan struct{}, 1),
 		writerDone:   make(chan struct{}),
 		seq:          state.lastSeq, firstSeq: state.firstSeq, entriesSinceSnapshot: int(state.lastSeq - state.head.Seq),
-		head: state.head, snapshotParts: state.snapshotParts, garbageParts: state.garbageParts,
+		head: state.head, headRevision: state.headRevision, snapshotParts: state.snapshotParts, garbageParts: state.garbageParts,
 	}
 	return o
 }
