Name the estimates that a write replaces

They stayed until something else was learnt.

Change: the write compares the revision of the value that it replaces; after a refusal the stored value is read again.

Evidence: TestLateWriteOfEstimatesIsRefused failed before in the case of a late execution (7 s) and passes.

--- a/relay/jobs/estimates.go
+++ b/relay/jobs/estimates.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -34,13 +35,13 @@
 	if !found {
 		return
 	}
+	o.savedEstimates = entry
 	estimates, err := o.cfg.Codec.DecodeEstimates(entry.Value)
 	if err != nil {
 		o.logger.WithError(err).Warn("cannot decode the estimates of the predecessor; they are learnt anew")
 		return
 	}
 	p.RestoreEstimates(estimates)
-	o.savedEstimates = entry.Value
 }
 
 // saveEstimatesPeriodically writes the estimates of the planner to the store until ctx ends.
@@ -59,17 +60,34 @@
 	}
 }
 
+// saveEstimates writes the estimates unless the store holds them already. The write names the value that it replaces, so that
+// the store cannot execute it after a newer one.
 func (o *owner) saveEstimates(ctx context.Context, p LearningPlanner) error {
 	value, err := o.cfg.Codec.EncodeEstimates(p.Estimates())
 	if err != nil {
 		return err
 	}
-	if bytes.Equal(value, o.savedEstimates) {
+	if bytes.Equal(value, o.savedEstimates.Value) {
 		return nil
 	}
-	if err := o.log.writeAsOwner(ctx, store.Op{Key: estimatesKey(o.cellID), Value: value}); err != nil {
+	revision, err := o.log.replaceAsOwner(ctx, estimatesKey(o.cellID), o.savedEstimates.ModRevision, value)
+	if errors.Is(err, errReplaced) {
+		// An earlier write, whose answer was lost, may have taken effect.
+		return errors.Join(err, o.readSavedEstimates(ctx))
+	}
+	if err != nil {
 		return err
 	}
-	o.savedEstimates = value
+	o.savedEstimates = store.Entry{Value: value, ModRevision: revision}
 	return nil
 }
+
+func (o *owner) readSavedEstimates(ctx context.Context) error {
+	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	entry, _, err := o.cfg.Store.Get(callCtx, estimatesKey(o.cellID))
+	if err == nil {
+		o.savedEstimates = entry
+	}
+	return err
+}
--- a/relay/jobs/owner.go
+++ b/relay/jobs/owner.go
@@ -12,6 +12,7 @@
 	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
 	"github.com/bulrushrelay/bulrushrelay/core/ownership"
 	"github.com/bulrushrelay/bulrushrelay/core/placement"
+	"github.com/bulrushrelay/bulrushrelay/core/store"
 	"github.com/bulrushrelay/bulrushrelay/core/table"
 )
 
@@ -73,7 +74,7 @@
 
 	// savedEstimates is the stored encoding of the planner's estimates. It is used by restoreEstimates and after that
 	// only by saveEstimatesPeriodically, so that it needs no lock.
-	savedEstimates []byte
+	savedEstimates store.Entry
 
 	// The fields below are used by the loop only.
 	// table is the one in force; nil if none is known yet.
--- a/relay/jobs/snapshotwrite_test.go
+++ b/relay/jobs/snapshotwrite_test.go
@@ -19,6 +19,7 @@
 const (
 	snapshotHeadKey = "/cell/1/snap"
 	snapshotParts   = "/cell/1/part/"
+	estimatesKey    = "/cell/1/learnt"
 	// neverExecuted is the delay of a write that is lost on its way to the store.
 	neverExecuted = time.Duration(-1)
 )
@@ -141,3 +142,33 @@
 		require.Contains(fx.t, e.Key, snapshotParts+head.ID+"/")
 	}
 }
+
+// Guards against a late write of older estimates that replaces newer ones, and against estimates that are never written
+// again after an answer was lost.
+func TestLateWriteOfEstimatesIsRefused(t *testing.T) {
+	for name, delay := range map[string]time.Duration{
+		"executed before the next one": 0, "executed after the next one": 7 * time.Second, "never executed": neverExecuted,
+	} {
+		t.Run(name, func(t *testing.T) {
+			scenario(t, 1, func(fx *fixture, h *host) {
+				fx.kill(h)
+				h, late := fx.lateHost(estimatesKey, delay)
+				fx.giveCell(h)
+				for n, image := range []string{"first", "second"} {
+					work := spec("batch", 1, "work=60s")
+					work.Groups[0].Constraints.Image = image
+					h.submit(work)
+					for late.writeCount() <= n {
+						time.Sleep(10 * time.Millisecond)
+					}
+				}
+				time.Sleep(20 * time.Second)
+				entry, _, err := fx.engine.Get(bg, estimatesKey)
+				require.NoError(t, err)
+				stored, err := cellpb.Codec{}.DecodeEstimates(entry.Value)
+				require.NoError(t, err)
+				require.Len(t, stored.Images, 2)
+			})
+		})
+	}
+}
