Name the member record that a registration replaces

If that process ended and the store executed the write after the next process of the host had registered, the record of the earlier process replaced the present one and ended with its lease. The host then took no cell any more, because a process registers once a lease.

Change: the write compares the revisions of the member record and the roster record that were read before. A record of a newer incarnation is an error, as it was for the roster record.

Evidence: TestLateMemberRecordOfAnEarlierProcess failed before and passes; the other tests of relay/cluster pass.

--- a/relay/cluster/store.go
+++ b/relay/cluster/store.go
@@ -92,21 +92,24 @@
 	return id
 }
 
-// register writes the leased member record and, once per incarnation, the lasting roster record.
+// register writes the leased member record and, once per incarnation, the lasting roster record. Each write names the record
+// that it replaces, so that the store cannot execute it after a later process of this host has registered.
 func (s *Service) register(ctx context.Context, lease store.LeaseID) error {
 	self := s.cfg.Ownership.Self
 	record := s.cfg.Codec.EncodeMember(MemberRecord{
 		Instance: self, DataCentre: s.cfg.Ownership.DataCentre, Address: s.cfg.PeerAddress, MilliCPU: s.cfg.MilliCPU,
 	})
 	ops := []store.Op{{Key: MemberPrefix + string(self.Host), Value: record, Lease: lease}}
-	var compares []store.Compare
 	if !s.inRoster.Load() {
-		cmp, err := s.rosterCondition(ctx)
+		ops = append(ops, store.Op{Key: rosterPrefix + string(self.Host), Value: record})
+	}
+	var compares []store.Compare
+	for _, op := range ops {
+		cmp, err := s.unchanged(ctx, op.Key)
 		if err != nil {
 			return err
 		}
 		compares = append(compares, cmp)
-		ops = append(ops, store.Op{Key: rosterPrefix + string(self.Host), Value: record})
 	}
 	var result store.TxnResult
 	err := s.callStore(ctx, func(ctx context.Context) (err error) {
@@ -114,7 +117,7 @@
 		return err
 	})
 	if err == nil && result.Outcome != store.Applied {
-		err = fmt.Errorf("register %s: the roster record has changed since it was read", self)
+		err = fmt.Errorf("register %s: a record of this host has changed since it was read", self)
 	}
 	if err != nil {
 		return err
@@ -123,12 +126,11 @@
 	return s.readRoster(ctx)
 }
 
-// rosterCondition returns the condition that the roster record has not changed since it was read. The record may
+// unchanged reads a record of this host and returns the condition that it has not changed since. The record may
 // already be that of this incarnation, if the answer to an earlier registration was lost. A record of a newer
 // incarnation means that this process has been replaced, which is an error.
-func (s *Service) rosterCondition(ctx context.Context) (store.Compare, error) {
+func (s *Service) unchanged(ctx context.Context, key string) (store.Compare, error) {
 	self := s.cfg.Ownership.Self
-	key := rosterPrefix + string(self.Host)
 	var (
 		entry store.Entry
 		ok    bool
@@ -184,7 +186,7 @@
 	lease := s.currentLease()
 	if s.inRoster.Load() {
 		// The record of a newer incarnation must be kept.
-		if cmp, err := s.rosterCondition(ctx); err == nil {
+		if cmp, err := s.unchanged(ctx, rosterPrefix+string(s.cfg.Ownership.Self.Host)); err == nil {
 			_ = s.callStore(ctx, func(ctx context.Context) error {
 				_, err := s.cfg.Store.Txn(ctx, []store.Compare{cmp}, []store.Op{{Key: cmp.Key, Delete: true}})
 				return err
