Let a withdrawn submission remove its own record only

Cause: the withdrawal of one attempt removed the pending submission by the id of the job. If the owner had handled the next attempt meanwhile, the entry was that of its record; a third attempt then took the job for stored.

Change: submitters join and leave a record, and the last one that leaves withdraws it. The loop removes an entry only if it names the withdrawn record, and an attempt that meets a withdrawn record queues its own. An attempt no longer fails because another one that shares its record has left.

--- a/relay/jobs/api.go
+++ b/relay/jobs/api.go
@@ -63,23 +63,7 @@
 		err error
 	)
 	storeFailingFor := o.log.failingFor()
-	ok := o.call(ctx, func() {
-		if limit := o.cfg.StallLimit; limit > 0 && storeFailingFor >= limit && !o.cell.IsRepeat(spec) {
-			// A new record would only wait behind those that the store does not accept. Refusing at once lets the caller
-			// try another cell or come back later.
-			err = verdict.New(verdict.NotRun, verdict.CodeLimited, "the store has not answered for %s", storeFailingFor.Round(time.Millisecond)).
-				WithRetryAfter(stalledStoreRetryAfter)
-			return
-		}
-		var eff lifecycle.Effects
-		if id, eff, err = o.cell.Accept(o.now(), spec); err != nil {
-			return
-		}
-		if items := o.apply(eff); len(items) > 0 {
-			o.pendingSubmissions[id] = items[0]
-		}
-		rec = o.pendingSubmissions[id]
-	})
+	ok := o.call(ctx, func() { id, rec, err = o.queueSubmission(spec, storeFailingFor) })
 	if !ok {
 		return id, o.errSubmissionNotRun(ctx, spec)
 	}
@@ -100,6 +84,40 @@
 		"job %s may have been accepted: the store did not answer; a repeat with the same client token is safe", id)
 }
 
+// queueSubmission returns the record for which a submission waits: a new one, or that of an earlier attempt with the same
+// client token or number. It is nil if the job is durable already.
+func (o *owner) queueSubmission(spec lifecycle.JobSpec, storeFailingFor time.Duration) (ident.JobID, *pendingRecord, error) {
+	for {
+		if limit := o.cfg.StallLimit; limit > 0 && storeFailingFor >= limit && !o.cell.IsRepeat(spec) {
+			// A new record would only wait behind those that the store does not accept. Refusing at once lets the caller
+			// try another cell or come back later.
+			return ident.JobID{}, nil, verdict.New(verdict.NotRun, verdict.CodeLimited,
+				"the store has not answered for %s", storeFailingFor.Round(time.Millisecond)).WithRetryAfter(stalledStoreRetryAfter)
+		}
+		id, eff, err := o.cell.Accept(o.now(), spec)
+		if err != nil {
+			return id, nil, err
+		}
+		if items := o.apply(eff); len(items) > 0 {
+			o.pendingSubmissions[id] = items[0]
+		}
+		rec := o.pendingSubmissions[id]
+		if rec == nil || o.log.join(rec) {
+			return id, rec, nil
+		}
+		// The earlier attempt has withdrawn its record, but the loop has not handled that yet.
+		o.forgetSubmission(id, spec, rec)
+	}
+}
+
+// forgetSubmission removes a submission whose record was withdrawn, unless a later attempt has queued another one.
+func (o *owner) forgetSubmission(id ident.JobID, spec lifecycle.JobSpec, withdrawn *pendingRecord) {
+	if o.pendingSubmissions[id] == withdrawn {
+		delete(o.pendingSubmissions, id)
+		o.cell.Withdraw(id, spec)
+	}
+}
+
 // errSubmissionNotRun returns the error of a submission that the loop has not run. An earlier submission with the same
 // client token or number may have been accepted.
 func (o *owner) errSubmissionNotRun(ctx context.Context, spec lifecycle.JobSpec) error {
@@ -138,10 +156,12 @@
 	}
 }
 
-// withdraw takes a submission back if its record was certainly not written, and reports whether it did. A repeat of
-// the submission waits for the same record.
+// withdraw takes a submission back if no other attempt waits for its record and the record was certainly not written. It
+// reports whether it did.
 func (o *owner) withdraw(id ident.JobID, spec lifecycle.JobSpec, rec *pendingRecord) bool {
-	o.log.withdraw(rec)
+	if !o.log.withdraw(rec) {
+		return false
+	}
 	timeout := time.NewTimer(withdrawTimeout)
 	defer timeout.Stop()
 	select {
@@ -151,16 +171,10 @@
 	case <-o.log.writerDone:
 		// After the writer has ended, the queue holds only records that were never written.
 	}
-	select {
-	case <-rec.done:
-	default:
-		return false
-	}
-	if rec.durable {
+	if !rec.isWithdrawn() {
 		return false
 	}
-	o.cell.Withdraw(id, spec)
-	o.post(func() { delete(o.pendingSubmissions, id) })
+	o.post(func() { o.forgetSubmission(id, spec, rec) })
 	return true
 }
 
--- a/relay/jobs/log.go
+++ b/relay/jobs/log.go
@@ -46,10 +46,22 @@
 	// done is closed when the record is durable or withdrawn; durable says which.
 	done    chan struct{}
 	durable bool
-	// abandoned is set while a submitter wants to withdraw the record and waits for a write in progress to end.
+	// waiters counts the submitters that wait for the record. abandoned is set once the last of them withdraws it and waits
+	// for a write in progress to end. Both are guarded by cellLog.mu.
+	waiters   int
 	abandoned bool
 }
 
+// isWithdrawn reports whether the record was withdrawn and will never be written.
+func (r *pendingRecord) isWithdrawn() bool {
+	select {
+	case <-r.done:
+		return !r.durable
+	default:
+		return false
+	}
+}
+
 // cellLog appends the records of one owner to the log of its cell, in order. Records that are queued together are
 // written in one commit.
 type cellLog struct {
@@ -173,13 +185,28 @@
 	return l.queuedBytes > maxQueueBytes
 }
 
-// withdraw removes a record that was certainly not written. A record that is part of a write in progress is removed
-// once that write is known to have had no effect, unless cancelWithdrawal is called first.
-func (l *cellLog) withdraw(rec *pendingRecord) {
+// join adds a submitter that waits for a record. It returns false if the record has been withdrawn.
+func (l *cellLog) join(rec *pendingRecord) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if rec.isWithdrawn() {
+		return false
+	}
+	rec.waiters++
+	rec.abandoned = false
+	return true
+}
+
+// withdraw ends the wait of one submitter and reports whether it was the last one. The record is then removed if it was
+// certainly not written. A record that is part of a write in progress is removed once that write is known to have had no
+// effect, unless a submitter joins it or cancelWithdrawal is called first.
+func (l *cellLog) withdraw(rec *pendingRecord) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	rec.abandoned = true
+	rec.waiters--
+	rec.abandoned = rec.waiters == 0
 	l.dropAbandoned()
+	return rec.abandoned
 }
 
 // cancelWithdrawal undoes withdraw: the record is written when the store answers.
