--- a/core/lifecycle/recovery_test.go
+++ b/core/lifecycle/recovery_test.go
@@ -140,3 +140,23 @@
 	require.Len(t, commandsOf[PutWorker](f), 1)
 	require.Contains(t, f.c.Snapshot(f.now, false).Workers, WorkerAdded{Worker: "w1"})
 }
+
+// Guards against a start after the last retry: a snapshot held a failure whose record never became durable, so that the next
+// owner did not count it when the worker reported it again.
+func TestSnapshotHoldsNoFailureWithoutDurableRecord(t *testing.T) {
+	old := newFixture(t, 7, "w1", "w2")
+	task := ident.TaskID{Job: old.submit(1)}
+	old.failTask(task, "w1")
+	old.failTask(task, "w2")
+	last := old.startTask(task, "w1")
+	old.holdLog = true
+	old.reportEnds("w1", EndedAttempt{AttemptID: last, End: EndFailed})
+
+	f := old.takeOver(false, "w1", "w2")
+	f.claim("w2", Report{})
+	f.claim("w1", Report{Ended: []EndedAttempt{{AttemptID: last, End: EndFailed}}})
+	require.Empty(t, f.takeEnqueued(), "the task has no retries left")
+	require.Equal(t, Failed, f.taskView(task.Job, 0).State)
+	require.Contains(t, f.acks("w1"), last)
+	require.Len(t, f.c.Snapshot(f.now, false).Jobs[0].Tasks[0].Failures, 3, "the next snapshot holds it")
+}
--- a/core/lifecycle/restore.go
+++ b/core/lifecycle/restore.go
@@ -281,7 +281,8 @@
 }
 
 // Snapshot returns the durable state. It may include effects of records that are not in the log yet; replaying these
-// changes nothing. clean marks the last snapshot of a drained owner, and is ignored during recovery.
+// changes nothing. Failures without a durable record are left out: the worker reports them again, and the next owner must count
+// them then to know whether the task has attempts left. clean marks the last snapshot of a drained owner, and is ignored during recovery.
 func (c *Cell) Snapshot(now time.Time, clean bool) Snapshot {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -291,12 +292,12 @@
 		s.Workers = append(s.Workers, WorkerAdded{Worker: id, Address: address})
 	}
 	for _, id := range c.jobOrder {
-		s.Jobs = append(s.Jobs, c.jobs[id].snapshot())
+		s.Jobs = append(s.Jobs, c.jobSnapshot(c.jobs[id]))
 	}
 	return s
 }
 
-func (j *job) snapshot() JobSnapshot {
+func (c *Cell) jobSnapshot(j *job) JobSnapshot {
 	s := JobSnapshot{
 		Job: j.id, Spec: j.spec, AcceptedAt: j.acceptedAt, Cancelled: j.cancelled, FinishedAt: j.finishedAt,
 	}
@@ -307,7 +308,7 @@
 		}
 		ts := TaskSnapshot{
 			Index: uint32(i), NextAttempt: t.nextAttempt, LastEnded: t.lastEnded, LastRan: t.lastRan, MaybeSent: t.maybeSent,
-			Evictions: t.evictions, Checkpoint: t.checkpoint, Failures: slices.Clone(t.failures),
+			Evictions: t.evictions, Checkpoint: t.checkpoint, Failures: c.durableFailures(t),
 		}
 		if t.state.Final() {
 			ts.State = t.state
@@ -319,3 +320,11 @@
 	}
 	return s
 }
+
+// durableFailures returns the failures of a task whose records are durable.
+func (c *Cell) durableFailures(t *task) []Failure {
+	return slices.DeleteFunc(slices.Clone(t.failures), func(f Failure) bool {
+		_, unlogged := c.unloggedEnds[AttemptID{Task: t.id, Attempt: f.Attempt}]
+		return unlogged
+	})
+}
