Deny jobs under full authority only

Cause: an owner that the store turns away is in doubt and may have a successor. It still answered from its own state that it does not know a job, which the successor had accepted.

Change: an owner says of a job that it is not known only under full authority, checked after the state was read. Otherwise it answers that it is not available, with a time to come back.

--- a/relay/jobs/api.go
+++ b/relay/jobs/api.go
@@ -198,7 +198,17 @@
 	if submission != nil && !o.awaitDurable(ctx, submission) {
 		return errSubmissionPending(id)
 	}
-	return o.cancelJob(ctx, id)
+	return o.confirmNotFound(o.cancelJob(ctx, id))
+}
+
+// confirmNotFound replaces the answer that a job is not known unless the owner has full authority: otherwise a successor may
+// have accepted the job. It is called with the answer, because the process may have been paused since the question.
+func (o *owner) confirmNotFound(err error) error {
+	if err == nil || verdict.FromError(err).Code != verdict.CodeNotFound || o.authority() == ownership.Full {
+		return err
+	}
+	return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "the owner of cell %d may have a successor that knows more jobs", o.cellID).
+		WithRetryAfter(time.Second)
 }
 
 // errSubmissionPending returns the error for a cancellation whose job is still being submitted: the job may yet be
@@ -241,7 +251,7 @@
 	}
 	v, err := o.cell.Get(id, from, limit)
 	o.waits.explain(v.Tasks)
-	return v, err
+	return v, o.confirmNotFound(err)
 }
 
 // WaitingJobs returns the number of jobs of a cell that have not run any task yet, by class.
@@ -270,7 +280,7 @@
 		return nil, errNotOwned(id.Cell)
 	}
 	if _, err := o.cell.Get(id, 0, 0); err != nil {
-		return nil, err
+		return nil, o.confirmNotFound(err)
 	}
 	changed := o.watchers.add(id)
 	out := make(chan lifecycle.JobView)
