Start a task of each idle job while most of the capacity is free

Cause: fillers are placed only as far as the unused processors carry them, and jobs that can still be on time go first. In a flood the others waited without bound, although fillers do not count against the capacity and half of it was free.

Change: while less than half of the capacity is booked, a job of fillers that has had nothing running for 1.5 s gets one task started on the best worker with memory, also beside fillers that use all processors, but beside no serving task over its target.

--- a/core/placement/booking.go
+++ b/core/placement/booking.go
@@ -88,7 +88,7 @@
 // book places a task on a worker and updates all counts.
 func (c *Cell) book(t *task, n *node) {
 	t.state = running
-	c.waiting.remove(t)
+	c.removeWaiting(t)
 	n.addTask(t)
 	c.spread.addTasks(t.id.Job, n.rack, 1)
 	c.shares.addHeld(t.class, t.desired, 1)
@@ -166,7 +166,7 @@
 }
 
 func (c *Cell) untrack(t *task) {
-	c.waiting.remove(t)
+	c.removeWaiting(t)
 	delete(c.tasks, t.id)
 	t.tenant.tasks--
 	t.class.pruneTenant(t.tenant)
--- a/core/placement/cell.go
+++ b/core/placement/cell.go
@@ -33,6 +33,8 @@
 	parked map[ident.TaskID]*task
 	// waiting lists the queued, claimed and parked tasks.
 	waiting waitingList
+	// idleJobCursor is the waiting task at which startIdleJobs goes on; nil for the first.
+	idleJobCursor *task
 
 	shares *shares
 	spread *rackSpread
--- a/core/placement/explain.go
+++ b/core/placement/explain.go
@@ -107,7 +107,7 @@
 			break
 		}
 		t.explainedAt = at
-		c.waiting.remove(t)
+		c.removeWaiting(t)
 		c.waiting.add(t)
 		found = append(found, c.explain(t, at))
 	}
--- a/core/placement/filter_constraints.go
+++ b/core/placement/filter_constraints.go
@@ -26,11 +26,11 @@
 
 // fillerFilter admits fillers while the unused processors of the worker suffice for all of them, and a single
 // filler on any worker. Fillers that share too few processors all end late, so that in a flood it is better to let
-// some wait.
+// some wait. startIdleJobs makes an exception.
 type fillerFilter struct{}
 
 func (fillerFilter) Admits(_ Snapshot, r *Request, n NodeInfo) bool {
-	if !r.Constraints.Filler || n.Fillers() == 0 {
+	if !r.Constraints.Filler || n.Fillers() == 0 || r.SharesProcessors {
 		return true
 	}
 	return r.DemandMilliCPU+n.FillerDemandMilliCPU() <= unusedMilliCPU(n)
--- a/core/placement/framework.go
+++ b/core/placement/framework.go
@@ -68,6 +68,8 @@
 	Constraints Constraints
 	// DemandMilliCPU is the processors that a filler would use if available, in thousandths.
 	DemandMilliCPU int64
+	// SharesProcessors is set for a filler that may start although the other fillers leave it too few processors.
+	SharesProcessors bool
 	// image is the number of the task's image in the cell.
 	image int
 	// MaxTail is the largest tail of a serving task that a filler may be expected to cause, relative to the target.
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -89,6 +89,7 @@
 	clear(r.freedNodes)
 	r.freedNodes = r.freedNodes[:0]
 	r.startQueued()
+	r.startIdleJobs()
 	r.startCompleteClaims()
 	r.unthrottle()
 	return r
