--- a/core/lifecycle/recovery_test.go
+++ b/core/lifecycle/recovery_test.go
@@ -141,8 +141,8 @@
 	require.Contains(t, f.c.Snapshot(f.now, false).Workers, WorkerAdded{Worker: "w1"})
 }
 
-// Guards against a start after the last retry: a snapshot held a failure whose record never became durable, so that the next
-// owner did not count it when the worker reported it again.
+// Guards against a start after the last retry: a snapshot held a failure whose record never became durable, so that the
+// next owner did not count it when the worker reported it again.
 func TestSnapshotHoldsNoFailureWithoutDurableRecord(t *testing.T) {
 	old := newFixture(t, 7, "w1", "w2")
 	task := ident.TaskID{Job: old.submit(1)}
--- a/core/lifecycle/restore.go
+++ b/core/lifecycle/restore.go
@@ -281,8 +281,9 @@
 }
 
 // Snapshot returns the durable state. It may include effects of records that are not in the log yet; replaying these
-// changes nothing. Failures without a durable record are left out: the worker reports them again, and the next owner must count
-// them then to know whether the task has attempts left. clean marks the last snapshot of a drained owner, and is ignored during recovery.
+// changes nothing. Failures without a durable record are left out: the worker reports them again, and the next owner
+// must count them then to know whether the task has attempts left. clean marks the last snapshot of a drained owner,
+// and is ignored during recovery.
 func (c *Cell) Snapshot(now time.Time, clean bool) Snapshot {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/core/placement/idle_jobs.go
+++ b/core/placement/idle_jobs.go
@@ -10,8 +10,9 @@
 )
 
 // startIdleJobs starts one filler of each job that has had nothing running for mostlyFreePatience, while most of the
-// capacity is free by what is booked. In a flood the other fillers use all processors, and jobs that can no longer be on
-// time would wait behind newer ones for as long as it lasts. Such a filler shares the processors of its worker with the others.
+// capacity is free by what is booked. In a flood the other fillers use all processors, and jobs that can no longer be
+// on time would wait behind newer ones for as long as it lasts. Such a filler shares the processors of its worker with
+// the others.
 func (r *planRun) startIdleJobs() {
 	if r.idleJobCursor == nil {
 		r.idleJobCursor = r.waiting.first
@@ -33,8 +34,8 @@
 		c.spread.JobTasks(t.id.Job) == 0 && c.isMostlyFree(t.pool)
 }
 
-// startBesideOthers starts a filler on the best worker with memory for it on which no serving task misses its target, whether or
-// not the other fillers leave it enough processors.
+// startBesideOthers starts a filler on the best worker with memory for it on which no serving task misses its target,
+// whether or not the other fillers leave it enough processors.
 func (r *planRun) startBesideOthers(t *task) {
 	t.desired = r.booking(t)
 	if !t.class.allowsBooking(t.desired) {
--- a/core/placement/idle_jobs_test.go
+++ b/core/placement/idle_jobs_test.go
@@ -21,8 +21,8 @@
 	return list
 }
 
-// idleJobs submits a flood of jobs of fillers to workers that each run a task of the given size, and returns how many of them
-// have nothing running after some seconds.
+// idleJobs submits a flood of jobs of fillers to workers that each run a task of the given size, and returns how many
+// of them have nothing running after some seconds.
 func idleJobs(bookedMilliCPU int64) (idle int) {
 	const workers, jobs, tasksOfJob = 24, 60, 8
 	c := cellOf(workers, vec(64_000, 64_000, 0))
@@ -47,8 +47,8 @@
 	return jobs - len(started)
 }
 
-// Guards against accepted jobs that wait without end in a flood of newer ones while less than half of the capacity is in use:
-// fillers that use the rest of the processors are not counted there.
+// Guards against accepted jobs that wait without end in a flood of newer ones while less than half of the capacity is
+// in use: fillers that use the rest of the processors are not counted there.
 func TestEachJobHasATaskRunningWhileMostOfTheCapacityIsFree(t *testing.T) {
 	require.Zero(t, idleJobs(20_000))
 	// In a fuller cell jobs wait for processors.
--- a/relay/cluster/memberrecord_test.go
+++ b/relay/cluster/memberrecord_test.go
@@ -30,8 +30,8 @@
 	return store.TxnResult{}, store.NewError("Txn", store.Unknown, ctx.Err())
 }
 
-// Guards against a host that takes no cells after a restart: a write of its earlier process, which the store executes late,
-// replaces its member record, and the record then ends with the lease of that process.
+// Guards against a host that takes no cells after a restart: a write of its earlier process, which the store executes
+// late, replaces its member record, and the record then ends with the lease of that process.
 func TestLateMemberRecordOfAnEarlierProcess(t *testing.T) {
 	runFleet(t, 3, func(f *fleet) {
 		late := &lateMemberStore{Store: f.store.Client(hostName(0)), delay: 5 * time.Second}
--- a/relay/cluster/store.go
+++ b/relay/cluster/store.go
@@ -92,8 +92,8 @@
 	return id
 }
 
-// register writes the leased member record and, once per incarnation, the lasting roster record. Each write names the record
-// that it replaces, so that the store cannot execute it after a later process of this host has registered.
+// register writes the leased member record and, once per incarnation, the lasting roster record. Each write names the
+// record that it replaces, so that the store cannot execute it after a later process of this host has registered.
 func (s *Service) register(ctx context.Context, lease store.LeaseID) error {
 	self := s.cfg.Ownership.Self
 	record := s.cfg.Codec.EncodeMember(MemberRecord{
--- a/relay/jobs/api.go
+++ b/relay/jobs/api.go
@@ -84,8 +84,8 @@
 		"job %s may have been accepted: the store did not answer; a repeat with the same client token is safe", id)
 }
 
-// queueSubmission returns the record for which a submission waits: a new one, or that of an earlier attempt with the same
-// client token or number. It is nil if the job is durable already.
+// queueSubmission returns the record for which a submission waits: a new one, or that of an earlier attempt with the
+// same client token or number. It is nil if the job is durable already.
 func (o *owner) queueSubmission(spec lifecycle.JobSpec, storeFailingFor time.Duration) (ident.JobID, *pendingRecord, error) {
 	for {
 		if limit := o.cfg.StallLimit; limit > 0 && storeFailingFor >= limit && !o.cell.IsRepeat(spec) {
@@ -201,8 +201,9 @@
 	return o.confirmNotFound(o.cancelJob(ctx, id))
 }
 
-// confirmNotFound replaces the answer that a job is not known unless the owner has full authority: otherwise a successor may
-// have accepted the job. It is called with the answer, because the process may have been paused since the question.
+// confirmNotFound replaces the answer that a job is not known unless the owner has full authority: otherwise a
+// successor may have accepted the job. It is called with the answer, because the process may have been paused since the
+// question.
 func (o *owner) confirmNotFound(err error) error {
 	if err == nil || verdict.FromError(err).Code != verdict.CodeNotFound || o.authority() == ownership.Full {
 		return err
--- a/relay/jobs/estimates.go
+++ b/relay/jobs/estimates.go
@@ -60,8 +60,8 @@
 	}
 }
 
-// saveEstimates writes the estimates unless the store holds them already. The write names the value that it replaces, so that
-// the store cannot execute it after a newer one.
+// saveEstimates writes the estimates unless the store holds them already. The write names the value that it replaces,
+// so that the store cannot execute it after a newer one.
 func (o *owner) saveEstimates(ctx context.Context, p LearningPlanner) error {
 	value, err := o.cfg.Codec.EncodeEstimates(p.Estimates())
 	if err != nil {
--- a/relay/jobs/log.go
+++ b/relay/jobs/log.go
@@ -46,8 +46,8 @@
 	// done is closed when the record is durable or withdrawn; durable says which.
 	done    chan struct{}
 	durable bool
-	// waiters counts the submitters that wait for the record. abandoned is set once the last of them withdraws it and waits
-	// for a write in progress to end. Both are guarded by cellLog.mu.
+	// waiters counts the submitters that wait for the record. abandoned is set once the last of them withdraws it and
+	// waits for a write in progress to end. Both are guarded by cellLog.mu.
 	waiters   int
 	abandoned bool
 }
@@ -103,7 +103,8 @@
 	seq                  uint64
 	firstSeq             uint64
 	entriesSinceSnapshot int
-	// head is the stored snapshot head, headRevision its revision (0 if there is none), and snapshotParts the keys that it names.
+	// head is the stored snapshot head, headRevision its revision (0 if there is none), and snapshotParts the keys that
+	// it names.
 	head          Head
 	headRevision  store.Revision
 	snapshotParts []string
@@ -185,47 +186,6 @@
 	return l.queuedBytes > maxQueueBytes
 }
 
-// join adds a submitter that waits for a record. It returns false if the record has been withdrawn.
-func (l *cellLog) join(rec *pendingRecord) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if rec.isWithdrawn() {
-		return false
-	}
-	rec.waiters++
-	rec.abandoned = false
-	return true
-}
-
-// withdraw ends the wait of one submitter and reports whether it was the last one. The record is then removed if it was
-// certainly not written. A record that is part of a write in progress is removed once that write is known to have had no
-// effect, unless a submitter joins it or cancelWithdrawal is called first.
-func (l *cellLog) withdraw(rec *pendingRecord) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	rec.waiters--
-	rec.abandoned = rec.waiters == 0
-	l.dropAbandoned()
-	return rec.abandoned
-}
-
-// cancelWithdrawal undoes withdraw: the record is written when the store answers.
-func (l *cellLog) cancelWithdrawal(rec *pendingRecord) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	rec.abandoned = false
-}
-
-func (l *cellLog) dropAbandoned() {
-	l.queue = slices.DeleteFunc(l.queue, func(rec *pendingRecord) bool {
-		if rec.abandoned {
-			l.queuedBytes -= rec.size
-			close(rec.done)
-		}
-		return rec.abandoned
-	})
-}
-
 // takeBatch removes the next batch from the queue, if a write is due.
 func (l *cellLog) takeBatch() []*pendingRecord {
 	l.mu.Lock()
--- a/relay/jobs/snapshot.go
+++ b/relay/jobs/snapshot.go
@@ -87,10 +87,10 @@
 	return l.finishSnapshot(ctx)
 }
 
-// finishSnapshot writes the head of the snapshot whose parts are stored and then truncates the log. If the outcome of the
-// write stays unknown, the snapshot stays open: the store may execute the write later, so that the parts must be kept until
-// a repeat has settled it. The write names the head that it replaces, so that it takes effect at most once, and never after
-// the next head.
+// finishSnapshot writes the head of the snapshot whose parts are stored and then truncates the log. If the outcome of
+// the write stays unknown, the snapshot stays open: the store may execute the write later, so that the parts must be
+// kept until a repeat has settled it. The write names the head that it replaces, so that it takes effect at most once,
+// and never after the next head.
 func (l *cellLog) finishSnapshot(ctx context.Context) error {
 	if l.openSnapshot == nil {
 		return nil
@@ -143,9 +143,9 @@
 	return nil
 }
 
-// replaceAsOwner writes a key on condition that this owner still has the cell and that the last change of the key was at the
-// given revision (0: the key does not exist). It returns the revision of the value, also if an earlier attempt whose outcome
-// was unknown has written it.
+// replaceAsOwner writes a key on condition that this owner still has the cell and that the last change of the key was
+// at the given revision (0: the key does not exist). It returns the revision of the value, also if an earlier attempt
+// whose outcome was unknown has written it.
 func (l *cellLog) replaceAsOwner(ctx context.Context, key string, replaced store.Revision, value []byte) (store.Revision, error) {
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
--- a/relay/jobs/stale_test.go
+++ b/relay/jobs/stale_test.go
@@ -42,8 +42,8 @@
 	})
 }
 
-// Guards against an owner that the store turns away and that says of the jobs of its successor that they do not exist: a caller
-// takes this for the end of a cancelled job, which runs on.
+// Guards against an owner that the store turns away and that says of the jobs of its successor that they do not exist:
+// a caller takes this for the end of a cancelled job, which runs on.
 func TestOwnerInDoubtDoesNotDenyJobs(t *testing.T) {
 	scenario(t, 1, func(fx *fixture, h *host) {
 		known := h.submit(spec("batch", 1, "work=60s"))
--- a/relay/jobs/withdraw_test.go
+++ b/relay/jobs/withdraw_test.go
@@ -43,8 +43,8 @@
 	return sub
 }
 
-// Guards against a lost job that was answered as accepted: the withdrawal of an attempt removed the record of the next one from
-// the pending submissions, so that a third attempt took the job for stored.
+// Guards against a lost job that was answered as accepted: the withdrawal of an attempt removed the record of the next
+// one from the pending submissions, so that a third attempt took the job for stored.
 func TestWithdrawalLeavesTheNextAttemptPending(t *testing.T) {
 	slowPlannerScenario(t, 1, func(fx *fixture, h *host, slow *planDelay) {
 		time.Sleep(time.Second)
@@ -113,8 +113,8 @@
 	attemptsOfJob = 12
 )
 
-// handIn hands a job in until an attempt is answered. All attempts but the last are broken after a short time, and the owner
-// learns of that some time after the next attempt has begun. It returns the verdicts of all attempts.
+// handIn hands a job in until an attempt is answered. All attempts but the last are broken after a short time, and the
+// owner learns of that some time after the next attempt has begun. It returns the verdicts of all attempts.
 func (h *host) handIn(rng *rand.Rand, job lifecycle.JobSpec) []verdict.Verdict {
 	verdicts := make([]verdict.Verdict, attemptsOfJob)
 	var attempts sync.WaitGroup
@@ -143,8 +143,8 @@
 	return verdicts
 }
 
-// handInAll hands in jobs at random times, and returns those of which an attempt was accepted and those of which each attempt
-// was refused with proof.
+// handInAll hands in jobs at random times, and returns those of which an attempt was accepted and those of which each
+// attempt was refused with proof.
 func (h *host) handInAll(seed uint64) (accepted, refused []ident.JobID) {
 	var (
 		mu      sync.Mutex
@@ -170,8 +170,8 @@
 	return accepted, refused
 }
 
-// Guards against jobs that are lost, run twice or run although they were refused when attempts to hand them in are broken while
-// the owner is slow and the store slow or away.
+// Guards against jobs that are lost, run twice or run although they were refused when attempts to hand them in are
+// broken while the owner is slow and the store slow or away.
 func TestBrokenAttemptsOfManyJobs(t *testing.T) {
 	for seed := range uint64(12) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
