--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -3,6 +3,8 @@
 package main
 
 import (
+	"bytes"
+	"encoding/base64"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -38,7 +40,7 @@
 		os.Exit(exitNotRun)
 	}
 	w := &world{rec: &recorder{start: time.Now()}, trouble: os.Getenv("TROUBLE") != "0"}
-	cases := map[string]func(*world) (bool, error){"crash-then-cut": crashThenCut}
+	cases := map[string]func(*world) (bool, error){"crash-then-cut": crashThenCut, "store-drops-out": storeDropsOut, "cancel-lost": cancelLost}
 	play, ok := cases[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no such case")
@@ -84,7 +86,7 @@
 }
 
 const manifest = `{"Version":7,"Routes":[{"Name":"r-3hwrr6x","Host":"nony24.example","Prefix":"/lohu930/","Kind":"unsafe",
-"TimeoutMs":3000,"SloMs":1000,"Priority":2,"Service":"booking","Attempts":2,"Stretch":2.0}],
+"TimeoutMs":3000,"SloMs":1000,"Priority":2,"Service":"booking","Attempts":1,"Stretch":2.0}],
 "Services":[{"Name":"booking","HealthPath":"/healthz","MaxConns":64,"Protocol":"h1","Tls":false,"RejectsOverload":true,
 "Standby":false}],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":262144}}`
 
@@ -143,6 +145,19 @@
 	return nil
 }
 
+// owner returns the machine that holds the cell, as its record in the store says; the first one if there is none.
+func (w *world) owner() *relayProcess {
+	w.store.mu.Lock()
+	record, _ := base64.StdEncoding.DecodeString(w.store.items["/own/0"].Value)
+	w.store.mu.Unlock()
+	for _, p := range w.relays {
+		if bytes.Contains(record, []byte(p.name)) {
+			return p
+		}
+	}
+	return w.relays[0]
+}
+
 // submit hands in a job of one task, at each machine in turn until one accepts it.
 func (w *world) submit(id string, s step, run time.Duration) error {
 	spec, _ := json.Marshal(needs{Cpu: s.Cpu, RunMs: int(run.Milliseconds())})
--- a/review/standins-2/runner.go
+++ b/review/standins-2/runner.go
@@ -78,6 +78,8 @@
 	capacity           int
 	store              *kvStore
 	rec                *recorder
+	// fails is set if what runs there fails instead of being done.
+	fails bool
 	// onStart is called after a start was accepted.
 	onStart func(task string, run int)
 
@@ -179,6 +181,8 @@
 				r.finish(task, a, "stopped")
 			case r.clock() >= r.leaseEnd:
 				r.finish(task, a, "lapsed")
+			case time.Now().After(a.ends) && r.fails:
+				r.finish(task, a, "failed")
 			case time.Now().After(a.ends):
 				r.finish(task, a, "done")
 			}
--- a/review/standins-2/store.go
+++ b/review/standins-2/store.go
@@ -36,6 +36,58 @@
 	leases  map[int64]*lease
 	nextID  int64
 	changed chan struct{}
+	// mood is how the store answers calls.
+	mood mood
+	// moodSince is when the mood was set.
+	moodSince time.Time
+}
+
+// mood is how the store answers: well, with 503, late, or not at all.
+type mood int
+
+const (
+	moodWell mood = iota
+	moodBusy
+	moodSlow
+	moodSilent
+)
+
+// slowAnswer is how long a slow store takes for an answer: 60 times the usual 4 ms.
+const slowAnswer = 240 * time.Millisecond
+
+// setMood changes how the store answers. Leases pause while it is silent.
+func (s *kvStore) setMood(m mood) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.mood == moodSilent {
+		for _, l := range s.leases {
+			l.ends = l.ends.Add(time.Since(s.moodSince))
+		}
+	}
+	s.mood, s.moodSince = m, time.Now()
+}
+
+// admit lets a call pass unless the store is down. A call that a silent store has taken gets no answer.
+func (s *kvStore) admit(w http.ResponseWriter, r *http.Request) bool {
+	s.mu.Lock()
+	m := s.mood
+	s.mu.Unlock()
+	switch m {
+	case moodBusy:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return false
+	case moodSlow:
+		time.Sleep(slowAnswer)
+		s.mu.Lock()
+		m = s.mood
+		s.mu.Unlock()
+	default:
+	}
+	if m == moodSilent {
+		<-r.Context().Done()
+		return false
+	}
+	return true
 }
 
 func newStore() *kvStore {
@@ -48,7 +100,7 @@
 	for range time.Tick(20 * time.Millisecond) {
 		s.mu.Lock()
 		for id, l := range s.leases {
-			if time.Now().After(l.ends) {
+			if s.mood != moodSilent && time.Now().After(l.ends) {
 				s.endLease(id)
 			}
 		}
@@ -109,6 +161,9 @@
 }
 
 func (s *kvStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !s.admit(w, r) {
+		return
+	}
 	q := r.URL.Query()
 	switch path := r.URL.Path; {
 	case path == "/-/kv-key":
