review: plays at the same time use different ports

Cause: the search for free ports began at nearly the same port in processes that were started together, and one play ended because no machine became ready.

Change: each process begins with a block of its own.

--- a/review/standins-2/relay.go
+++ b/review/standins-2/relay.go
@@ -70,11 +70,19 @@
 MinTtlMs = 1000
 `
 
-// freePort returns the first of count ports that are free on ip.
-func freePort(ip string, count int) (int, error) {
-	for first := 20000 + os.Getpid()%5000; first < 60000; first += 37 {
+const (
+	// portsPerMachine is the number of ports of a machine, and portBlocks the number of blocks of that size from firstPort
+	// on, below the ports that the system gives to outgoing connections.
+	portsPerMachine, portBlocks, firstPort = 20, 600, 20000
+)
+
+// freePorts returns the first of a block of free ports of ip. Processes that play at the same time begin with different
+// blocks.
+func freePorts(ip string) (int, error) {
+	for n := range portBlocks {
+		first := firstPort + (os.Getpid()+n)%portBlocks*portsPerMachine
 		free := true
-		for p := first; p < first+count && free; p++ {
+		for p := first; p < first+portsPerMachine && free; p++ {
 			l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, p))
 			if free = err == nil; free {
 				_ = l.Close()
@@ -84,13 +92,13 @@
 			return first, nil
 		}
 	}
-	return 0, fmt.Errorf("no %d free ports on %s", count, ip)
+	return 0, fmt.Errorf("no %d free ports on %s", portsPerMachine, ip)
 }
 
 // newRelay writes the settings of a machine into dir.
 func newRelay(n int, dir, store string) (*relayProcess, error) {
 	ip := fmt.Sprintf("127.0.0.%d", 10+n)
-	first, err := freePort(ip, 18)
+	first, err := freePorts(ip)
 	if err != nil {
 		return nil, err
 	}
