review: case 7 drops the read of the log

Cause: the silence of the script often missed the reads of the new owner, or fell into its claim.

Change: the silence begins 1.17 s after the return of the store, the cell has had 200 jobs before, and the record shows what the store drops.

--- a/review/standins-2/cases.go
+++ b/review/standins-2/cases.go
@@ -54,7 +54,9 @@
 	// outage is how long the store is down, longer than any lease. It is slow for slowTime afterwards, and silent for
 	// silentTime from silentFrom on.
 	outage, slowTime       = 4500 * time.Millisecond, 4500 * time.Millisecond
-	silentFrom, silentTime = 1650 * time.Millisecond, 2 * time.Second
+	silentFrom, silentTime = 1170 * time.Millisecond, 2 * time.Second
+	// earlierJobs are handed in before, one after the other.
+	earlierJobs = 200
 	// askAfter is how long after the end of the disturbance jobs are asked for, and askFor for how long.
 	askAfter, askFor = 14 * time.Second, 6 * time.Second
 )
@@ -64,9 +66,14 @@
 	if err := w.setUp(3, "a", "b"); err != nil {
 		return false, err
 	}
-	const id = "00000000000000d1"
-	if err := w.submit(id, step{Count: 1, Cpu: 1000, MemMb: 1000, EstimateMs: 1000}, time.Second); err != nil {
-		return false, err
+	w.store.onDrop = func(call string) { w.rec.note("the store drops %s", call) }
+	id := ""
+	// The jobs of some seconds make the owner write a snapshot, as it does in service.
+	for n := range earlierJobs {
+		id = fmt.Sprintf("00000000000d%04x", n)
+		if err := w.submit(id, step{Count: 1, Cpu: 100, MemMb: 100, EstimateMs: 20}, 20*time.Millisecond); err != nil {
+			return false, err
+		}
 	}
 	time.Sleep(2 * time.Second)
 	if w.trouble {
--- a/review/standins-2/store.go
+++ b/review/standins-2/store.go
@@ -38,6 +38,8 @@
 	changed chan struct{}
 	// mood is how the store answers calls.
 	mood mood
+	// onDrop is called with each call that gets no answer.
+	onDrop func(call string)
 	// moodSince is when the mood was set.
 	moodSince time.Time
 }
@@ -84,6 +86,9 @@
 	default:
 	}
 	if m == moodSilent {
+		if s.onDrop != nil {
+			s.onDrop(r.Method + " " + r.URL.String())
+		}
 		<-r.Context().Done()
 		return false
 	}
