--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -5,4 +5,4 @@
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
 [ -x target/relayd ] && [ -x target/standins-2 ] || exit 2
-exec timeout --kill-after=5 110 target/standins-2 store-drops-out "$folder"
+exec timeout --kill-after=5 110 target/standins-2 crash-then-cut "$folder"
