relay/jobs: bound and repeat the reads of a takeover

The host waited for good and renewed its lease meanwhile, so that it kept the cell.

Each read now ends after 2 s and is repeated with twice the time, up to 30 s, while the host holds the grant. A large state on a slow link is still read, and a lost answer costs 2 s.

--- a/relay/jobs/acquire_test.go
+++ b/relay/jobs/acquire_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/ownership"
 	"github.com/bulrushrelay/bulrushrelay/core/store"
+	"github.com/bulrushrelay/bulrushrelay/internal/sleep"
 	"github.com/bulrushrelay/bulrushrelay/relay/jobs"
 )
 
@@ -66,3 +68,98 @@
 		require.Error(t, err)
 	})
 }
+
+// lossyReads is a store that does not answer some of the next reads: those whose numbers drop reports.
+type lossyReads struct {
+	jobs.Store
+	reads *atomic.Int64
+	drop  func(read int64) bool
+}
+
+// lost waits until the caller gives up, if the answer to this read is lost.
+func (s lossyReads) lost(ctx context.Context) error {
+	if !s.drop(s.reads.Add(1)) {
+		return nil
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func (s lossyReads) Get(ctx context.Context, key string) (store.Entry, bool, error) {
+	if err := s.lost(ctx); err != nil {
+		return store.Entry{}, false, err
+	}
+	return s.Store.Get(ctx, key)
+}
+
+func (s lossyReads) Range(ctx context.Context, prefix string) (store.RangeResult, error) {
+	if err := s.lost(ctx); err != nil {
+		return store.RangeResult{}, err
+	}
+	return s.Store.Range(ctx, prefix)
+}
+
+// Guards against a cell without work for good: the store does not answer one of the reads by which a new owner loads the
+// state, and the owner waits for it while it keeps the grant.
+func TestLostReadDoesNotBlockTheTakeover(t *testing.T) {
+	const readsOfATakeover = 2
+	for lost := int64(1); lost <= readsOfATakeover; lost++ {
+		t.Run(fmt.Sprintf("read %d", lost), func(t *testing.T) {
+			scenario(t, 2, func(fx *fixture, previous *host) {
+				id := previous.submit(spec("batch", 2, "work=1s"))
+				fx.kill(previous)
+				reads := new(atomic.Int64)
+				h := fx.hostOn(func(_ *host, s jobs.Store) jobs.Store {
+					return lossyReads{s, reads, func(read int64) bool { return read == lost }}
+				})
+				ctx, cancel := context.WithTimeout(bg, 10*time.Second)
+				defer cancel()
+				require.NoError(t, h.svc.Acquire(ctx, fx.grantCell(h), fx.members()))
+				h.awaitDone(time.Minute, id)
+				require.Greater(t, reads.Load(), lost)
+			})
+		})
+	}
+}
+
+// Guards against a cell that is never taken over because its state needs more time than a read has at first, and against
+// reads that go on after the host has lost the grant.
+func TestReadsOfATakeoverGetMoreTimeWhileTheGrantLasts(t *testing.T) {
+	const readTime = 7 * time.Second
+	scenario(t, 2, func(fx *fixture, previous *host) {
+		id := previous.submit(spec("batch", 2, "work=1s"))
+		fx.kill(previous)
+		h := fx.hostOn(func(_ *host, s jobs.Store) jobs.Store { return delayedReads{s, readTime} })
+		require.NoError(t, h.svc.Acquire(bg, fx.grantCell(h), fx.members()))
+		h.awaitDone(time.Minute, id)
+		fx.kill(h)
+		stuck := fx.hostOn(func(_ *host, s jobs.Store) jobs.Store { return delayedReads{s, time.Hour} })
+		g := fx.grantCell(stuck)
+		time.AfterFunc(time.Second, func() { stuck.setGrant(func(g *ownership.Grant) { *g = ownership.Grant{Cell: cell} }) })
+		begin := time.Now()
+		require.Error(t, stuck.svc.Acquire(bg, g, fx.members()))
+		require.Less(t, time.Since(begin), 5*time.Second)
+	})
+}
+
+// delayedReads is a store whose reads take the given time.
+type delayedReads struct {
+	jobs.Store
+	delay time.Duration
+}
+
+func (s delayedReads) wait(ctx context.Context) error { return sleep.For(ctx, s.delay) }
+
+func (s delayedReads) Get(ctx context.Context, key string) (store.Entry, bool, error) {
+	if err := s.wait(ctx); err != nil {
+		return store.Entry{}, false, err
+	}
+	return s.Store.Get(ctx, key)
+}
+
+func (s delayedReads) Range(ctx context.Context, prefix string) (store.RangeResult, error) {
+	if err := s.wait(ctx); err != nil {
+		return store.RangeResult{}, err
+	}
+	return s.Store.Range(ctx, prefix)
+}
--- a/relay/jobs/log.go
+++ b/relay/jobs/log.go
@@ -33,8 +33,11 @@
 	snapshotRetryEntries = 16
 	// maxTruncateOps bounds the operations of one transaction. The smallest limit of the supported stores is 32, which
 	// includes the condition.
-	maxTruncateOps  = 30
+	maxTruncateOps = 30
+	// storeTimeout bounds a call to the store. The reads of a takeover are repeated with a longer time, up to
+	// maxReadTimeout.
 	storeTimeout    = 2 * time.Second
+	maxReadTimeout  = 30 * time.Second
 	maxWriteBackoff = time.Second
 )
 
--- a/relay/jobs/service.go
+++ b/relay/jobs/service.go
@@ -152,7 +152,7 @@
 // left to the acquisition under the next one.
 func (s *Service) Acquire(ctx context.Context, g ownership.Grant, members []lifecycle.Member) error {
 	s.stopOwner(g.Cell, g.Epoch)
-	state, err := readStoredState(ctx, s.cfg.Store, s.cfg.Codec, g.Cell)
+	state, err := s.loadState(ctx, g)
 	if err != nil {
 		return verdict.Wrap(err, verdict.NotRun, verdict.CodeUnavailable, "acquire cell %d", g.Cell)
 	}
--- a/relay/jobs/snapshot.go
+++ b/relay/jobs/snapshot.go
@@ -7,9 +7,13 @@
 	"fmt"
 	"slices"
 	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
 
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
+	"github.com/bulrushrelay/bulrushrelay/core/ownership"
 	"github.com/bulrushrelay/bulrushrelay/core/store"
 )
 
@@ -186,22 +190,78 @@
 	return s.head.Clean && len(s.records) == 0
 }
 
-// readStoredState reads the snapshot and the log of a cell. The caller must already own the cell, so that no
-// predecessor can append to the log.
-func readStoredState(ctx context.Context, s Store, codec Codec, cell ident.CellID) (storedState, error) {
+// errReadTimeout means that the store did not answer a read in time.
+var errReadTimeout = errors.New("the store did not answer in time")
+
+// stateReader reads the state of a cell. Each of its reads ends after timeout.
+type stateReader struct {
+	store   Store
+	codec   Codec
+	cell    ident.CellID
+	timeout time.Duration
+}
+
+// loadState reads the state of a cell. While the reads pass their deadline and this host keeps the grant, they are
+// repeated with a longer one: an answer may have been lost, or a large state may need more time on a slow link.
+func (s *Service) loadState(ctx context.Context, g ownership.Grant) (storedState, error) {
+	r := stateReader{store: s.cfg.Store, codec: s.cfg.Codec, cell: g.Cell, timeout: storeTimeout}
+	for {
+		state, err := r.read(ctx)
+		current := s.cfg.Grants.Grant(g.Cell)
+		granted := current.Epoch == g.Epoch && current.Authority != ownership.None
+		if !errors.Is(err, errReadTimeout) || ctx.Err() != nil || !granted {
+			return state, err
+		}
+		r.timeout = min(2*r.timeout, maxReadTimeout)
+		s.cfg.Logger.WithError(err).WithFields(logrus.Fields{"cell": g.Cell, "epoch": g.Epoch, "next_timeout": r.timeout.String()}).
+			Warn("cannot read the state of the cell; trying again")
+	}
+}
+
+// limit calls read with the timeout of the reader.
+func (r stateReader) limit(ctx context.Context, read func(ctx context.Context) error) error {
+	callCtx, cancel := context.WithTimeout(ctx, r.timeout)
+	defer cancel()
+	err := read(callCtx)
+	if err != nil && callCtx.Err() != nil {
+		return errors.Join(errReadTimeout, err)
+	}
+	return err
+}
+
+func (r stateReader) readKey(ctx context.Context, key string) (entry store.Entry, found bool, err error) {
+	err = r.limit(ctx, func(ctx context.Context) (err error) {
+		entry, found, err = r.store.Get(ctx, key)
+		return err
+	})
+	return entry, found, err
+}
+
+func (r stateReader) readPrefix(ctx context.Context, prefix string) (result store.RangeResult, err error) {
+	err = r.limit(ctx, func(ctx context.Context) (err error) {
+		result, err = r.store.Range(ctx, prefix)
+		return err
+	})
+	return result, err
+}
+
+// read reads the snapshot and the log. The caller must already own the cell, so that no predecessor can append to the
+// log.
+func (r stateReader) read(ctx context.Context) (storedState, error) {
 	var state storedState
-	entry, found, err := s.Get(ctx, headKey(cell))
+	cell := r.cell
+	entry, found, err := r.readKey(ctx, headKey(cell))
 	if err != nil {
 		return state, fmt.Errorf("read the snapshot head of cell %d: %w", cell, err)
 	}
 	if found {
-		if state, err = readSnapshot(ctx, s, codec, cell, entry.Value); err != nil {
+		if state, err = r.readSnapshot(ctx, entry.Value); err != nil {
 			return state, err
 		}
 		state.headRevision = entry.ModRevision
 	}
 	state.lastSeq = state.head.Seq
-	log, err := s.Range(ctx, logPrefix(cell))
+	log, err := r.readPrefix(ctx, logPrefix(cell))
 	if err != nil {
 		return state, fmt.Errorf("read the log of cell %d: %w", cell, err)
 	}
@@ -220,7 +280,7 @@
 			return state, fmt.Errorf("log of cell %d has a gap: entry %d follows %d", cell, seq, state.lastSeq)
 		}
 		state.lastSeq = seq
-		_, records, err := codec.DecodeBatch(e.Value)
+		_, records, err := r.codec.DecodeBatch(e.Value)
 		if err != nil {
 			return state, fmt.Errorf("decode log entry %q: %w", e.Key, err)
 		}
@@ -232,14 +292,15 @@
 	return state, nil
 }
 
-func readSnapshot(ctx context.Context, s Store, codec Codec, cell ident.CellID, value []byte) (storedState, error) {
+func (r stateReader) readSnapshot(ctx context.Context, value []byte) (storedState, error) {
 	var state storedState
-	head, err := codec.DecodeHead(value)
+	cell := r.cell
+	head, err := r.codec.DecodeHead(value)
 	if err != nil {
 		return state, err
 	}
 	state.head = head
-	stored, err := s.Range(ctx, partPrefix(cell))
+	stored, err := r.readPrefix(ctx, partPrefix(cell))
 	if err != nil {
 		return state, fmt.Errorf("read the snapshot parts of cell %d: %w", cell, err)
 	}
@@ -255,6 +316,6 @@
 	if len(parts) != head.Parts {
 		return state, fmt.Errorf("snapshot %s of cell %d has %d parts, want %d", head.ID, cell, len(parts), head.Parts)
 	}
-	state.snapshot, err = codec.DecodeSnapshot(parts)
+	state.snapshot, err = r.codec.DecodeSnapshot(parts)
 	return state, err
 }
