core/lifecycle: give the cancellation of a failing job its own record

A client got 200 for a cancellation while the store was down, and the next owner of the cell ran the job to its end.

Cause: a job that fails fast is marked as cancelling before the record of its failure is durable. A cancellation took this mark for a cancellation that is under way, wrote no record, and found none to wait for, which counted as success.

A queued cancellation has a mark of its own now, and a cancellation that is pending without a record to wait for is not acknowledged.

--- a/core/lifecycle/cell.go
+++ b/core/lifecycle/cell.go
@@ -222,19 +222,22 @@
 	if j.cancelled || j.final() {
 		return eff, false, nil
 	}
-	if j.cancelling {
+	if j.cancelLogged {
 		return eff, true, nil
 	}
+	if queued := j.queuedTasks(); len(queued) > 0 && !j.cancelling {
+		eff.do(Dequeue{Tasks: queued})
+	}
+	// A job that fails fast is cancelling before the record of its failure is durable. That record may be lost with the
+	// owner, so that the cancellation needs its own.
 	j.cancelling = true
+	j.cancelLogged = true
 	var sent []uint32
 	for i := range j.tasks {
 		if j.tasks[i].maybeSent {
 			sent = append(sent, uint32(i))
 		}
 	}
-	if queued := j.queuedTasks(); len(queued) > 0 {
-		eff.do(Dequeue{Tasks: queued})
-	}
 	eff.log(JobCancelled{Job: id, At: now, MaybeSent: sent})
 	return eff, true, nil
 }
--- a/core/lifecycle/groups_test.go
+++ b/core/lifecycle/groups_test.go
@@ -106,6 +106,36 @@
 	require.Equal(t, Failed, v.State)
 }
 
+// Guards against a cancellation without a record: a job whose last failure is not durable yet is not cancelled for good.
+func TestCancellationOfAFailingJobHasItsOwnRecord(t *testing.T) {
+	f := newFixture(t, 1, "w")
+	id := f.accept(JobSpec{FailFast: true, Groups: []TaskGroup{{Count: 2, Need: oneCore}}})
+	for n := range 3 {
+		f.now = f.now.Add(time.Minute)
+		f.holdLog = n == 2
+		f.reportEnds("w", EndedAttempt{AttemptID: f.startTask(taskID(id, 0, 0), "w"), End: EndFailed})
+	}
+	eff, pending, err := f.c.Cancel(f.now, id)
+	require.NoError(t, err)
+	require.True(t, pending)
+	require.Len(t, eff.Records, 1)
+	require.IsType(t, JobCancelled{}, eff.Records[0])
+	again, pending, err := f.c.Cancel(f.now, id)
+	require.NoError(t, err)
+	require.True(t, pending)
+	require.Empty(t, again.Records, "a repeat waits for the same record")
+	f.log = append(f.log, eff.Records...)
+	for _, r := range f.log[len(f.log)-2:] {
+		f.apply(f.c.RecordsCommitted(f.now, []Record{r}))
+	}
+	v, err := f.c.Get(id, 0, 0)
+	require.NoError(t, err)
+	require.Equal(t, Failed, v.State, "the failure came first")
+	_, pending, err = f.c.Cancel(f.now, id)
+	require.NoError(t, err)
+	require.False(t, pending)
+}
+
 // Guards against a lasting task that is not restarted after it ended or failed, or that uses up its retries.
 func TestLastingTaskRestartsAfterEveryEnd(t *testing.T) {
 	f := newFixture(t, 1, "w")
--- a/core/lifecycle/job.go
+++ b/core/lifecycle/job.go
@@ -36,9 +36,11 @@
 	keptSince time.Time
 	tasks     []task
 	counts    [len(stateNames)]int
-	// cancelling is set once a cancellation is requested, cancelled once its record is durable.
-	cancelling bool
-	cancelled  bool
+	// cancelling is set once no further task may start, because the job is being cancelled or fails fast. cancelled is set
+	// once a record of either is durable. cancelLogged is set once the record of a requested cancellation is queued.
+	cancelling   bool
+	cancelled    bool
+	cancelLogged bool
 	// failedOn and succeeded distinguish a job that fails on every worker from a worker that fails every job.
 	failedOn  map[ident.WorkerID]struct{}
 	succeeded bool
--- a/relay/jobs/api.go
+++ b/relay/jobs/api.go
@@ -237,7 +237,7 @@
 		err = o.errNotRun(ctx)
 		return verdict.Wrap(err, verdict.MayHaveRun, verdict.FromError(err).Code, "the cancellation was not requested")
 	}
-	if err != nil || !pending || rec == nil || o.awaitDurable(ctx, rec) {
+	if err != nil || !pending || rec != nil && o.awaitDurable(ctx, rec) {
 		return err
 	}
 	return verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable,
--- a/relay/jobs/cancel_test.go
+++ b/relay/jobs/cancel_test.go
@@ -36,3 +36,30 @@
 		require.Equal(t, lifecycle.Cancelled, h.get(id).State)
 	})
 }
+
+// Guards against a cancellation that is acknowledged without a record: a task of the job has failed for good while the store
+// was down, so that the job counted as being cancelled. After the loss of its owner the job ran to the end.
+func TestCancellationOfAFailingJobIsAcknowledgedOnlyOnceItIsStored(t *testing.T) {
+	scenario(t, 2, func(fx *fixture, h *host) {
+		failing := spec("batch", 1, "work=1h")
+		failing.FailFast = true
+		failing.Groups = append(failing.Groups, lifecycle.TaskGroup{Count: 1, Need: oneCore, RunTime: time.Second, Command: "work=2s fail=no"})
+		id := h.submit(failing)
+		// The retries end in the last of four failures, which the store does not take any more.
+		for h.get(id).Tasks[1].Failures < 3 {
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(100 * time.Millisecond)
+		fx.engine.Stop()
+		time.Sleep(10 * time.Second)
+		for range 2 {
+			require.Error(t, h.svc.Cancel(bg, id), "no record can be durable")
+		}
+		fx.engine.Start()
+		require.NoError(t, h.svc.Cancel(bg, id))
+		fx.kill(h)
+		next := fx.host()
+		fx.giveCell(next)
+		require.True(t, next.get(id).State.Final())
+	})
+}
