core/lifecycle: keep results until their task is final in the log

The end of an attempt that is not the current one was acknowledged to its worker while the cancellation of its job, or the result of another attempt of its task, was still on its way to the log. If the owner is lost then, the worker has forgotten a result that no log holds, and the task runs again after it was done.

A result of a task that is not final in the log is no longer acknowledged; the worker reports it again until it is.

Evidence: TestResultIsKeptUntilItsTaskIsFinalInTheLog failed in all of its four cases before and passes. No play of whole processes has shown the fault.

--- a/core/lifecycle/attempt.go
+++ b/core/lifecycle/attempt.go
@@ -313,7 +313,7 @@
 	}
 	c.endRun(now, t, eff)
 	if t.state.Final() || t.settled {
-		w.pendingAcks[e.AttemptID] = struct{}{}
+		c.acknowledge(w, t, e)
 		return
 	}
 	c.afterEnd(now, w, t, e, r, eff)
--- a/core/lifecycle/late.go
+++ b/core/lifecycle/late.go
@@ -26,7 +26,7 @@
 		return
 	}
 	if !open || e.End != EndDone {
-		w.pendingAcks[e.AttemptID] = struct{}{}
+		c.acknowledge(w, t, e)
 		return
 	}
 	delete(c.heldTasks, t.id)
@@ -36,6 +36,17 @@
 	c.attemptSucceeded(now, w, t, e, nil, eff)
 }
 
+// acknowledge lets the worker forget an end that needs no record. A result of a task whose end or cancellation is not durable
+// yet is kept: that record may be lost with this owner, and the next one must learn of the result. The worker reports it
+// again.
+func (c *Cell) acknowledge(w *worker, t *task, e EndedAttempt) {
+	isResult := e.End == EndDone || e.End == EndFailed
+	if isResult && t != nil && !t.group.Lasting && !t.state.Final() && (t.settled || t.job.cancelling) {
+		return
+	}
+	w.pendingAcks[e.AttemptID] = struct{}{}
+}
+
 // withdrawTask removes a task that needs no further attempt from the queue, or ends its current attempt.
 func (c *Cell) withdrawTask(now time.Time, t *task, eff *Effects) {
 	switch {
--- a/core/lifecycle/late_test.go
+++ b/core/lifecycle/late_test.go
@@ -1,6 +1,7 @@
 package lifecycle
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -104,3 +105,53 @@
 	f.apply(f.c.ThrottleAnswered("w1", attempt, 0.5, Answer{}))
 	require.Equal(t, 3, sync(ActiveAttempt{AttemptID: attempt}), "a lost answer to an earlier fraction counted as lost for the current one")
 }
+
+// Guards against a result that is acknowledged to its worker although nothing of it is durable, neither the cancellation of
+// its job nor the result of another attempt. After the loss of the owner the task would run again.
+func TestResultIsKeptUntilItsTaskIsFinalInTheLog(t *testing.T) {
+	for _, end := range []End{EndDone, EndFailed} {
+		for name, settle := range map[string]func(f *fixture, task ident.TaskID, first AttemptID, next AttemptID) EndedAttempt{
+			"cancelled, late result": func(f *fixture, task ident.TaskID, first, _ AttemptID) EndedAttempt {
+				eff, pending, err := f.c.Cancel(f.now, task.Job)
+				require.NoError(f.t, err)
+				require.True(f.t, pending)
+				f.apply(eff)
+				return EndedAttempt{AttemptID: first, End: end}
+			},
+			"done by an earlier attempt": func(f *fixture, _ ident.TaskID, first, next AttemptID) EndedAttempt {
+				f.claim("w1", Report{Ended: []EndedAttempt{{AttemptID: first, End: EndDone}}})
+				return EndedAttempt{AttemptID: next, End: end}
+			},
+		} {
+			t.Run(fmt.Sprintf("%s, end %d", name, end), func(t *testing.T) {
+				f := newFixture(t, 7, "w1", "w2")
+				task := ident.TaskID{Job: f.submit(1)}
+				first := f.startTask(task, "w1")
+				f.c.CallFailed("w1")
+				f.sync("w2", nil)
+				f.tickUntil(f.now.Add(LeaseDuration + LeaseMargin))
+				f.claim("w2", Report{})
+				next := f.startTask(task, "w2")
+				f.holdLog = true
+				logged := len(f.log)
+				late := settle(f, task, first, next)
+				w := ident.WorkerID("w1")
+				if late.AttemptID == next {
+					w = "w2"
+				} else {
+					f.claim(w, Report{})
+				}
+				acks := func() []AttemptID {
+					f.sync(w, nil, late)
+					req, _ := f.c.SyncRequest(w)
+					return req.Acks
+				}
+				require.NotContains(t, acks(), late.AttemptID)
+				require.NotContains(t, acks(), late.AttemptID, "reported again")
+				f.holdLog = false
+				f.apply(f.c.RecordsCommitted(f.now, f.log[logged:]))
+				require.Contains(t, acks(), late.AttemptID)
+			})
+		}
+	}
+}
