relay/jobs: delete the log entries that a new owner finds, not a range

The keys that a new owner finds at or below the head are now deleted by name, like the parts that no head names.

--- a/relay/jobs/log.go
+++ b/relay/jobs/log.go
@@ -103,7 +103,8 @@
 	shareTimerDue time.Time
 
 	// The fields below are used by the writer only.
-	seq                  uint64
+	seq uint64
+	// firstSeq is the sequence number of the first entry that may be stored, apart from garbage.
 	firstSeq             uint64
 	entriesSinceSnapshot int
 	// head is the stored snapshot head, headRevision its revision (0 if there is none), and snapshotParts the keys that
@@ -113,8 +114,9 @@
 	snapshotParts []string
 	// openSnapshot is the snapshot of which it is not known whether its head is stored; nil if there is none.
 	openSnapshot *snapshotWrite
-	// garbageParts are the keys of parts that no head names or will name.
-	garbageParts []string
+	// garbage are the keys of parts that no head names or will name, and of entries that an earlier owner left although the
+	// head covers them.
+	garbage []string
 }
 
 // append queues records and returns their entries in the queue.
--- a/relay/jobs/service.go
+++ b/relay/jobs/service.go
@@ -230,8 +230,8 @@
 		onReplaced:   o.replaced,
 		wake:         make(chan struct{}, 1),
 		writerDone:   make(chan struct{}),
-		seq:          state.lastSeq, firstSeq: state.firstSeq, entriesSinceSnapshot: int(state.lastSeq - state.head.Seq),
-		head: state.head, headRevision: state.headRevision, snapshotParts: state.snapshotParts, garbageParts: state.garbageParts,
+		seq:          state.lastSeq, firstSeq: state.head.Seq + 1, entriesSinceSnapshot: int(state.lastSeq - state.head.Seq),
+		head: state.head, headRevision: state.headRevision, snapshotParts: state.snapshotParts, garbage: state.garbage,
 	}
 	return o
 }
--- a/relay/jobs/snapshot.go
+++ b/relay/jobs/snapshot.go
@@ -83,7 +83,7 @@
 	}
 	for i, p := range parts {
 		if err := l.writeAsOwner(ctx, store.Op{Key: keys[i], Value: p}); err != nil {
-			l.garbageParts = append(l.garbageParts, keys...)
+			l.garbage = append(l.garbage, keys...)
 			return err
 		}
 	}
@@ -103,7 +103,7 @@
 	if err != nil {
 		return err
 	}
-	l.garbageParts = append(l.garbageParts, l.snapshotParts...)
+	l.garbage = append(l.garbage, l.snapshotParts...)
 	l.head, l.headRevision, l.snapshotParts = l.openSnapshot.head, revision, l.openSnapshot.parts
 	l.openSnapshot = nil
 	l.entriesSinceSnapshot = int(l.seq - l.head.Seq)
@@ -114,7 +114,7 @@
 // truncate deletes the log entries and parts that the snapshot replaces. Keys that remain after a failure are deleted
 // later. Readers ignore them, because their sequence numbers are not above that of the head.
 func (l *cellLog) truncate(ctx context.Context) {
-	keys := l.garbageParts
+	keys := l.garbage
 	for seq := l.firstSeq; seq <= l.head.Seq; seq++ {
 		keys = append(keys, logKey(l.cell, seq))
 	}
@@ -127,7 +127,7 @@
 			return
 		}
 	}
-	l.garbageParts = nil
+	l.garbage = nil
 	l.firstSeq = l.head.Seq + 1
 }
 
@@ -179,10 +179,10 @@
 	snapshot     lifecycle.Snapshot
 	records      []lifecycle.Record
 	lastSeq      uint64
-	firstSeq     uint64
-	// snapshotParts are the keys of the parts of the snapshot, garbageParts those of parts that no head names.
+	// snapshotParts are the keys of the parts of the snapshot. garbage are those of parts that no head names, and of log
+	// entries that the snapshot covers.
 	snapshotParts []string
-	garbageParts  []string
+	garbage       []string
 }
 
 // isClean reports whether the predecessor drained the cell and wrote all that it knew.
@@ -270,10 +270,10 @@
 		if _, err := fmt.Sscanf(strings.TrimPrefix(e.Key, logPrefix(cell)), "%d", &seq); err != nil {
 			return state, fmt.Errorf("parse the sequence number of log key %q: %w", e.Key, err)
 		}
-		if state.firstSeq == 0 {
-			state.firstSeq = seq
-		}
 		if seq <= state.head.Seq {
+			// A write whose answer was lost may be executed after the entry has been deleted, so that such keys can lie far
+			// below the head.
+			state.garbage = append(state.garbage, e.Key)
 			continue
 		}
 		if seq != state.lastSeq+1 {
@@ -286,9 +286,6 @@
 		}
 		state.records = append(state.records, records...)
 	}
-	if state.firstSeq == 0 {
-		state.firstSeq = state.lastSeq + 1
-	}
 	return state, nil
 }
 
@@ -307,7 +304,7 @@
 	var parts [][]byte
 	for _, e := range stored.Entries {
 		if !strings.HasPrefix(e.Key, partPrefix(cell)+head.ID+"/") {
-			state.garbageParts = append(state.garbageParts, e.Key)
+			state.garbage = append(state.garbage, e.Key)
 			continue
 		}
 		state.snapshotParts = append(state.snapshotParts, e.Key)
--- a/relay/jobs/snapshotwrite_test.go
+++ b/relay/jobs/snapshotwrite_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -172,3 +173,54 @@
 		})
 	}
 }
+
+// countedDeletes is a store that counts the keys that are deleted.
+type countedDeletes struct {
+	jobs.Store
+	deleted *atomic.Int64
+}
+
+func (s countedDeletes) Txn(ctx context.Context, compares []store.Compare, ops []store.Op) (store.TxnResult, error) {
+	for _, op := range ops {
+		if op.Delete {
+			s.deleted.Add(1)
+		}
+	}
+	return s.Store.Txn(ctx, compares, ops)
+}
+
+// Guards against a new owner that deletes all sequence numbers up to the head, millions after a day, because a late write has
+// written an entry anew that a snapshot had deleted long before. Also against such an entry that stays.
+func TestLateLogWriteLeavesOneKeyToDelete(t *testing.T) {
+	scenario(t, 4, func(fx *fixture, h *host) {
+		fx.kill(h)
+		lateKey := fmt.Sprintf("/cell/%d/log/%020d", cell, 20)
+		h, late := fx.lateHost(lateKey, 10*time.Minute)
+		fx.giveCell(h)
+		var ids []ident.JobID
+		for range 4 {
+			ids = append(ids, h.submitOneByOne(256)...)
+		}
+		h.awaitDone(time.Hour, ids...)
+		require.Greater(t, late.writeCount(), 1, "the write was not repeated")
+		time.Sleep(10 * time.Minute)
+		_, found, err := fx.engine.Client("test").Get(bg, lateKey)
+		require.NoError(t, err)
+		require.True(t, found, "the late write has not taken effect")
+		fx.kill(h)
+		stored, err := fx.engine.Range(bg, fmt.Sprintf("/cell/%d/", cell))
+		require.NoError(t, err)
+		deleted := new(atomic.Int64)
+		next := fx.hostOn(func(_ *host, s jobs.Store) jobs.Store { return countedDeletes{s, deleted} })
+		fx.giveCell(next)
+		later := next.submitOneByOne(256)
+		next.awaitDone(time.Hour, later...)
+		require.Positive(t, deleted.Load(), "no snapshot was written")
+		entriesPerJob := 2 // accepted, done
+		require.LessOrEqual(t, int(deleted.Load()), len(stored.Entries)+entriesPerJob*len(later))
+		_, found, err = fx.engine.Client("test").Get(bg, lateKey)
+		require.NoError(t, err)
+		require.False(t, found)
+		fx.verify(next, later...)
+	})
+}
