core/ownership: drop a drained cell whose leased record is gone

After an outage in which the leases ran out and the owner was being stopped, lasting tasks of lost workers stayed away for 10.4 s.

Cause: a leaving host waits until the release of its cells has applied, which deletes their records. A record that is gone with its lease cannot be released, so that the host announced its departure only after another host had claimed the cell. The others had no proof that it had stopped and waited 4 s.

A drained cell without a leased record is no longer held, so that the host announces its departure at once.

--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -231,6 +231,15 @@
 	if h, ok := m.held[v.cell.ID]; ok && mod > store.Revision(h.epoch) {
 		// Renewals of the lease no longer protect the cell, because the record is gone.
 		h.lease = 0
+		m.dropIfUnused(v.cell.ID, h)
+	}
+}
+
+// dropIfUnused drops a drained cell whose leased record is gone: there is nothing left to release. A host that leaves could
+// not announce that it uses no cell before another host has claimed this one.
+func (m *Machine) dropIfUnused(id ident.CellID, h *heldCell) {
+	if h.drained && m.views[id].epoch == 0 && h.lease == 0 {
+		delete(m.held, id)
 	}
 }
 
--- a/core/ownership/rules_test.go
+++ b/core/ownership/rules_test.go
@@ -322,3 +322,31 @@
 	require.Equal(t, Release, actions[0].Kind)
 	require.True(t, actions[0].Record.unused())
 }
+
+// Guards against a leaving host that does not announce its departure before another host has claimed its cell: its lease ran
+// out during the drain, so that there is no record left to release. The others waited as for an owner that may still run.
+func TestDrainedCellWithoutARecordIsNotHeld(t *testing.T) {
+	for name, steps := range map[string][]func(m *Machine){
+		"lost, then drained": {
+			func(m *Machine) { m.LeaseLost(); m.SetOwner(1, nil, 9, at(10)) },
+			func(m *Machine) { m.CellDrained(1, 5) },
+		},
+		"drained, then lost": {
+			func(m *Machine) { m.CellDrained(1, 5) },
+			func(m *Machine) { m.LeaseLost(); m.SetOwner(1, nil, 9, at(10)) },
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := newOwner("a", "b")
+			m.SetLeaving()
+			require.Equal(t, []Action{{Kind: HandOver, Cell: 1, Epoch: 5}}, m.Step(at(1)))
+			for _, step := range steps {
+				require.NotEmpty(t, m.HeldCells())
+				step(m)
+			}
+			require.Empty(t, m.HeldCells())
+			require.Empty(t, m.Step(at(11)), "a leaving host claims nothing")
+			require.Equal(t, None, m.Grant(1, at(11)).Authority)
+		})
+	}
+}
--- a/core/ownership/step.go
+++ b/core/ownership/step.go
@@ -292,6 +292,7 @@
 func (m *Machine) CellDrained(id ident.CellID, epoch ident.Epoch) {
 	if h, ok := m.held[id]; ok && h.epoch == epoch && h.draining {
 		h.drained = true
+		m.dropIfUnused(id, h)
 	}
 }
 
