relay/jobs: end a hand-over with the log writer

Cause: a hand-over waits until all queued records are durable. Once another host has the cell, or the lease is gone, the log writer has ended, and the wait was ended by the context alone.

The wait ends with the writer; the hand-over then fails, and the cell is stopped as before.

--- a/relay/jobs/flush.go
+++ b/relay/jobs/flush.go
@@ -1,6 +1,9 @@
 package jobs
 
-import "context"
+import (
+	"context"
+	"errors"
+)
 
 // allDurable reports whether every record is durable.
 func (l *cellLog) allDurable() bool {
@@ -29,7 +32,10 @@
 	}
 }
 
-// flush waits until every queued record is durable.
+// errWriterEnded means that records are queued that will never be written, because the owner has been replaced or stopped.
+var errWriterEnded = errors.New("the log writer has ended before all records were durable")
+
+// flush waits until every queued record is durable, or until the writer has ended.
 func (l *cellLog) flush(ctx context.Context) error {
 	l.mu.Lock()
 	if len(l.queue) == 0 && !l.writing {
@@ -45,6 +51,11 @@
 	select {
 	case <-idle:
 		return nil
+	case <-l.writerDone:
+		if l.allDurable() {
+			return nil
+		}
+		return errWriterEnded
 	case <-ctx.Done():
 		return ctx.Err()
 	}
