--- a/relay/jobs/acquire_test.go
+++ b/relay/jobs/acquire_test.go
@@ -69,36 +69,42 @@
 	})
 }
 
-// lossyReads is a store that does not answer some of the next reads: those whose numbers drop reports.
-type lossyReads struct {
+// hookedReads is a store that calls before ahead of each read, which fails if before does.
+type hookedReads struct {
 	jobs.Store
-	reads *atomic.Int64
-	drop  func(read int64) bool
+	before func(ctx context.Context) error
 }
 
-// lost waits until the caller gives up, if the answer to this read is lost.
-func (s lossyReads) lost(ctx context.Context) error {
-	if !s.drop(s.reads.Add(1)) {
-		return nil
-	}
-	<-ctx.Done()
-	return ctx.Err()
-}
-
-func (s lossyReads) Get(ctx context.Context, key string) (store.Entry, bool, error) {
-	if err := s.lost(ctx); err != nil {
+func (s hookedReads) Get(ctx context.Context, key string) (store.Entry, bool, error) {
+	if err := s.before(ctx); err != nil {
 		return store.Entry{}, false, err
 	}
 	return s.Store.Get(ctx, key)
 }
 
-func (s lossyReads) Range(ctx context.Context, prefix string) (store.RangeResult, error) {
-	if err := s.lost(ctx); err != nil {
+func (s hookedReads) Range(ctx context.Context, prefix string) (store.RangeResult, error) {
+	if err := s.before(ctx); err != nil {
 		return store.RangeResult{}, err
 	}
 	return s.Store.Range(ctx, prefix)
 }
 
+// loseRead loses the answer to one read, given by its number. reads counts the reads.
+func loseRead(reads *atomic.Int64, lost int64) func(context.Context) error {
+	return func(ctx context.Context) error {
+		if reads.Add(1) != lost {
+			return nil
+		}
+		<-ctx.Done()
+		return ctx.Err()
+	}
+}
+
+// delayReads makes each read take the given time.
+func delayReads(delay time.Duration) func(context.Context) error {
+	return func(ctx context.Context) error { return sleep.For(ctx, delay) }
+}
+
 // Guards against a cell without work for good: the store does not answer one of the reads by which a new owner loads the
 // state, and the owner waits for it while it keeps the grant.
 func TestLostReadDoesNotBlockTheTakeover(t *testing.T) {
@@ -110,7 +116,7 @@
 				fx.kill(previous)
 				reads := new(atomic.Int64)
 				h := fx.hostOn(func(_ *host, s jobs.Store) jobs.Store {
-					return lossyReads{s, reads, func(read int64) bool { return read == lost }}
+					return hookedReads{s, loseRead(reads, lost)}
 				})
 				ctx, cancel := context.WithTimeout(bg, 10*time.Second)
 				defer cancel()
@@ -129,11 +135,11 @@
 	scenario(t, 2, func(fx *fixture, previous *host) {
 		id := previous.submit(spec("batch", 2, "work=1s"))
 		fx.kill(previous)
-		h := fx.hostOn(func(_ *host, s jobs.Store) jobs.Store { return delayedReads{s, readTime} })
+		h := fx.hostOn(func(_ *host, s jobs.Store) jobs.Store { return hookedReads{s, delayReads(readTime)} })
 		require.NoError(t, h.svc.Acquire(bg, fx.grantCell(h), fx.members()))
 		h.awaitDone(time.Minute, id)
 		fx.kill(h)
-		stuck := fx.hostOn(func(_ *host, s jobs.Store) jobs.Store { return delayedReads{s, time.Hour} })
+		stuck := fx.hostOn(func(_ *host, s jobs.Store) jobs.Store { return hookedReads{s, delayReads(time.Hour)} })
 		g := fx.grantCell(stuck)
 		time.AfterFunc(time.Second, func() { stuck.setGrant(func(g *ownership.Grant) { *g = ownership.Grant{Cell: cell} }) })
 		begin := time.Now()
@@ -141,25 +147,3 @@
 		require.Less(t, time.Since(begin), 5*time.Second)
 	})
 }
-
-// delayedReads is a store whose reads take the given time.
-type delayedReads struct {
-	jobs.Store
-	delay time.Duration
-}
-
-func (s delayedReads) wait(ctx context.Context) error { return sleep.For(ctx, s.delay) }
-
-func (s delayedReads) Get(ctx context.Context, key string) (store.Entry, bool, error) {
-	if err := s.wait(ctx); err != nil {
-		return store.Entry{}, false, err
-	}
-	return s.Store.Get(ctx, key)
-}
-
-func (s delayedReads) Range(ctx context.Context, prefix string) (store.RangeResult, error) {
-	if err := s.wait(ctx); err != nil {
-		return store.RangeResult{}, err
-	}
-	return s.Store.Range(ctx, prefix)
-}
