core/forecast: drop old images a generation at a time

Images are now kept in two generations of at most 1,536, with 32 run times each in seconds of 4 bytes, at most 1 MB.

--- a/core/forecast/errors.go
+++ b/core/forecast/errors.go
@@ -6,6 +6,8 @@
 )
 
 const (
+	// errorWindow is how many ratios are remembered.
+	errorWindow = 64
 	// priorFactor is by how much a wait is assumed to exceed its forecast before errors have been observed: declared
 	// run times are off by half.
 	priorFactor = 1.5
@@ -38,12 +40,12 @@
 		return
 	}
 	ratio := min(float64(actual)/float64(expected), maxFactor)
-	if len(e.ratios) < window {
+	if len(e.ratios) < errorWindow {
 		e.ratios = append(e.ratios, ratio)
 		return
 	}
 	e.ratios[e.next] = ratio
-	e.next = (e.next + 1) % window
+	e.next = (e.next + 1) % errorWindow
 }
 
 // Spread returns by how much the wait may exceed the forecast in four of five cases.
--- a/core/forecast/runtimes.go
+++ b/core/forecast/runtimes.go
@@ -8,11 +8,10 @@
 )
 
 const (
-	// window is how many run times of an image are remembered. With 64, three stragglers in a hundred leave the
-	// quartiles unchanged.
-	window = 64
-	// maxImages bounds the remembered images; 512 of them take about 600 KB.
-	maxImages = 512
+	// window is how many run times of an image are remembered. One straggler in 32 leaves the quartiles unchanged.
+	window = 32
+	// maxImages bounds the images in a generation. Two generations of it take at most 1 MB.
+	maxImages = 1536
 	// minSamples is how many ended runs replace the declared run time.
 	minSamples = 5
 	// minLonger is how many of the remembered runs must have taken longer than a task has run for them to say when
@@ -24,64 +23,64 @@
 
 // RunTimes learns how long tasks of an image run. It is not safe for concurrent use.
 type RunTimes struct {
-	images map[string]*samples
-	// observed counts the observations, so that the image whose last one is the oldest can be dropped.
-	observed uint64
+	// recent holds the images observed since it last reached maxImages, older those of the time before.
+	recent, older map[string]*samples
 }
 
-// samples holds the last run times of one image, in the order of arrival in ring and in ascending order in sorted.
+// samples holds the last run times of one image in seconds, in the order of arrival in ring and in ascending order in
+// sorted.
 type samples struct {
-	ring, sorted []time.Duration
+	ring, sorted []float32
 	next         int
-	lastObserved uint64
 }
 
 // NewRunTimes returns a learner without observations.
-func NewRunTimes() *RunTimes { return &RunTimes{images: make(map[string]*samples)} }
+func NewRunTimes() *RunTimes { return &RunTimes{recent: make(map[string]*samples)} }
 
 // Observe adds the run time of a task that has ended.
 func (r *RunTimes) Observe(image string, took time.Duration) {
-	took = max(took, 0)
-	r.observed++
-	s, ok := r.images[image]
+	s, ok := r.recent[image]
 	if !ok {
-		if len(r.images) >= maxImages {
-			r.dropOldest()
+		if s, ok = r.older[image]; !ok {
+			s = &samples{}
 		}
-		s = &samples{}
-		r.images[image] = s
+		if len(r.recent) >= maxImages {
+			r.older, r.recent = r.recent, make(map[string]*samples)
+		}
+		r.recent[image] = s
+	}
+	s.add(float32(max(took, 0).Seconds()))
+}
+
+func (r *RunTimes) samplesOf(image string) (*samples, bool) {
+	if s, ok := r.recent[image]; ok {
+		return s, true
 	}
-	s.lastObserved = r.observed
-	s.add(took)
+	s, ok := r.older[image]
+	return s, ok
 }
 
-func (s *samples) add(took time.Duration) {
+func (s *samples) add(seconds float32) {
 	if len(s.ring) < window {
-		s.ring = append(s.ring, took)
+		s.ring = append(s.ring, seconds)
 	} else {
 		i, _ := slices.BinarySearch(s.sorted, s.ring[s.next])
 		s.sorted = slices.Delete(s.sorted, i, i+1)
-		s.ring[s.next] = took
+		s.ring[s.next] = seconds
 		s.next = (s.next + 1) % window
 	}
-	i, _ := slices.BinarySearch(s.sorted, took)
-	s.sorted = slices.Insert(s.sorted, i, took)
+	i, _ := slices.BinarySearch(s.sorted, seconds)
+	s.sorted = slices.Insert(s.sorted, i, seconds)
 }
 
-func (r *RunTimes) dropOldest() {
-	oldest, first := "", true
-	for image, s := range r.images {
-		if first || s.lastObserved < r.images[oldest].lastObserved {
-			oldest, first = image, false
-		}
-	}
-	delete(r.images, oldest)
+func duration(seconds float32) time.Duration {
+	return time.Duration(float64(seconds) * float64(time.Second))
 }
 
 // Estimate returns the median of the last run times of an image, their spread and their number. The spread is half the
 // distance between the quantiles of 16 % and 84 %, which is one standard deviation of a normal distribution.
 func (r *RunTimes) Estimate(image string) (median, spread time.Duration, n int) {
-	s, ok := r.images[image]
+	s, ok := r.samplesOf(image)
 	if !ok {
 		return 0, 0, 0
 	}
@@ -89,7 +88,7 @@
 }
 
 func (s *samples) quantile(q float64) time.Duration {
-	return s.sorted[int(q*float64(len(s.sorted)-1)+0.5)]
+	return duration(s.sorted[int(q*float64(len(s.sorted)-1)+0.5)])
 }
 
 // Remaining estimates how much longer a task runs that has run for elapsed: the median of the remembered runs that took
@@ -97,10 +96,10 @@
 // run for as long again as it has overrun.
 func (r *RunTimes) Remaining(image string, declared, elapsed time.Duration) time.Duration {
 	expected := declared
-	if s, ok := r.images[image]; ok && len(s.sorted) >= minSamples {
-		i, _ := slices.BinarySearch(s.sorted, elapsed+1)
+	if s, ok := r.samplesOf(image); ok && len(s.sorted) >= minSamples {
+		i, _ := slices.BinarySearch(s.sorted, float32(elapsed.Seconds()))
 		if longer := s.sorted[i:]; len(longer) >= minLonger {
-			return longer[len(longer)/2] - elapsed
+			return max(duration(longer[len(longer)/2])-elapsed, 0)
 		}
 		expected = s.quantile(0.5)
 	}
