core/placement: reserve workers by forecast and lend what they hold

Cause: small tasks take what becomes free before enough of it is free on one worker, and a worker was reserved for a large task only after 2 s, for one task of a class, by declared run times that are off by half.

Change: the first task of a queue that has not fitted for 100 ms reserves the worker on which it is expected to fit first, by learnt run times, if it then keeps its rank. A class may hold four reservations. Tasks that are not expected to delay the reserved one may use what it holds; restarts, and urgent tasks within their share, do so in any case, and reserved batch tasks start after the urgent tasks of a Plan have been considered. Reservations expire when the forecast was wrong. Batch tasks avoid workers where they take the room of a waiting size. Options.NoLookAhead turns all of it off. A probe of a quarantined worker still waits for ReserveAfter.

--- a/core/placement/booking.go
+++ b/core/placement/booking.go
@@ -143,7 +143,7 @@
 		return true
 	}
 	for _, n := range c.freedNodes {
-		if n.acceptsTasks() && need.Fits(n.Available()) {
+		if n.acceptsTasks() && need.Fits(n.Available().Add(n.yieldable())) {
 			return true
 		}
 	}
@@ -194,7 +194,7 @@
 func (c *Cell) claimNode(t *task, n *node, now stamp, urgent bool) {
 	c.shares.dequeue(t)
 	t.state = claimed
-	t.claim = &claim{task: t, node: n, createdAt: now, urgent: urgent}
+	t.claim = &claim{task: t, node: n, createdAt: now, urgent: urgent, expectedAt: noTime, expiresAt: noTime}
 	n.addClaim(t.claim)
 	c.claims = append(c.claims, t.claim)
 	c.shares.addHeld(t.class, t.desired, 1)
--- a/core/placement/cell.go
+++ b/core/placement/cell.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/bulrushrelay/bulrushrelay/core/forecast"
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/resource"
 	"github.com/bulrushrelay/bulrushrelay/core/table"
@@ -87,6 +88,7 @@
 	poolUses map[string]poolUse
 	// unreached holds the unreached capacity by pool.
 	unreached map[string]Unreached
+	lookAhead lookAhead
 	clock
 }
 
@@ -109,6 +111,7 @@
 		fillerMisses: make(map[taskSignature]stamp),
 		poolUses:     make(map[string]poolUse),
 		unreached:    make(map[string]Unreached),
+		lookAhead:    lookAhead{runTimes: forecast.NewRunTimes()},
 		shapes:       newShapes(),
 		required: []Filter{
 			leavingFilter{}, quarantineFilter{}, avoidFilter{}, poolFilter{}, labelFilter{}, perWorkerFilter{}, fillerFilter{},
@@ -308,6 +311,7 @@
 	if !ok || t.node == nil {
 		return
 	}
+	c.learnRunTime(t)
 	j := t.job
 	moved := t.state == evicting
 	c.removeTask(t)
--- a/core/placement/claims.go
+++ b/core/placement/claims.go
@@ -29,9 +29,13 @@
 	r.claims = remaining
 }
 
-// expire ends an urgent claim that exceeds Options.ClaimTimeout and requeues its task.
+// expire ends an urgent claim that exceeds Options.ClaimTimeout, or a reservation whose forecast was wrong, and requeues
+// its task.
 func (r *planRun) expire(cl *claim) bool {
-	if !cl.urgent || cl.isComplete() || r.now.since(cl.createdAt) <= r.opts.ClaimTimeout {
+	if !cl.urgent {
+		return r.expireReservation(cl)
+	}
+	if cl.isComplete() || r.now.since(cl.createdAt) <= r.opts.ClaimTimeout {
 		return false
 	}
 	t := cl.task
@@ -45,7 +49,7 @@
 // startElsewhere starts a reserved task on another worker that can hold it now.
 func (r *planRun) startElsewhere(cl *claim) bool {
 	t := cl.task
-	if cl.urgent && !t.isRestart() || cl.isComplete() || r.limitReached() {
+	if cl.urgent && !t.isRestart() || cl.isComplete() || r.limitReached() || r.mustYield(cl) {
 		return false
 	}
 	wastedVisits := r.wastedVisits
@@ -62,6 +66,7 @@
 	if n == nil {
 		return false
 	}
+	r.noteStartElsewhere(cl)
 	r.releaseClaim(cl)
 	r.distributeFree(cl.node)
 	r.start(t, n)
@@ -71,29 +76,39 @@
 // startCompleteClaims starts the tasks whose claims hold all they need.
 func (r *planRun) startCompleteClaims() {
 	i := 0
+	var left []*claim
 	for ; i < len(r.completeClaims) && len(r.plan.Starts) < r.limit; i++ {
 		cl := r.completeClaims[i]
 		if !cl.isComplete() {
 			continue
 		}
+		if r.mustYield(cl) {
+			left = append(left, cl)
+			continue
+		}
 		t := cl.task
+		r.noteKept(cl)
 		r.releaseClaim(cl)
 		r.start(t, cl.node)
 	}
-	r.completeClaims = append(r.completeClaims[:0], r.completeClaims[i:]...)
+	left = append(left, r.completeClaims[i:]...)
+	r.completeClaims = append(r.completeClaims[:0], left...)
 }
 
-// failsToFit reports whether the first task of a queue has not fitted for Options.ReserveAfter.
+// failsToFit reports whether the first task of a queue has not fitted for as long as reservations wait.
 func (r *planRun) failsToFit(t *task) bool {
 	if t.blockedSince == noTime {
 		t.blockedSince = r.now
 	}
-	return r.now.since(t.blockedSince) >= r.opts.ReserveAfter
+	return r.now.since(t.blockedSince) >= r.reserveAfter(t)
 }
 
 // reserve claims the worker on which a task that has waited is expected to fit first. Resources that become free there
 // are kept for it, while smaller tasks are placed on the other workers.
 func (r *planRun) reserve(t *task) bool {
+	if !r.opts.NoLookAhead && !t.constraints.Filler {
+		return r.reserveAhead(t)
+	}
 	if !r.mayReserve(t.class) {
 		return false
 	}
@@ -127,9 +142,14 @@
 	return true
 }
 
-// mayReserve reports whether the class may reserve another worker. A class may hold one reservation at a time, so
-// that a class with many large tasks does not exceed its share through reservations.
+// mayReserve reports whether the class may reserve another worker. A class may hold one reservation at a time, or
+// maxClassReservations with look-ahead, so that a class with many large tasks does not exceed its share through
+// reservations.
 func (r *planRun) mayReserve(class *class) bool {
+	allowed := 1
+	if !r.opts.NoLookAhead {
+		allowed = maxClassReservations
+	}
 	n := 0
 	for _, cl := range r.claims {
 		if cl.task == nil || cl.urgent || cl.task.isRestart() {
@@ -137,7 +157,9 @@
 		}
 		n++
 		if cl.task.class == class {
-			return false
+			if allowed--; allowed <= 0 {
+				return false
+			}
 		}
 	}
 	return n < min(maxReservations, max(1, len(r.nodes)/reservationDivisor))
--- a/core/placement/export_test.go
+++ b/core/placement/export_test.go
@@ -129,9 +129,12 @@
 }
 
 func (n *node) checkSums() error {
-	var booked, deficit, held, claimed resource.Vector
+	var booked, lasting, deficit, held, claimed resource.Vector
 	for _, t := range n.tasks {
 		booked = booked.Add(t.booked)
+		if t.lasting {
+			lasting = lasting.Add(t.booked)
+		}
 		deficit = deficit.Add(t.desired.Sub(t.booked))
 	}
 	for _, cl := range n.claims {
@@ -142,6 +145,9 @@
 		return fmt.Errorf("booked %v deficit %v held %v claimed %v, want %v, %v, %v, %v",
 			n.booked, n.deficit, n.held, n.claimed, booked, deficit, held, claimed)
 	}
+	if lasting != n.lastingBooked {
+		return fmt.Errorf("booked by lasting tasks %v, want %v", n.lastingBooked, lasting)
+	}
 	if !booked.Add(held).Fits(n.worker.Capacity) || !deficit.NonNegative() {
 		return fmt.Errorf("booked %v and held %v exceed capacity %v", booked, held, n.worker.Capacity)
 	}
@@ -152,6 +158,9 @@
 type Work struct {
 	// Done is the weighted work on queued tasks, WastedVisits the index nodes visited by unsuccessful searches.
 	Done, WastedVisits int
+	// Forecasts counts the tasks for which the worker that fits first was looked for, LendTries the reservations for
+	// which it was forecast whether another task delays them.
+	Forecasts, LendTries int
 }
 
 // MaxWork and MaxWastedVisits bound the work of a Plan before its last queue, MaxQueueWork and MaxQueueWastedVisits
@@ -161,6 +170,8 @@
 	MaxWastedVisits      = maxWastedVisits
 	MaxQueueWork         = (defaultBackfillDepth + 1) * (1 + startWork + displaceWork)
 	MaxQueueWastedVisits = (defaultBackfillDepth + 1) * defaultSearchBudget
+	MaxForecasts         = maxForecasts
+	MaxLendTries         = maxLendTries
 )
 
 // MaxExplainWork bounds the workers that one call of LongestWaiting looks at.
@@ -171,7 +182,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := c.runPlan(now, limit)
-	return r.plan, Work{Done: r.work, WastedVisits: r.wastedVisits}
+	return r.plan, Work{Done: r.work, WastedVisits: r.wastedVisits, Forecasts: r.forecasts, LendTries: r.lendTries}
 }
 
 // WorkerOf returns the worker on which a task is booked; "" if none.
@@ -183,3 +194,16 @@
 	}
 	return ""
 }
+
+// ReservedWorkers lists the workers with reservations of look-ahead.
+func (c *Cell) ReservedWorkers() []ident.WorkerID {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var reserved []ident.WorkerID
+	for _, cl := range c.claims {
+		if cl.isReservation() {
+			reserved = append(reserved, cl.node.worker.ID)
+		}
+	}
+	return reserved
+}
--- a/core/placement/model_test.go
+++ b/core/placement/model_test.go
@@ -50,7 +50,7 @@
 
 func newMachine(t *rapid.T) *machine {
 	m := &machine{
-		cell:    placement.NewCell(rapid.Uint64().Draw(t, "seed"), placement.Options{}),
+		cell:    placement.NewCell(rapid.Uint64().Draw(t, "seed"), placement.Options{NoLookAhead: rapid.Bool().Draw(t, "noLookAhead")}),
 		now:     epoch,
 		workers: map[ident.WorkerID]placement.Worker{},
 		pending: map[ident.TaskID]placement.Pending{},
--- a/core/placement/node.go
+++ b/core/placement/node.go
@@ -21,6 +21,8 @@
 	tasks []*task
 	// booked is the sum of the tasks' bookings, unevictable the part of it held by urgent and lasting tasks.
 	booked, unevictable resource.Vector
+	// lastingBooked is the part of booked that lasting tasks hold.
+	lastingBooked resource.Vector
 	// deficit is the sum of what tasks should have booked beyond what they have.
 	deficit resource.Vector
 	// claims lists the claims on this worker, those of urgent tasks and restarts first. held is the sum of what
@@ -67,6 +69,9 @@
 	createdAt stamp
 	// urgent claims follow evictions and go before reservations of large tasks.
 	urgent bool
+	// expectedAt is when the task is expected to fit, expiresAt when the claim ends if it does not; noTime without
+	// a forecast.
+	expectedAt, expiresAt stamp
 }
 
 // hasPriority reports whether the claim goes before reservations of large tasks.
@@ -108,13 +113,7 @@
 
 // freeAfterFinite returns what is free or held by tasks that end, less what is already claimed.
 func (n *node) freeAfterFinite() resource.Vector {
-	left := n.worker.Capacity.Sub(n.claimed)
-	for _, t := range n.tasks {
-		if t.lasting {
-			left = left.Sub(t.booked)
-		}
-	}
-	return left
+	return n.worker.Capacity.Sub(n.claimed).Sub(n.lastingBooked)
 }
 
 // addTask books a task, as far as its resources are available.
@@ -207,6 +206,9 @@
 	if t.class.urgent || t.lasting {
 		n.unevictable = n.unevictable.Add(delta)
 	}
+	if t.lasting {
+		n.lastingBooked = n.lastingBooked.Add(delta)
+	}
 	n.deficit = n.deficit.Add(desired.Sub(booked)).Sub(t.desired.Sub(t.booked))
 	n.loadOf(t.class).MilliCPU += delta.MilliCPU
 	t.desired, t.booked = desired, booked
--- a/core/placement/options.go
+++ b/core/placement/options.go
@@ -87,8 +87,10 @@
 	SearchBudget int
 	// BackfillDepth is how many tasks behind one that does not fit are tried in each queue and Plan.
 	BackfillDepth int
-	// ReserveAfter is how long the first task of a queue may fail to fit before a worker is reserved for it.
-	ReserveAfter time.Duration
+	// ReserveAfter is how long the first task of a queue may fail to fit before a worker is reserved for it. Look-ahead
+	// reserves after lookAheadAfter unless ReserveAfter is set.
+	ReserveAfter   time.Duration
+	lookAheadAfter time.Duration
 	// ClaimTimeout is how long an urgent task waits for the tasks evicted for it.
 	ClaimTimeout time.Duration
 	// MaxVictims bounds the tasks evicted for one urgent task.
@@ -96,6 +98,9 @@
 	// FillerPatience is how long a filler waits for a worker where it is not expected to bring a serving task near
 	// its target.
 	FillerPatience time.Duration
+	// NoLookAhead reserves workers only after ReserveAfter and by declared run times, and keeps what is reserved from
+	// all other tasks.
+	NoLookAhead bool
 	// MinThrottle is the smallest fraction of its processors that a throttled task keeps; 1 disables throttling.
 	MinThrottle float64
 	// Interference estimates the slowdown between classes; nil means a new Estimator.
@@ -110,6 +115,8 @@
 	setDefault(&o.Candidates, defaultCandidates)
 	setDefault(&o.SearchBudget, defaultSearchBudget)
 	setDefault(&o.BackfillDepth, defaultBackfillDepth)
+	o.lookAheadAfter = o.ReserveAfter
+	setDefault(&o.lookAheadAfter, defaultLookAheadAfter)
 	setDefault(&o.ReserveAfter, defaultReserveAfter)
 	setDefault(&o.ClaimTimeout, defaultClaimTimeout)
 	setDefault(&o.MaxVictims, defaultMaxVictims)
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -34,6 +34,7 @@
 	// undisplaceable lists the urgent tasks for which displacing others failed; larger ones of the same class are
 	// not tried.
 	undisplaceable []*task
+	lookAheadWork
 	// touchedQueues lists the queues whose cursors are in use.
 	touchedQueues []*tenantQueue
 }
@@ -76,6 +77,7 @@
 	c.shares.now = c.now
 	r := &planRun{Cell: c, limit: limit, maxBatchShare: c.shares.maxBatchShare()}
 	if c.shares.cyclePlans == 0 {
+		c.lookAhead.startCycle()
 		c.backfillDepth = min(c.opts.BackfillDepth, maxBackfillTasks/(1+c.shares.waitingClasses()))
 	}
 	r.plan.Impossible = c.impossibleReports
@@ -83,6 +85,7 @@
 	c.planSeq++
 	r.relieveOverload()
 	r.paceFillers()
+	r.yielding = r.urgentWaits()
 	r.reviewClaims()
 	r.startCompleteClaims()
 	r.tooLarge = r.tooLarge[:0]
@@ -91,6 +94,8 @@
 	clear(r.freedNodes)
 	r.freedNodes = r.freedNodes[:0]
 	r.startQueued()
+	r.startYielding()
+	r.finishQueues()
 	r.startIdleJobs()
 	r.startCompleteClaims()
 	r.unthrottle()
@@ -115,6 +120,9 @@
 		if q.tried == 0 && r.workExhausted() {
 			break
 		}
+		if !q.class.urgent && r.startYielding() {
+			continue
+		}
 		if q.tried == 0 && q.cursor == nil {
 			q.cursor = q.first
 			r.touchedQueues = append(r.touchedQueues, q)
@@ -141,7 +149,6 @@
 			r.blockIfExhausted(q)
 		}
 	}
-	r.finishQueues()
 }
 
 // blockIfExhausted blocks a queue once all its tasks, or as many as the backfill depth allows, have been tried.
@@ -179,6 +186,14 @@
 		r.start(t, n)
 		return placed
 	}
+	if n := r.chooseReserved(t); n != nil {
+		r.shares.dequeue(t)
+		r.start(t, n)
+		return placed
+	}
+	if first && !r.opts.NoLookAhead {
+		r.lookAhead.noteUnplaced(t)
+	}
 	if r.mayDisplace(t) {
 		r.work += displaceWork
 		if r.displace(t) {
@@ -358,7 +373,7 @@
 		}
 		return score
 	}
-	sum := 0.0
+	sum := -remainderWeight * c.lookAhead.lostRoom(req, n)
 	if req.Constraints.Serving {
 		sum += servingWeight * servingScore{}.Score(c.spread, req, n)
 	}
--- a/core/placement/probe.go
+++ b/core/placement/probe.go
@@ -4,7 +4,7 @@
 // lasting tasks that have waited for a sound worker. Other tasks are used as probes without waiting, but there may be
 // none, and the quarantine of a worker ends only after a probe.
 func (r *planRun) chooseProbe(t *task) *node {
-	if r.probingWorkers == 0 || !t.class.urgent && !t.lasting || r.limitReached() {
+	if r.probingWorkers == 0 || !t.class.urgent && !t.lasting || r.limitReached() || r.now.since(t.blockedSince) < r.opts.ReserveAfter {
 		return nil
 	}
 	req := r.request(t)
--- a/core/placement/restarts.go
+++ b/core/placement/restarts.go
@@ -57,6 +57,11 @@
 		r.start(t, n)
 		return true
 	}
+	if n := r.chooseReserved(t); n != nil {
+		r.shares.dequeue(t)
+		r.start(t, n)
+		return true
+	}
 	if r.now < t.retryAt || r.failedDisplacements >= maxFailedDisplacements {
 		return false
 	}
--- a/core/placement/task.go
+++ b/core/placement/task.go
@@ -89,7 +89,11 @@
 	blockedSince stamp
 	// retryAt is when displacing other tasks for this one may be tried again.
 	retryAt stamp
-	avoid   []ident.WorkerID
+	// reserveRetryAt is when the next worker may be reserved for the task, expiredClaims counts the reservations for it
+	// that expired.
+	reserveRetryAt stamp
+	expiredClaims  int32
+	avoid          []ident.WorkerID
 	// startedInPlan is the planSeq of the Plan that started the task.
 	startedInPlan uint64
 
@@ -143,6 +147,7 @@
 		blockedSince:   noTime,
 		queuedAt:       noTime,
 		retryAt:        noTime,
+		reserveRetryAt: noTime,
 		avoid:          p.Avoid,
 	}
 }
--- a/core/placement/work_test.go
+++ b/core/placement/work_test.go
@@ -47,6 +47,8 @@
 		p, w := c.PlanWork(now, 1000)
 		require.LessOrEqual(t, w.Done, placement.MaxWork+placement.MaxQueueWork)
 		require.LessOrEqual(t, w.WastedVisits, placement.MaxWastedVisits+placement.MaxQueueWastedVisits)
+		require.LessOrEqual(t, w.Forecasts, placement.MaxForecasts)
+		require.LessOrEqual(t, w.LendTries, placement.MaxLendTries)
 		starts = append(starts, p.Starts...)
 		more = p.More
 	}
