relayd: --no-look-ahead, also of relayd platform

Both orders of placement are to be compared on a deployment. Look-ahead is on by default; the flag and BULRUSH_NO_LOOK_AHEAD turn it off. A flag that turns it off, because a boolean that is false is not passed on in the environment of a process (Environment).

--- a/daemon/flags.go
+++ b/daemon/flags.go
@@ -18,6 +18,12 @@
 	return envPrefix + strings.ToUpper(strings.ReplaceAll(flag, "-", "_"))
 }
 
+// NoLookAheadFlag turns look-ahead placement off, on hosts that run requests and jobs and on those that run only jobs.
+const (
+	NoLookAheadFlag  = "no-look-ahead"
+	NoLookAheadUsage = "place tasks without regard to what waits and what will end soon, to compare both orders (docs/design/look-ahead.md)"
+)
+
 // Categories of the flags, each a section of the settings page.
 const (
 	groupIdentity  = "identity"
@@ -64,6 +70,7 @@
 		intFlag(&s.LedgerRecords, "ledger-records", groupLimits, 500_000, "maximum number of idempotency records held at once"),
 		intFlag(&s.LedgerMB, "ledger-mb", groupLimits, 256, "maximum memory for idempotency records, in MB"),
 		intFlag(&s.MilliCPU, "milli-cpu", groupLimits, 0, "CPU capacity of this host in thousandths of a core, used in the choice of cell owners; 0 if not known"),
+		boolFlag(&s.NoLookAhead, NoLookAheadFlag, groupLimits, NoLookAheadUsage),
 	}
 }
 
--- a/daemon/host.go
+++ b/daemon/host.go
@@ -311,6 +311,7 @@
 	options.Cell = id
 	options.Cells = h.settings.Cells
 	options.ShareShift = h.cluster.Grant(id).ShareShift
+	options.NoLookAhead = h.settings.NoLookAhead
 	planner := placement.NewCell(rand.Uint64(), options)
 	planner.SetTable(t)
 	return planner
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -61,6 +61,8 @@
 	// MilliCPU is the CPU capacity of this host in thousandths of a core; 0 if it is not known. Hosts with a higher
 	// capacity are preferred as owners of cells.
 	MilliCPU int
+	// NoLookAhead turns look-ahead placement off; see placement.Options.
+	NoLookAhead bool
 }
 
 // AdvertisedAddress returns the address at which other hosts reach this one.
