relay/jobs: count reservations and say by when room is expected

A waiting task showed the reason and no time, and nothing said whether reservations help. job why and the line task_waits now say within which time room is expected for the task, and for all waiting tasks of its class and size. Counters: reservations made, kept, expired and started elsewhere, reserved room lent and yielded, forecasts and their error.

--- a/core/placement/explain.go
+++ b/core/placement/explain.go
@@ -56,6 +56,8 @@
 	// included. They decide whether a job of fillers gets a task started beside others.
 	JobRunning int
 	PoolUse    float64
+	// Room says when room is expected, if the task waits for room.
+	Room RoomForecast
 }
 
 // RuledOutCounts counts, by reason, the workers with room that do not take a task.
@@ -129,6 +131,7 @@
 		return w
 	case claimed:
 		w.Reason = WaitClaim
+		w.Room = c.forecastRoom(t, nil, now)
 		return w
 	default:
 	}
@@ -140,6 +143,7 @@
 		w.Reason = WaitLimit
 	case w.WorkersWithRoom == 0:
 		w.Reason = WaitRoom
+		w.Room = c.forecastRoom(t, &req, now)
 	case admitting == 0:
 		w.Reason = w.RuledOut[0].Reason
 	case c.missedRecently(t, c.signatureOf(t)):
--- a/core/placement/lookahead.go
+++ b/core/placement/lookahead.go
@@ -173,17 +173,17 @@
 		if len(n.claims) > 0 || n.worker.Quarantined {
 			continue
 		}
-		c.fillTimeline(n, n.Available())
-		if in, ok := c.lookAhead.timeline.Fits(t.desired); ok && (soonest == nil || in < wait) {
+		line := &c.lookAhead.timeline
+		c.fillTimeline(line, n, n.Available())
+		if in, ok := line.Fits(t.desired); ok && (soonest == nil || in < wait) {
 			soonest, wait = n, in
 		}
 	}
 	return soonest, wait
 }
 
-// fillTimeline fills the buffer with the expected ends on a worker.
-func (c *Cell) fillTimeline(n *node, free resource.Vector) {
-	line := &c.lookAhead.timeline
+// fillTimeline fills a timeline with the expected ends on a worker.
+func (c *Cell) fillTimeline(line *forecast.Timeline, n *node, free resource.Vector) {
 	line.Reset(free)
 	for _, t := range n.tasks {
 		if !t.lasting {
@@ -340,8 +340,8 @@
 	}
 	r.lendTries++
 	n, need := cl.node, cl.task.desired
-	r.fillTimeline(n, n.Available().Add(n.held).Sub(n.claimed).Add(need))
 	line := &r.lookAhead.timeline
+	r.fillTimeline(line, n, n.Available().Add(n.held).Sub(n.claimed).Add(need))
 	latest := max(cl.expectedAt, r.now)
 	if in, ok := line.Fits(need); ok {
 		latest = max(latest, r.now+stamp(in))
--- a/core/placement/lookahead_test.go
+++ b/core/placement/lookahead_test.go
@@ -254,3 +254,31 @@
 		})
 	}
 }
+
+// Guards against explanations without a time, or with one that counts the same room for several tasks.
+func TestExplanationSaysWhenRoomIsExpected(t *testing.T) {
+	c := lookAheadCell(t, 1)
+	var tasks []placement.Pending
+	for n := range 5 {
+		tasks = append(tasks, etlTask(100+n, 4000, time.Second))
+	}
+	c.Submit(tasks[:3])
+	c.Plan(epoch, 100)
+	found := c.LongestWaiting(after(50*time.Millisecond), 0, 1)
+	require.Equal(t, placement.WaitRoom, found[0].Reason)
+	require.Equal(t, 3, found[0].Room.Alike)
+	require.InDelta(t, 1, found[0].Room.In.Seconds(), 0.06)
+	require.InDelta(t, 1, found[0].Room.AllIn.Seconds(), 0.06)
+	c.Submit(tasks[3:])
+	found = c.LongestWaiting(after(50*time.Millisecond), 0, 1)
+	require.Equal(t, 5, found[0].Room.Alike)
+	require.Zero(t, found[0].Room.AllIn, "five tasks do not fit on the worker at once")
+	c.Plan(after(200*time.Millisecond), 100)
+	for _, w := range c.LongestWaiting(after(300*time.Millisecond), 0, 10) {
+		if w.Reason == placement.WaitClaim {
+			require.InDelta(t, 0.7, w.Room.In.Seconds(), 0.01)
+			return
+		}
+	}
+	t.Fatal("no task has a reservation")
+}
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -77,6 +77,18 @@
 	raiseCounter(m, "cell_log_records_total", s.Records.Load())
 	raiseCounter(m, "cells_replaced_total", s.ReplacedOwners.Load())
 	raiseCounter(m, "cells_table_wait_ms_total", time.Duration(s.TableWait.Load()).Milliseconds())
+	exportLookAhead(m, &s.LookAhead)
+}
+
+func exportLookAhead(m *telemetry.Registry, s *jobs.LookAheadStats) {
+	raiseCounter(m, "reservations_made_total", s.Reserved.Load())
+	raiseCounter(m, "reservations_kept_total", s.Kept.Load())
+	raiseCounter(m, "reservations_elsewhere_total", s.Elsewhere.Load())
+	raiseCounter(m, "reservations_expired_total", s.Expired.Load())
+	raiseCounter(m, "reserved_room_lent_total", s.Backfilled.Load())
+	raiseCounter(m, "reserved_room_yielded_total", s.Yielded.Load())
+	raiseCounter(m, "forecasts_total", s.Forecasts.Load())
+	raiseCounter(m, "forecast_error_ms_total", time.Duration(s.ForecastError.Load()).Milliseconds())
 }
 
 func exportOwnerLoad(m *telemetry.Registry, l jobs.Load) {
--- a/relay/jobs/eventlist.go
+++ b/relay/jobs/eventlist.go
@@ -89,11 +89,13 @@
 	FieldRuledOut    FieldName = "ruled_out"
 	FieldJobRunning  FieldName = "job_running"
 	FieldPoolUse     FieldName = "pool_use_percent"
-	FieldReached     FieldName = "reached"
-	FieldUnreached   FieldName = "unreached"
-	FieldSuccessor   FieldName = "successor"
-	FieldAsked       FieldName = "asked"
-	FieldAnswering   FieldName = "answering"
+
+	FieldRoomExpectedMs FieldName = "room_expected_ms"
+	FieldReached        FieldName = "reached"
+	FieldUnreached      FieldName = "unreached"
+	FieldSuccessor      FieldName = "successor"
+	FieldAsked          FieldName = "asked"
+	FieldAnswering      FieldName = "answering"
 )
 
 // EventKind describes a kind of event.
@@ -139,7 +141,7 @@
 		}},
 		{EventTaskWaits, "a task has waited for more than 3 s; again for each other reason, and when its wait has doubled", []FieldName{
 			FieldCell, FieldEpoch, FieldTask, FieldClass, FieldWaitedMs, FieldReason, FieldRoom, FieldRuledOut,
-			FieldJobRunning, FieldPoolUse,
+			FieldJobRunning, FieldPoolUse, FieldRoomExpectedMs,
 		}},
 		{EventWorkerClaimed, "a worker accepts commands from this owner only", []FieldName{
 			FieldCell, FieldEpoch, FieldWorker, FieldLife, FieldRunning, FieldEnded,
@@ -224,6 +226,8 @@
 	FieldAsked:       "number of workers that the successor was asked to call",
 	FieldAnswering:   "number of these workers that answered the successor",
 	FieldPoolUse:     "booked share of the pool, workers that take no tasks included, in percent",
+
+	FieldRoomExpectedMs: "time until a worker is expected to have room for the task, by learnt run times; absent without a forecast",
 }
 
 // EventReference returns the reference of all events and fields as Markdown.
--- a/relay/jobs/owner.go
+++ b/relay/jobs/owner.go
@@ -30,9 +30,11 @@
 	epoch   ident.Epoch
 	cell    *lifecycle.Cell
 	planner placement.Planner
-	log     *cellLog
-	stats   *Stats
-	logger  *logrus.Entry
+	// lookAhead is what the planner had counted after the last Plan.
+	lookAhead placement.LookAheadStats
+	log       *cellLog
+	stats     *Stats
+	logger    *logrus.Entry
 
 	ctx     context.Context
 	cancel  context.CancelFunc
--- a/relay/jobs/plan.go
+++ b/relay/jobs/plan.go
@@ -1,9 +1,11 @@
 package jobs
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/bulrushrelay/bulrushrelay/core/ownership"
+	"github.com/bulrushrelay/bulrushrelay/core/placement"
 )
 
 const (
@@ -54,4 +56,27 @@
 	o.stats.PlannedStarts.Add(int64(len(p.Starts)))
 	o.apply(o.cell.ApplyPlan(now, p))
 	o.planUnfinished = p.More
+	if f, ok := o.planner.(ForecastingPlanner); ok {
+		now := f.LookAhead()
+		o.stats.LookAhead.add(now, o.lookAhead)
+		o.lookAhead = now
+	}
+}
+
+// LookAheadStats sums up placement.LookAheadStats over all owners that have run on this host. ForecastError is in
+// nanoseconds.
+type LookAheadStats struct {
+	Reserved, Kept, Elsewhere, Expired, Backfilled, Yielded, Forecasts, ForecastError atomic.Int64
+}
+
+// add adds what a planner has counted since before.
+func (s *LookAheadStats) add(now, before placement.LookAheadStats) {
+	s.Reserved.Add(now.Reserved - before.Reserved)
+	s.Kept.Add(now.Kept - before.Kept)
+	s.Elsewhere.Add(now.Elsewhere - before.Elsewhere)
+	s.Expired.Add(now.Expired - before.Expired)
+	s.Backfilled.Add(now.Backfilled - before.Backfilled)
+	s.Yielded.Add(now.Yielded - before.Yielded)
+	s.Forecasts.Add(now.Forecasts - before.Forecasts)
+	s.ForecastError.Add(int64(now.ForecastError - before.ForecastError))
 }
--- a/relay/jobs/ports.go
+++ b/relay/jobs/ports.go
@@ -123,5 +123,10 @@
 	LongestWaiting(now time.Time, minWait time.Duration, limit int) []placement.Waiting
 }
 
+// ForecastingPlanner is implemented by planners that look ahead; see placement.Cell.LookAhead.
+type ForecastingPlanner interface {
+	LookAhead() placement.LookAheadStats
+}
+
 // NewPlanner returns a planner for one cell that starts with the given table.
 type NewPlanner func(cell ident.CellID, t *table.Table) placement.Planner
--- a/relay/jobs/service.go
+++ b/relay/jobs/service.go
@@ -73,6 +73,7 @@
 	ReplacedOwners                                            atomic.Int64
 	// TableWait is the time that owners have waited for their first table, in nanoseconds.
 	TableWait atomic.Int64
+	LookAhead LookAheadStats
 }
 
 // Service runs the jobs of the cells that this host owns. It is safe for concurrent use.
--- a/relay/jobs/waits.go
+++ b/relay/jobs/waits.go
@@ -44,6 +44,8 @@
 	ruledOut    string
 	jobRunning  int
 	poolUse     float64
+	// roomIn is the time until room is expected; 0 without a forecast.
+	roomIn time.Duration
 	// loggedReasons holds the reasons for which the wait has been logged, and loggedWait how long it was at the last
 	// line.
 	loggedReasons []string
@@ -184,12 +186,26 @@
 	if len(t.RuledOut) > 0 {
 		w.text += " (" + w.ruledOut + ")"
 	}
+	w.text += roomText(t.Room)
+	w.roomIn = t.Room.In
 	if !mayStart {
 		w.reason, w.text = waitAuthority, "waits until the owner of its cell may start tasks"
 	}
 	return w
 }
 
+// roomText says when room is expected, or nothing without a forecast.
+func roomText(f placement.RoomForecast) string {
+	if f.In == 0 {
+		return ""
+	}
+	text := fmt.Sprintf("; room is expected within %.1f s", f.In.Seconds())
+	if f.Alike > 1 && f.AllIn > 0 {
+		text += fmt.Sprintf(", for all %d waiting tasks of its class and size within %.1f s", f.Alike, f.AllIn.Seconds())
+	}
+	return text
+}
+
 func (o *owner) noteWait(id ident.TaskID, now time.Time, found taskWait) {
 	w, log, newReason := o.waits.note(id, now, found)
 	if newReason {
@@ -204,6 +220,9 @@
 	if w.fromPlanner {
 		fields[FieldRoom], fields[FieldRuledOut] = w.room, w.ruledOut
 		fields[FieldJobRunning], fields[FieldPoolUse] = w.jobRunning, int(100*w.poolUse)
+		if w.roomIn > 0 {
+			fields[FieldRoomExpectedMs] = w.roomIn.Milliseconds()
+		}
 	}
 	o.logDecision(EventTaskWaits, fields)
 }
--- a/relay/jobs/waits_test.go
+++ b/relay/jobs/waits_test.go
@@ -92,3 +92,15 @@
 		require.Contains(t, h.get(id).Tasks[0].Reason, "until the owner of its cell may start tasks")
 	})
 }
+
+// Guards against callers who are told that their task waits for room, and not until when.
+func TestWaitForRoomSaysByWhen(t *testing.T) {
+	waitScenario(t, func(fx *fixture, h *host, _ *waitMeter) {
+		h.submit(spec("batch", 4, "work=30s"))
+		time.Sleep(2 * time.Second)
+		id := h.submit(spec("batch", 8, "work=30s"))
+		time.Sleep(5 * time.Second)
+		require.Regexp(t, `no worker has enough free capacity; 0 workers have room; room is expected within [0-9.]+ s`, h.get(id).Tasks[7].Reason)
+		require.NotZero(t, h.svc.Stats().LookAhead.Reserved.Load())
+	})
+}
