core/placement: fillers use reserved processors

A filler starts only while the unused processors of a worker suffice for all its fillers, and what a reservation holds counted as used, so that it was idle. Fillers book no processors and can be paused; reserved processors now count as unused for them. The new test got one of three fillers started before the change, and three after it.

--- a/core/placement/framework.go
+++ b/core/placement/framework.go
@@ -19,6 +19,8 @@
 	Worker() *Worker
 	// Available returns the resources that can be booked now.
 	Available() resource.Vector
+	// Reserved returns the resources that reservations of look-ahead hold.
+	Reserved() resource.Vector
 	// Tasks returns the number of tasks that are booked on or have a claim on the worker.
 	Tasks() int
 	// FiniteTasks returns how many of them are not lasting.
--- a/core/placement/lookahead.go
+++ b/core/placement/lookahead.go
@@ -223,6 +223,16 @@
 	return held
 }
 
+// Reserved implements NodeInfo.
+func (n *node) Reserved() (held resource.Vector) {
+	for _, cl := range n.claims {
+		if cl.isReservation() {
+			held = held.Add(cl.held)
+		}
+	}
+	return held
+}
+
 // isReservation reports whether the claim is one of reserveAhead.
 func (cl *claim) isReservation() bool { return cl.task != nil && cl.expectedAt != noTime }
 
--- a/core/placement/lookahead_test.go
+++ b/core/placement/lookahead_test.go
@@ -292,3 +292,20 @@
 	}
 	t.Fatal("no task has a reservation")
 }
+
+// Guards against reserved processors that are idle although fillers, which book none and can be paused, would use them.
+func TestFillersUseReservedProcessors(t *testing.T) {
+	c := lookAheadCell(t, 1)
+	c.Submit([]placement.Pending{etlTask(100, 16_000, time.Second)})
+	c.Plan(epoch, 100)
+	c.Plan(after(200*time.Millisecond), 100)
+	require.Len(t, c.ReservedWorkers(), 1)
+	c.Release(taskID(0))
+	fillers := []placement.Pending{fillerTask(200, "filler"), fillerTask(201, "filler"), fillerTask(202, "filler")}
+	for i := range fillers {
+		fillers[i].Need = vec(1000, 100, 0)
+	}
+	c.Submit(fillers)
+	require.Len(t, c.Plan(after(300*time.Millisecond), 100).Starts, len(fillers))
+	require.NoError(t, c.CheckInvariants())
+}
--- a/core/placement/score_constraints.go
+++ b/core/placement/score_constraints.go
@@ -15,9 +15,9 @@
 const servingUseFraction = 0.5
 
 // unusedMilliCPU estimates the processors, in thousandths, that the tasks on a worker other than fillers leave
-// unused.
+// unused. Reserved ones count, because fillers give way when the reserved task starts.
 func unusedMilliCPU(n NodeInfo) int64 {
-	return n.Available().MilliCPU + int64((1-servingUseFraction)*float64(n.ServingMilliCPU()))
+	return n.Available().MilliCPU + n.Reserved().MilliCPU + int64((1-servingUseFraction)*float64(n.ServingMilliCPU()))
 }
 
 // servingScore puts serving tasks of one image together. A filler disturbs some images and not others, so that it
