core/lifecycle: disruption budget and speculative copies of a task group

A submitted job could not say how many of its lasting tasks may be moved at a time, nor that copies of a task may run in parallel; the platform's fields MayMiss and Speculative were not decoded. The fields are carried through the job format, the peer protocol and the cell log and validated. No decision uses them yet.

--- a/adapter/cellpb/codec_test.go
+++ b/adapter/cellpb/codec_test.go
@@ -21,9 +21,9 @@
 		ClientNumber: 1<<63 + 5, Pool: "p", FailFast: true, Stretch: 1.5, Grace: time.Second,
 		Groups: []lifecycle.TaskGroup{{
 			Count: 3, Need: resource.Vector{MilliCPU: 1, MemoryMB: 2, Accelerators: 3},
-			RunTime: time.Second, Command: "run",
+			RunTime: time.Second, Command: "run", Speculative: true,
 		}, {
-			Count: 2, Need: resource.Vector{MilliCPU: 1}, After: []int{0}, Lasting: true, Volatile: true, TailTarget: time.Second,
+			Count: 2, Need: resource.Vector{MilliCPU: 1}, After: []int{0}, Lasting: true, Volatile: true, TailTarget: time.Second, DisruptionBudget: 1,
 			Constraints: placement.Constraints{Label: "l", Rack: "r", MaxPerWorker: 2, Serving: true, Filler: true, Image: "i"},
 		}},
 	}
--- a/adapter/internal/jobgroup/jobgroup.go
+++ b/adapter/internal/jobgroup/jobgroup.go
@@ -32,6 +32,9 @@
 			Volatile:     g.Volatile,
 			Constraints:  encodeConstraints(g.Constraints),
 			TailTargetMs: g.TailTarget.Milliseconds(),
+
+			DisruptionBudget: uint32(max(g.DisruptionBudget, 0)),
+			Speculative:      g.Speculative,
 		})
 	}
 	return out
@@ -54,6 +57,9 @@
 			Volatile:    g.GetVolatile(),
 			Constraints: decodeConstraints(g.GetConstraints()),
 			TailTarget:  DurationFromMs(g.GetTailTargetMs()),
+
+			DisruptionBudget: int(g.GetDisruptionBudget()),
+			Speculative:      g.GetSpeculative(),
 		})
 	}
 	return in
--- a/adapter/jobhttp/messages.go
+++ b/adapter/jobhttp/messages.go
@@ -55,6 +55,10 @@
 	Filler       bool  `json:"filler,omitempty"`
 	// Image names what the tasks run. Tasks of the same image are assumed to interfere with others in the same way.
 	Image string `json:"image,omitempty"`
+	// DisruptionBudget is how many lasting tasks the scheduler may make unavailable at the same time by its own orders.
+	// Speculative allows copies of a task to run in parallel.
+	DisruptionBudget int  `json:"disruption_budget,omitempty"`
+	Speculative      bool `json:"speculative,omitempty"`
 }
 
 // SubmitResult is the answer to an accepted submission. Job is the id of the job.
@@ -159,7 +163,9 @@
 				Label: g.Label, Rack: ident.Rack(g.Rack), MaxPerWorker: g.MaxPerWorker, Serving: g.TailTargetMS > 0,
 				Filler: g.Filler, Image: g.Image,
 			},
-			TailTarget: time.Duration(g.TailTargetMS) * time.Millisecond,
+			TailTarget:       time.Duration(g.TailTargetMS) * time.Millisecond,
+			DisruptionBudget: g.DisruptionBudget,
+			Speculative:      g.Speculative,
 		})
 	}
 	return spec, spec.Validate()
@@ -185,7 +191,8 @@
 			After: g.After, Lasting: g.Lasting, Volatile: g.Volatile,
 			Label: g.Constraints.Label, Rack: string(g.Constraints.Rack), MaxPerWorker: g.Constraints.MaxPerWorker,
 			TailTargetMS: g.TailTarget.Milliseconds(), Filler: g.Constraints.Filler,
-			Image: g.Constraints.Image,
+			Image:            g.Constraints.Image,
+			DisruptionBudget: g.DisruptionBudget, Speculative: g.Speculative,
 		})
 	}
 	for _, t := range v.Tasks {
--- a/adapter/peergrpc/jobs_test.go
+++ b/adapter/peergrpc/jobs_test.go
@@ -28,7 +28,7 @@
 			Groups: []lifecycle.TaskGroup{{
 				Count: 2, Need: resource.Vector{MilliCPU: 1, MemoryMB: 2, Accelerators: 3}, RunTime: time.Second, Command: "x",
 			}, {
-				Count: 2, Need: resource.Vector{MilliCPU: 1}, After: []int{0}, Lasting: true, Volatile: true, TailTarget: time.Second,
+				Count: 2, Need: resource.Vector{MilliCPU: 1}, After: []int{0}, Lasting: true, Volatile: true, TailTarget: time.Second, DisruptionBudget: 1,
 				Constraints: placement.Constraints{Label: "l", Rack: "r", MaxPerWorker: 2, Serving: true, Filler: true, Image: "i"},
 			}},
 		},
--- a/core/lifecycle/types.go
+++ b/core/lifecycle/types.go
@@ -97,6 +97,11 @@
 	Volatile bool
 	// TailTarget is the upper bound for the tail response time of serving tasks; 0 if the tasks serve no requests.
 	TailTarget time.Duration
+	// DisruptionBudget is how many lasting tasks of the group the owner may make unavailable at the same time by its own
+	// orders. With 0 it moves none of them from a worker that stays.
+	DisruptionBudget int
+	// Speculative allows copies of a task to run in parallel. The first attempt to succeed counts.
+	Speculative bool
 	// Constraints limits the workers on which the tasks may run and the tasks beside which they may run.
 	Constraints placement.Constraints
 }
@@ -105,7 +110,8 @@
 func (g TaskGroup) equal(o TaskGroup) bool {
 	return g.Count == o.Count && g.Need == o.Need && g.RunTime == o.RunTime && g.Command == o.Command &&
 		slices.Equal(g.After, o.After) && g.Lasting == o.Lasting && g.Volatile == o.Volatile &&
-		g.TailTarget == o.TailTarget && g.Constraints == o.Constraints
+		g.TailTarget == o.TailTarget && g.DisruptionBudget == o.DisruptionBudget && g.Speculative == o.Speculative &&
+		g.Constraints == o.Constraints
 }
 
 // JobSpec is what a caller submits.
@@ -194,6 +200,10 @@
 			return invalid("group %d: command of %d bytes: want at most %d", i, len(g.Command), MaxCommandBytes)
 		case g.TailTarget < 0:
 			return invalid("group %d: tail target %s: want at least 0", i, g.TailTarget)
+		case g.DisruptionBudget < 0 || g.DisruptionBudget > MaxTasksPerJob:
+			return invalid("group %d: disruption budget %d: want 0 to %d", i, g.DisruptionBudget, MaxTasksPerJob)
+		case g.Speculative && g.Lasting:
+			return invalid("group %d: speculative: lasting tasks run until the job is cancelled, so that no copy can end first", i)
 		case g.Constraints.MaxPerWorker < 0:
 			return invalid("group %d: max per worker %d: want at least 0", i, g.Constraints.MaxPerWorker)
 		}
