core/placement, core/lifecycle: evacuated workers take nothing, and starts await the requests

Change: placement.Worker.Evacuated rules a worker out for new tasks, restarts, probes and reservations, releases the claims on it and keeps it in the capacity of its pool; tasks that wait for it say so. The cell checks the newest set of requests when it decides a start, when a record of a start becomes durable and when a start is sent. Starts that wait for their record are abandoned. Without a current set nothing starts if the policy asks for that.

--- a/core/lifecycle/attempt.go
+++ b/core/lifecycle/attempt.go
@@ -81,7 +81,7 @@
 		return
 	}
 	w, ok := c.workers[s.Worker]
-	if !ok || !w.claimed || c.inDoubt {
+	if !ok || !w.claimed || c.inDoubt || !c.mayStartOn(w) {
 		eff.do(Release{Task: s.Task})
 		c.requeue(now, t, startRetryPause, WaitWorker, eff)
 		return
@@ -117,12 +117,12 @@
 }
 
 // ShouldSendStart reports whether a decided start must still be sent. It must not if the task has ended, the attempt
-// was given up, or a cancellation of the job was requested in the meantime.
+// was given up, or a cancellation of the job or an evacuation of the worker was requested in the meantime.
 func (c *Cell) ShouldSendStart(id ident.WorkerID, attempt AttemptID) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t := c.currentTask(id, attempt)
-	return t != nil && t.run.phase == phaseStarting && !t.settled && !t.job.cancelling
+	return t != nil && t.run.phase == phaseStarting && !t.settled && !t.job.cancelling && c.mayStartOn(c.workers[id])
 }
 
 // StartAnswered applies the answer to a start.
--- a/core/lifecycle/cell.go
+++ b/core/lifecycle/cell.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/bulrushrelay/bulrushrelay/core/evacuation"
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/placement"
 	"github.com/bulrushrelay/bulrushrelay/core/table"
@@ -84,6 +85,10 @@
 	recovering, runsListed bool
 	// takeoverDurable is set once the Takeover record is durable. No task is started before that.
 	takeoverDurable bool
+	// evacuations is the newest set of requests, which starts are checked against. appliedEvacuations is the one that the
+	// workers and the planner follow, and returns holds the data centres whose workers come back one after another.
+	evacuations, appliedEvacuations evacuation.Set
+	returns                         map[ident.DataCentre]evacuation.Ramp
 	// predecessorStoppedAt is when the predecessor was confirmed to renew no more leases; zero if it is not confirmed.
 	predecessorStoppedAt time.Time
 	// inDoubt is set while a successor may exist: running tasks are renewed, but no task is started or moved.
@@ -123,6 +128,7 @@
 		unloggedEnds:     make(map[AttemptID]unloggedEnd),
 		unloggedByWorker: make(map[ident.WorkerID]int),
 		changedJobs:      make(map[ident.JobID]struct{}),
+		returns:          make(map[ident.DataCentre]evacuation.Ramp),
 	}
 }
 
--- a/core/lifecycle/commit.go
+++ b/core/lifecycle/commit.go
@@ -179,7 +179,7 @@
 	}
 	delete(c.waitingStarts, r.AttemptID)
 	w, found := c.workers[t.run.worker]
-	if !found || !w.claimed || c.inDoubt || t.job.cancelling {
+	if !found || !w.claimed || c.inDoubt || t.job.cancelling || !c.mayStartOn(w) {
 		c.endRun(now, t, eff)
 		c.requeue(now, t, startRetryPause, WaitWorker, eff)
 		return
--- a/core/lifecycle/policy.go
+++ b/core/lifecycle/policy.go
@@ -17,6 +17,8 @@
 	StopRepeatDelay time.Duration
 	// SyncRenewsAll is set if a sync renews every lease of the worker. Its list of renewals is then empty.
 	SyncRenewsAll bool
+	// AwaitEvacuations is set if nothing may start while the data centres under evacuation are not known.
+	AwaitEvacuations bool
 	// ChargeAllFailures also counts failures on quarantined workers against the retries of a task.
 	ChargeAllFailures bool
 }
--- a/core/lifecycle/tick.go
+++ b/core/lifecycle/tick.go
@@ -51,6 +51,7 @@
 		}
 	}
 	c.enqueue(now, due, &eff)
+	c.advanceReturns(now, &eff)
 	overdue := c.popDue(now)
 	slices.SortFunc(overdue, compareWorkers)
 	anySilent := false
@@ -124,6 +125,9 @@
 	if len(c.delayed) > 0 {
 		earliest(c.delayed[0].at)
 	}
+	for _, ramp := range c.returns {
+		earliest(ramp.Next())
+	}
 	if due, ok := c.nextDeadline(); ok {
 		earliest(due)
 	}
--- a/core/lifecycle/worker.go
+++ b/core/lifecycle/worker.go
@@ -23,6 +23,8 @@
 	mayHold bool
 	// lapsed is set once the leases of the worker have certainly ended, until it is claimed again.
 	lapsed bool
+	// evacuated is set while the worker takes no tasks because of an evacuation.
+	evacuated bool
 	// silent is set while the worker has not answered for Policy.SilentAfter.
 	silent   bool
 	capacity resource.Vector
@@ -87,7 +89,7 @@
 
 // usable reports whether the planner may place any task on the worker.
 func (w *worker) usable() bool {
-	return w.inPlanner && !w.leaving() && !w.silent && !w.health.quarantined
+	return w.inPlanner && !w.leaving() && !w.evacuated && !w.silent && !w.health.quarantined
 }
 
 // UpdateMembers applies workers of the cell by a host list that may lack others.
@@ -136,6 +138,7 @@
 	moved := w.member.Address != m.Address
 	w.listed = true
 	w.member = m
+	w.evacuated = c.isEvacuated(w)
 	w.capacity = w.effectiveCapacity(w.capacity)
 	if moved {
 		eff.do(ClaimWorker{Member: m})
@@ -159,6 +162,7 @@
 		pendingAcks: make(map[AttemptID]struct{}),
 		tickIndex:   notQueued,
 	}
+	w.evacuated = c.isEvacuated(w)
 	c.workers[m.ID] = w
 	c.sortedCache = nil
 	return w
@@ -226,9 +230,10 @@
 		Capacity:     w.capacity,
 		Leaving:      w.leaving(),
 		Unlisted:     !w.listed && !w.member.Leaving,
+		Evacuated:    w.evacuated,
 		Quarantined:  w.health.quarantined || w.silent,
-		AcceptsProbe: w.health.probing && !w.silent,
-		LastResort:   w.health.quarantined && !w.silent,
+		AcceptsProbe: w.health.probing && !w.silent && !w.evacuated,
+		LastResort:   w.health.quarantined && !w.silent && !w.evacuated,
 	}})
 	if !added {
 		return
--- a/core/placement/cell.go
+++ b/core/placement/cell.go
@@ -111,7 +111,8 @@
 		unreached:    make(map[string]Unreached),
 		shapes:       newShapes(),
 		required: []Filter{
-			leavingFilter{}, quarantineFilter{}, avoidFilter{}, poolFilter{}, labelFilter{}, perWorkerFilter{}, fillerFilter{},
+			leavingFilter{}, evacuatedFilter{}, quarantineFilter{}, avoidFilter{}, poolFilter{}, labelFilter{}, perWorkerFilter{},
+			fillerFilter{},
 		},
 		preferred: []Filter{spreadFilter{}, preferUnavoidedFilter{}},
 		scores: []weightedScore{
@@ -160,7 +161,7 @@
 	if n.described {
 		c.spread.removeWorker(n.worker.Rack)
 	}
-	if w.Leaving || w.Quarantined || !n.worker.Capacity.Fits(w.Capacity) {
+	if w.Leaving || w.Evacuated || w.Quarantined || !n.worker.Capacity.Fits(w.Capacity) {
 		c.requeueClaims(n)
 	}
 	n.worker = w
--- a/core/placement/explain.go
+++ b/core/placement/explain.go
@@ -29,6 +29,7 @@
 	WaitImpossible WaitReason = "impossible"
 
 	WaitLeaving    WaitReason = "leaving"
+	WaitEvacuated  WaitReason = "evacuated"
 	WaitQuarantine WaitReason = "quarantine"
 	WaitAvoid      WaitReason = "avoid"
 	WaitPool       WaitReason = "pool"
@@ -84,6 +85,7 @@
 	WaitClaim:      "the room that is kept for it on one worker does not suffice yet",
 	WaitImpossible: "it exceeds every worker or the limit of its class",
 	WaitLeaving:    "the workers with room are shutting down",
+	WaitEvacuated:  "the workers with room are in a data centre under evacuation",
 	WaitQuarantine: "the workers with room are in quarantine",
 	WaitAvoid:      "it has failed on the workers with room",
 	WaitPool:       "the workers with room are in other pools",
@@ -195,6 +197,8 @@
 	switch f.(type) {
 	case leavingFilter:
 		return WaitLeaving
+	case evacuatedFilter:
+		return WaitEvacuated
 	case quarantineFilter:
 		return WaitQuarantine
 	case avoidFilter:
--- a/core/placement/node.go
+++ b/core/placement/node.go
@@ -95,7 +95,7 @@
 
 // acceptsTasks reports whether the worker may take any new task.
 func (n *node) acceptsTasks() bool {
-	if !n.described || n.worker.Leaving {
+	if !n.described || n.worker.Leaving || n.worker.Evacuated {
 		return false
 	}
 	return !n.worker.Quarantined || (n.worker.AcceptsProbe && n.FiniteTasks() == 0)
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -21,6 +21,8 @@
 	// answers.
 	Leaving  bool
 	Unlisted bool
+	// Evacuated workers get no new tasks either, but stay part of the capacity of their pool.
+	Evacuated bool
 	// Quarantined workers get only probes: a single task at a time, and only if AcceptsProbe is set.
 	Quarantined  bool
 	AcceptsProbe bool
