relay/evacuations, relay/jobs: follow the requests and apply them before the next start

Cause: no request for an evacuation reached an owner. Change: a follower reads the requests, waits for changes, and reads them again after a failed watch, at the return of the store and after a takeover; until then owners start nothing. The service gives each set to the cell before the loop handles it. Events for begin, end and ignored requests; tasks say that they wait for the requests to be read.

--- a/core/lifecycle/evacuation.go
+++ b/core/lifecycle/evacuation.go
@@ -15,14 +15,14 @@
 }
 
 // ApplyEvacuations passes the set that was noted last on to the planner: evacuated workers get no new tasks, and those of
-// data centres that are no longer under evacuation return one after another. An unknown set changes no worker.
-func (c *Cell) ApplyEvacuations(now time.Time) Effects {
+// data centres that are no longer under evacuation return one after another. An unknown set changes no worker. It returns
+// the set.
+func (c *Cell) ApplyEvacuations(now time.Time) (set evacuation.Set, eff Effects) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var eff Effects
-	set := c.evacuations
+	set = c.evacuations
 	if !set.Known() {
-		return eff
+		return set, eff
 	}
 	for _, r := range c.appliedEvacuations.Without(set) {
 		c.returns[r.DataCentre] = evacuation.NewRamp(now)
@@ -32,7 +32,7 @@
 	}
 	c.appliedEvacuations = set
 	c.updateEvacuated(now, &eff)
-	return eff
+	return set, eff
 }
 
 // StartsHeld reports whether nothing may start because the requests for evacuations are not known well enough.
--- a/core/lifecycle/evacuation_test.go
+++ b/core/lifecycle/evacuation_test.go
@@ -36,7 +36,12 @@
 		requests = append(requests, evacuation.Request{DataCentre: dc, Revision: store.Revision(i + 1), Since: f.now})
 	}
 	f.c.NoteEvacuations(evacuation.NewSet(1, f.now, requests))
-	f.apply(f.c.ApplyEvacuations(f.now))
+	f.applyEvacuations()
+}
+
+func (f *fixture) applyEvacuations() {
+	_, eff := f.c.ApplyEvacuations(f.now)
+	f.apply(eff)
 }
 
 // evacuated lists the workers that the planner knows as evacuated.
@@ -73,7 +78,7 @@
 	require.True(t, f.c.ShouldSendStart("p0", attempt))
 	f.c.NoteEvacuations(f.c.evacuations.Stale())
 	require.False(t, f.c.ShouldSendStart("p0", attempt))
-	f.apply(f.c.ApplyEvacuations(f.now))
+	f.applyEvacuations()
 	require.Equal(t, map[ident.WorkerID]bool{"n0": true}, f.evacuated())
 }
 
--- a/relay/jobs/eventlist.go
+++ b/relay/jobs/eventlist.go
@@ -36,6 +36,9 @@
 	EventWorkersUnreached   EventName = "workers_unreached"
 	EventWorkersReached     EventName = "workers_reached"
 	EventCellHandedOver     EventName = "cell_handed_over"
+	EventEvacuationStarted  EventName = "evacuation_started"
+	EventEvacuationEnded    EventName = "evacuation_ended"
+	EventEvacuationIgnored  EventName = "evacuation_ignored"
 	EventLinesDropped       EventName = "lines_dropped"
 )
 
@@ -94,6 +97,9 @@
 	FieldSuccessor   FieldName = "successor"
 	FieldAsked       FieldName = "asked"
 	FieldAnswering   FieldName = "answering"
+	FieldDataCentre  FieldName = "data_centre"
+	FieldRevision    FieldName = "revision"
+	FieldAgeMs       FieldName = "age_ms"
 )
 
 // EventKind describes a kind of event.
@@ -169,6 +175,15 @@
 		{EventCellHandedOver, "the owner gives the cell to a host that reaches more of the workers", []FieldName{
 			FieldCell, FieldEpoch, FieldSuccessor, FieldAsked, FieldAnswering, FieldReached, FieldUnreached,
 		}},
+		{EventEvacuationStarted, "the owner starts nothing more in a data centre, because an operator has requested its evacuation", []FieldName{
+			FieldCell, FieldEpoch, FieldDataCentre, FieldRevision, FieldAgeMs,
+		}},
+		{EventEvacuationEnded, "the request for an evacuation was withdrawn: the workers of the data centre take tasks again within 2 s", []FieldName{
+			FieldCell, FieldEpoch, FieldDataCentre, FieldRevision, FieldAgeMs,
+		}},
+		{EventEvacuationIgnored, "a request for an evacuation names no data centre of the deployment, or cannot be read", []FieldName{
+			FieldDataCentre, FieldRevision, FieldReason,
+		}},
 		{EventLinesDropped, "events above the rate limit were not logged; one field for each kind of event holds their number", nil},
 	}
 }
@@ -223,6 +238,9 @@
 	FieldSuccessor:   "host to which the cell goes, with its incarnation",
 	FieldAsked:       "number of workers that the successor was asked to call",
 	FieldAnswering:   "number of these workers that answered the successor",
+	FieldDataCentre:  "data centre that the request names",
+	FieldRevision:    "store revision of the request",
+	FieldAgeMs:       "milliseconds since this host first read the request",
 	FieldPoolUse:     "booked share of the pool, workers that take no tasks included, in percent",
 }
 
--- a/relay/jobs/owner.go
+++ b/relay/jobs/owner.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/bulrushrelay/bulrushrelay/core/evacuation"
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
 	"github.com/bulrushrelay/bulrushrelay/core/ownership"
@@ -40,7 +41,9 @@
 	// priorityMailbox holds the events that must not wait behind the others: cancellations and notices of durable
 	// records. The loop alternates between both mailboxes, so that neither starves the other.
 	priorityMailbox chan event
-	wg              sync.WaitGroup
+	// evacuationsNoted receives a value when the cell has been given a set of requests that the loop has to apply.
+	evacuationsNoted chan struct{}
+	wg               sync.WaitGroup
 	// stopped is set once the owner is being stopped, or once the store or a worker has proved that another owner has
 	// the cell.
 	stopped atomic.Bool
@@ -52,6 +55,9 @@
 	// callsDone is closed once a draining owner has no call to a worker queued or in flight.
 	callsDone chan struct{}
 
+	// acquiredAt is when the owner began to take its cell over.
+	acquiredAt time.Time
+
 	watchers watchers
 	waits    waitTracker
 	// answerTimes are the times that workers take to answer starts and claims.
@@ -91,6 +97,8 @@
 	lateness     lifecycle.Lateness
 	// longestWait is the longest time that an event of the current iteration was queued.
 	longestWait time.Duration
+	// loggedEvacuations is the set whose changes have been logged.
+	loggedEvacuations evacuation.Set
 	// wakeAt is when the timer of the loop fires.
 	wakeAt time.Time
 	// quarantined holds the workers whose quarantine has been logged.
@@ -114,6 +122,8 @@
 			o.runEvent(o.now(), e)
 		case e := <-o.mailbox:
 			o.runEvent(o.now(), e)
+		case <-o.evacuationsNoted:
+			o.applyEvacuations()
 		case <-timer.C:
 			// A late timer shows that the host is short of processor time, even if no event was queued.
 			o.longestWait = max(o.longestWait, o.now().Sub(o.wakeAt))
@@ -122,6 +132,7 @@
 		}
 		o.runQueuedEvents()
 		o.checkAuthority()
+		o.applyNotedEvacuations()
 		o.apply(o.cell.Tick(o.now()))
 		o.plan()
 		o.logFinishedJobs(o.cell.TakeFinishedJobs())
--- a/relay/jobs/plan.go
+++ b/relay/jobs/plan.go
@@ -48,10 +48,16 @@
 	o.lastPlanAt = now
 	o.planNeeded = false
 	o.planUnfinished = false
-	p := o.planner.Plan(now, maxStartsPerPlan)
+	limit := maxStartsPerPlan
+	held := o.cell.StartsHeld()
+	if held {
+		// The work that runs is still paced.
+		limit = 0
+	}
+	p := o.planner.Plan(now, limit)
 	ended := o.now()
 	o.eventsFirstUntil = ended.Add(ended.Sub(now))
 	o.stats.PlannedStarts.Add(int64(len(p.Starts)))
 	o.apply(o.cell.ApplyPlan(now, p))
-	o.planUnfinished = p.More
+	o.planUnfinished = p.More && !held
 }
--- a/relay/jobs/service.go
+++ b/relay/jobs/service.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/bulrushrelay/bulrushrelay/core/evacuation"
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
 	"github.com/bulrushrelay/bulrushrelay/core/ownership"
@@ -50,6 +51,9 @@
 	// StallLimit is how long commits may fail before new jobs are refused at once instead of waiting for the store; 0
 	// means that they always wait.
 	StallLimit time.Duration
+	// RefreshEvacuations asks for the requests for evacuations to be read again and passed to SetEvacuations. It must not
+	// block. Owners start nothing by a set that was read before they took over. Nil means that the deployment has none.
+	RefreshEvacuations func()
 	// Cells is the number of cells that share the limits of the table.
 	Cells  int
 	Logger *logrus.Logger
@@ -81,7 +85,9 @@
 	owners *shard.Map[ident.CellID, *owner]
 	// table is nil until the first one is known.
 	table atomic.Pointer[table.Table]
-	stats Stats
+	// evacuations is nil until the requests have been read.
+	evacuations atomic.Pointer[evacuation.Set]
+	stats       Stats
 }
 
 // New returns a service that owns no cell and starts with table t, or without one if t is nil.
@@ -101,6 +107,7 @@
 	if r, ok := cfg.Workers.(AllLeaseRenewer); ok {
 		cfg.Policy.SyncRenewsAll = r.RenewsAllLeases()
 	}
+	cfg.Policy.AwaitEvacuations = cfg.RefreshEvacuations != nil
 	if cfg.DecisionLog == nil {
 		cfg.DecisionLog = discardDecisions{}
 	}
@@ -152,11 +159,16 @@
 // left to the acquisition under the next one.
 func (s *Service) Acquire(ctx context.Context, g ownership.Grant, members []lifecycle.Member) error {
 	s.stopOwner(g.Cell, g.Epoch)
+	startedAt := s.cfg.Clock.Now()
+	if s.cfg.RefreshEvacuations != nil {
+		s.cfg.RefreshEvacuations()
+	}
 	state, err := s.loadState(ctx, g)
 	if err != nil {
 		return verdict.Wrap(err, verdict.NotRun, verdict.CodeUnavailable, "acquire cell %d", g.Cell)
 	}
 	o := s.newOwner(g, state)
+	o.acquiredAt = startedAt
 	o.restoreEstimates(ctx)
 	o.cell.RestoreSnapshot(state.snapshot)
 	for _, r := range state.records {
@@ -197,6 +209,7 @@
 	}
 	// SetTable passes over an owner that is not installed yet.
 	o.post(func() { o.useTable(s.table.Load()) })
+	s.passEvacuations(o)
 	return nil
 }
 
@@ -214,6 +227,7 @@
 		priorityMailbox:      make(chan event),
 		loopDone:             make(chan struct{}),
 		callsDone:            make(chan struct{}),
+		evacuationsNoted:     make(chan struct{}, 1),
 		conns:                make(map[ident.WorkerID]*workerConn),
 		pendingSubmissions:   make(map[ident.JobID]*pendingRecord),
 		pendingCancellations: make(map[ident.JobID]*pendingRecord),
--- a/relay/jobs/waits.go
+++ b/relay/jobs/waits.go
@@ -27,6 +27,8 @@
 	trackedWaitTimeout = 2 * time.Minute
 	// waitAuthority is the reason of tasks that wait for the planner while the owner may start none.
 	waitAuthority = "authority"
+	// waitEvacuations is the reason while the owner has not read the requests for evacuations.
+	waitEvacuations = "evacuations_unknown"
 )
 
 // taskWait is the present wait of one task.
@@ -167,15 +169,29 @@
 		o.noteWait(t.Task, now, taskWait{class: t.Class, since: now, reason: t.Reason.Code()})
 	}
 	if p, ok := o.planner.(ExplainingPlanner); ok {
-		mayStart := !o.draining.Load() && o.authority() == ownership.Full
+		held := ""
+		switch {
+		case o.draining.Load() || o.authority() != ownership.Full:
+			held = waitAuthority
+		case o.cell.StartsHeld():
+			held = waitEvacuations
+		}
 		for _, t := range p.LongestWaiting(now, longWait, maxExplained) {
-			o.noteWait(t.Task, now, plannerWait(now, t, mayStart))
+			o.noteWait(t.Task, now, plannerWait(now, t, held))
 		}
 	}
 	o.waits.report(now, o.cfg.Meter, o.cellID)
 }
 
-func plannerWait(now time.Time, t placement.Waiting, mayStart bool) taskWait {
+// heldTexts says why the owner of a cell starts nothing.
+var heldTexts = map[string]string{
+	waitAuthority:   "waits until the owner of its cell may start tasks",
+	waitEvacuations: "waits until the owner of its cell has read which data centres are under evacuation",
+}
+
+// plannerWait returns the wait of a task that the planner holds. held is the reason for which nothing may start; empty if
+// there is none.
+func plannerWait(now time.Time, t placement.Waiting, held string) taskWait {
 	w := taskWait{
 		class: t.Class, since: now.Add(-t.Waited), reason: string(t.Reason), fromPlanner: true,
 		room: t.WorkersWithRoom, ruledOut: t.RuledOut.String(), jobRunning: t.JobRunning, poolUse: t.PoolUse,
@@ -184,8 +200,8 @@
 	if len(t.RuledOut) > 0 {
 		w.text += " (" + w.ruledOut + ")"
 	}
-	if !mayStart {
-		w.reason, w.text = waitAuthority, "waits until the owner of its cell may start tasks"
+	if held != "" {
+		w.reason, w.text = held, heldTexts[held]
 	}
 	return w
 }
