evacuation: platform, daemon: follow op/evacuate/ from the platform's store to the planner

Change: platform.Evacuations lists and watches op/evacuate/. The host follows them while it owns a cell or is likely to own it next, in a loop of its own, and reads them again for each takeover.

--- a/cmd/relayd/platform.go
+++ b/cmd/relayd/platform.go
@@ -20,6 +20,7 @@
 	"github.com/bulrushrelay/bulrushrelay/core/table"
 	"github.com/bulrushrelay/bulrushrelay/daemon"
 	"github.com/bulrushrelay/bulrushrelay/platform"
+	"github.com/bulrushrelay/bulrushrelay/relay/evacuations"
 	"github.com/bulrushrelay/bulrushrelay/relay/jobs"
 )
 
@@ -76,12 +77,17 @@
 	}
 	manifests := platform.NewManifestWatcher(store, log)
 	var handler *platform.JobHandler
+	var requests evacuations.Source
+	if settings.EvacuationBound > 0 {
+		requests = platform.NewEvacuations(store)
+	}
 	h, err := daemon.NewJobHost(settings, daemon.JobPorts{
 		Metrics:       metrics,
 		DecisionLog:   decisions,
 		Store:         store,
 		Workers:       platform.NewWorkers(client, s.WorkerLease, jobIDOf, log),
 		FollowWorkers: platform.NewWorkerWatcher(store, log).Run,
+		Evacuations:   requests,
 		FollowTable: func(ctx context.Context, changed func(*table.Table)) {
 			manifests.Run(ctx, func(m *platform.Manifest) {
 				changed(m.Table)
@@ -119,7 +125,7 @@
 		HostID: s.Host, DataCentre: s.DataCentre, Regions: s.Regions, Cells: cells,
 		CallerAddress: s.CallerAddress, StatusAddress: s.ReadyAddress, PeerAddress: s.PeerAddress, MetricsAddress: s.MetricsAddress,
 		WorkerLease: s.WorkerLease, StopTime: s.StopTime, SmallestLease: s.SmallestLease, StoreWrites: s.StoreWrites, Grace: s.Grace,
-		MilliCPU: s.MilliCPU,
+		MilliCPU: s.MilliCPU, EvacuationBound: s.EvacuationBound,
 	}
 }
 
--- a/daemon/jobhost.go
+++ b/daemon/jobhost.go
@@ -84,6 +84,8 @@
 	fleet   *fleet
 	// workersNeeded receives a value after this host has become the owner of a cell.
 	workersNeeded chan struct{}
+	// evacuationsNeeded receives a value when an owner needs the requests for evacuations to be read again.
+	evacuationsNeeded chan struct{}
 	// unassigned holds the workers that belong to no cell. Only the goroutine that follows the workers uses it.
 	unassigned map[ident.WorkerID]ident.DataCentre
 
@@ -104,7 +106,8 @@
 		metrics: p.Metrics,
 		pool:    p.peerPool(),
 
-		workersNeeded: make(chan struct{}, 1),
+		workersNeeded:     make(chan struct{}, 1),
+		evacuationsNeeded: make(chan struct{}, 1),
 	}
 	h.fleet = newFleet(h.cellMap)
 	h.createServices()
@@ -148,6 +151,8 @@
 		DecisionLog:    h.ports.DecisionLog,
 		Meter:          newOwnerMeter(h.metrics),
 		OnReplaced:     h.cluster.GiveUp,
+
+		RefreshEvacuations: h.refreshEvacuations(),
 		RecordLatency: func(class ident.ClassName, took time.Duration) {
 			h.metrics.Histogram("job_ms", telemetry.Label{Name: "class", Value: string(class)}).Update(took.Milliseconds())
 		},
@@ -245,6 +250,12 @@
 		group.Go(s.serve)
 	}
 	h.cluster.Start()
+	if h.ports.Evacuations != nil {
+		group.Go(func() error {
+			contain.Loop(background, h.log, "following the requests for evacuations", h.followEvacuations)
+			return nil
+		})
+	}
 	for _, loop := range []func(context.Context){
 		func(ctx context.Context) { h.ports.FollowTable(ctx, h.setTable) },
 		func(ctx context.Context) {
--- a/daemon/jobsettings.go
+++ b/daemon/jobsettings.go
@@ -19,6 +19,7 @@
 	"github.com/bulrushrelay/bulrushrelay/core/store"
 	"github.com/bulrushrelay/bulrushrelay/core/table"
 	"github.com/bulrushrelay/bulrushrelay/relay/contact"
+	"github.com/bulrushrelay/bulrushrelay/relay/evacuations"
 	"github.com/bulrushrelay/bulrushrelay/relay/jobs"
 )
 
@@ -40,6 +41,9 @@
 	// all hosts together.
 	SmallestLease time.Duration
 	StoreWrites   float64
+	// EvacuationBound is the time from a request for the evacuation of a data centre until nothing more may start there. It
+	// is needed if the ports have a source of such requests.
+	EvacuationBound time.Duration
 	// Grace is the time from the signal to stop until the process is killed.
 	Grace time.Duration
 	// MilliCPU is the CPU capacity of the host in thousandths of a core; 0 if it is not known.
@@ -65,6 +69,8 @@
 	// not complete, workers that it lacks may be alive.
 	FollowWorkers func(ctx context.Context, demand hostlist.DemandSource, changed func(workers []lifecycle.Member, complete bool))
 	FollowTable   func(ctx context.Context, changed func(*table.Table))
+	// Evacuations reads the requests for evacuations; nil if the platform has none.
+	Evacuations evacuations.Source
 	// RegisterCallers adds the routes of callers, RegisterStatus those of the platform's health checks.
 	RegisterCallers func(e *echo.Echo, r *jobs.Router)
 	RegisterStatus  func(e *echo.Echo, ready func() bool)
