core/disruption, core/lifecycle: move lasting tasks from evacuated workers within their disruption budget

Cause: lasting tasks of a data centre under evacuation stayed there until their workers announced that they leave, and no order that takes a lasting task away was checked against the budget of its group. Once a second the cell moves lasting tasks from evacuated workers, one of a group at a time, if the budget allows it and another worker has room. An eviction by the planner that the budget forbids is not carried out.

--- a/adapter/workergrpc/messages.go
+++ b/adapter/workergrpc/messages.go
@@ -49,6 +49,8 @@
 			AttemptID: attempt, Booked: decodeVector(message.GetBooked()), Usage: decodeVector(message.GetUsage()), Slowdown: decodeSlowdown(message.GetSlowdown()),
 			MeasurementAge: decodeAge(message.GetAgeMs()),
 			Checkpoint:     lifecycle.Checkpoint{ID: message.GetCheckpoint()},
+			// The protocol has no start-up phase.
+			Ready: true,
 		}
 		if !isPlausible(active.Booked) || !isPlausible(active.Usage) {
 			return jobs.ClaimAnswer{}
--- a/core/lifecycle/attempt.go
+++ b/core/lifecycle/attempt.go
@@ -29,7 +29,7 @@
 	}
 	for _, ev := range plan.Evictions {
 		if t := c.task(ev.Task); t != nil && t.run != nil && t.run.phase == phaseActive {
-			c.evict(now, t, true, &eff)
+			c.evictForPlan(now, t, &eff)
 		}
 	}
 	for _, s := range plan.Starts {
--- a/core/lifecycle/cell.go
+++ b/core/lifecycle/cell.go
@@ -89,6 +89,10 @@
 	// workers and the planner follow, and returns holds the data centres whose workers come back one after another.
 	evacuations, appliedEvacuations evacuation.Set
 	returns                         map[ident.DataCentre]evacuation.Ramp
+	// nextMoveAt is when lasting tasks may next move from evacuated workers; zero while none is evacuated. lastMovedFrom is
+	// the worker at which the last look stopped.
+	nextMoveAt    time.Time
+	lastMovedFrom ident.WorkerID
 	// predecessorStoppedAt is when the predecessor was confirmed to renew no more leases; zero if it is not confirmed.
 	predecessorStoppedAt time.Time
 	// inDoubt is set while a successor may exist: running tasks are renewed, but no task is started or moved.
--- a/core/lifecycle/evacuation.go
+++ b/core/lifecycle/evacuation.go
@@ -31,6 +31,12 @@
 		delete(c.returns, r.DataCentre)
 	}
 	c.appliedEvacuations = set
+	switch {
+	case len(set.Requests()) == 0:
+		c.nextMoveAt = time.Time{}
+	case c.nextMoveAt.IsZero():
+		c.nextMoveAt = now.Add(moveInterval)
+	}
 	c.updateEvacuated(now, &eff)
 	return set, eff
 }
--- a/core/lifecycle/job.go
+++ b/core/lifecycle/job.go
@@ -95,6 +95,8 @@
 	refusedBy []ident.WorkerID
 	notBefore time.Time
 	wait      WaitReason
+	// moving is set from the order to move the task from an evacuated worker until it is ready again.
+	moving bool
 	// message says why the last attempt failed or why the task is impossible.
 	message string
 	// leftOn is the worker on which the predecessor left an attempt running. knownIdle is set if it certainly left none.
@@ -115,6 +117,8 @@
 	phase     phase
 	booked    resource.Vector
 	startedAt time.Time
+	// ready is set while the last report of the worker listed the attempt as ready.
+	ready bool
 	// firstSeenAt is when the attempt was first known to run; zero before. The start may be sent long after startedAt.
 	firstSeenAt time.Time
 	// incarnation identifies the worker process to which the start was sent.
--- a/core/lifecycle/report.go
+++ b/core/lifecycle/report.go
@@ -54,6 +54,7 @@
 			stops = append(stops, a.AttemptID)
 		}
 		t.run.noteSeen(now)
+		t.noteReady(a.Ready)
 		c.endQuarantineIfProven(now, w, t.run, eff)
 		t.run.lastReport = c.reportSeq
 		c.resendLostThrottle(t, eff)
--- a/core/lifecycle/tick.go
+++ b/core/lifecycle/tick.go
@@ -52,6 +52,7 @@
 	}
 	c.enqueue(now, due, &eff)
 	c.advanceReturns(now, &eff)
+	c.moveFromEvacuated(now, &eff)
 	overdue := c.popDue(now)
 	slices.SortFunc(overdue, compareWorkers)
 	anySilent := false
@@ -128,6 +129,7 @@
 	for _, ramp := range c.returns {
 		earliest(ramp.Next())
 	}
+	earliest(c.nextMoveAt)
 	if due, ok := c.nextDeadline(); ok {
 		earliest(due)
 	}
--- a/core/lifecycle/types.go
+++ b/core/lifecycle/types.go
@@ -354,6 +354,8 @@
 	MeasurementAge time.Duration
 	// Checkpoint is the latest checkpoint; its ID is empty if there is none.
 	Checkpoint Checkpoint
+	// Ready says whether the attempt has started up, so that a lasting task does its work.
+	Ready bool
 }
 
 // Report is the state of a worker, sent in answer to a claim or a sync.
--- a/core/lifecycle/worker.go
+++ b/core/lifecycle/worker.go
@@ -320,7 +320,7 @@
 	t.wait = WaitNone
 	t.run = &run{
 		AttemptID: a.AttemptID, worker: w.member.ID, phase: phaseActive, booked: a.Booked, startedAt: now, firstSeenAt: now,
-		incarnation: w.incarnation, maybeSentBefore: true, confirmedSeq: c.callSeq,
+		incarnation: w.incarnation, maybeSentBefore: true, confirmedSeq: c.callSeq, ready: a.Ready,
 	}
 	if a.Checkpoint.ID != "" {
 		t.checkpoint = Checkpoint{ID: a.Checkpoint.ID, At: now}
--- a/standin/worker/calls.go
+++ b/standin/worker/calls.go
@@ -108,7 +108,7 @@
 	now := w.cfg.Now()
 	r := lifecycle.Report{Capacity: w.cfg.Capacity, Token: w.token(now)}
 	for _, t := range w.active {
-		a := lifecycle.ActiveAttempt{AttemptID: t.attempt, Booked: t.booked, Checkpoint: lifecycle.Checkpoint{ID: t.checkpoint}}
+		a := lifecycle.ActiveAttempt{AttemptID: t.attempt, Booked: t.booked, Checkpoint: lifecycle.Checkpoint{ID: t.checkpoint}, Ready: true}
 		if now.Sub(t.startedAt) >= w.cfg.UsageLag {
 			a.Usage = t.plan.usage
 			if f := w.fault.UsageFactor; f > 0 {
