relay/evacuations: a read may take longer than starts wait for it

Cause: with a path to the store on which each call takes more than 500 ms, every read of the requests failed, while the renewals of the lease went on: the owner would never learn of a request. Change: starts wait for a read for a tenth of the bound; the read itself may take 2 s and is used when it is answered. Result: TestSlowReadIsUsed, with answers that take 0.9 s.

--- a/relay/evacuations/follower.go
+++ b/relay/evacuations/follower.go
@@ -22,9 +22,12 @@
 	minReadInterval = 50 * time.Millisecond
 	// demandCheckInterval is how often the demand is checked while nobody needs the requests, besides when it is raised.
 	demandCheckInterval = 1500 * time.Millisecond
-	// readsPerBound is how many reads must fit into the time from a request until nothing more may start: starts wait for
-	// a read, and further ones may be needed before it succeeds.
-	readsPerBound = 10
+	// holdsPerBound is how many holds must fit into the time from a request until nothing more may start: starts wait for
+	// one read at most so long, and count the store as unavailable after that.
+	holdsPerBound = 10
+	// readTimeout is how long a read may take. It is longer than a hold, so that a host with a slow path to the store
+	// learns of the requests in the end.
+	readTimeout = 2 * time.Second
 )
 
 // Listing is all requests in the store at one revision.
@@ -130,9 +133,7 @@
 	drain(f.cfg.Source.Returned())
 	drain(f.cfg.Demand.Raised)
 	readAt := f.cfg.Now()
-	ctx, cancel := context.WithTimeout(ctx, f.cfg.Bound/readsPerBound)
-	defer cancel()
-	l, err := f.cfg.Source.List(ctx)
+	l, err := f.list(ctx)
 	if err != nil {
 		f.release()
 		return 0, false
@@ -147,6 +148,26 @@
 	return l.Revision, true
 }
 
+// list reads all requests. If starts wait for that and it takes too long, they go on by the last set meanwhile.
+func (f *Follower) list(ctx context.Context) (l Listing, err error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		l, err = f.cfg.Source.List(ctx)
+	}()
+	hold := time.NewTimer(f.cfg.Bound / holdsPerBound)
+	defer hold.Stop()
+	select {
+	case <-answered:
+	case <-hold.C:
+		f.release()
+		<-answered
+	}
+	return l, err
+}
+
 // accept returns the requests for data centres of the deployment, and reports the other entries.
 func (f *Follower) accept(l Listing) []evacuation.Request {
 	var accepted []evacuation.Request
--- a/relay/evacuations/follower_test.go
+++ b/relay/evacuations/follower_test.go
@@ -34,6 +34,8 @@
 	changed  chan struct{}
 	// down makes every call fail, silent makes it wait for its context.
 	down, silent bool
+	// delay is added to each answer.
+	delay time.Duration
 	lists        int
 	returned     chan struct{}
 }
@@ -58,13 +60,13 @@
 // answer takes the time of an answer, and fails if the store does.
 func (s *fakeStore) answer(ctx context.Context) error {
 	s.mu.Lock()
-	down, silent := s.down, s.silent
+	down, silent, delay := s.down, s.silent, s.delay
 	s.mu.Unlock()
 	if silent {
 		<-ctx.Done()
 		return ctx.Err()
 	}
-	time.Sleep(answerTime)
+	time.Sleep(answerTime + delay)
 	if down {
 		return errDown
 	}
@@ -266,6 +268,22 @@
 	})
 }
 
+// Guards against a host with a slow path to the store that never learns of a request, because each read takes longer than
+// starts may wait for it.
+func TestSlowReadIsUsed(t *testing.T) {
+	run(t, func(t *testing.T, f *fixture) {
+		f.after(100 * time.Millisecond)
+		f.store.mu.Lock()
+		f.store.delay = 900 * time.Millisecond
+		f.store.mu.Unlock()
+		f.store.request("nelson")
+		f.store.returned <- struct{}{}
+		require.False(t, f.after(400*time.Millisecond).Current())
+		require.True(t, f.after(200*time.Millisecond).Current())
+		require.True(t, f.after(time.Second).Contains("nelson"))
+	})
+}
+
 // Guards against an owner that has just taken over and waits for the end of a watch until it may start tasks.
 func TestRaisedDemandReadsAgain(t *testing.T) {
 	run(t, func(t *testing.T, f *fixture) {
