relayctl, operatorhttp, daemon: evacuations of the product: key, interface, gauges and operators' docs

Cause: only the users' platform could request an evacuation, and nobody could see what still runs in the data centre. Change: requests as keys under /evacuate/ in the product's store, relayctl evacuation start, stop and list over /v1/evacuations, the setting evacuation-bound (0 turns it off), gauges of evacuated workers and of tasks by why they stay. The stand-in deployment and the explorations run with it.

--- a/adapter/operatorhttp/client.go
+++ b/adapter/operatorhttp/client.go
@@ -204,24 +204,60 @@
 	if err != nil {
 		return err
 	}
+	return decodeAnswer(a, out)
+}
+
+func decodeAnswer(a answer, out any) error {
 	if err := json.Unmarshal(a.data, out); err != nil {
 		return fmt.Errorf("%w: %w", ErrNoAnswer, err)
 	}
 	return nil
 }
 
+// Evacuations returns the requests for evacuations and what the asked host knows of the evacuated workers.
+func (c *Client) Evacuations(ctx context.Context) (v Evacuations, err error) {
+	return v, c.callEvacuations(ctx, http.MethodGet, "", Body{}, &v)
+}
+
+// StartEvacuation requests the evacuation of a data centre, and returns the request in force.
+func (c *Client) StartEvacuation(ctx context.Context, dc, reason string) (v Evacuation, err error) {
+	data, err := json.Marshal(EvacuationRequest{Reason: reason})
+	if err != nil {
+		return v, err
+	}
+	return v, c.callEvacuations(ctx, http.MethodPut, "/"+url.PathEscape(dc), Body{Type: typeJSON, Data: data}, &v)
+}
+
+// StopEvacuation withdraws the request for a data centre.
+func (c *Client) StopEvacuation(ctx context.Context, dc string) error {
+	return c.callEvacuations(ctx, http.MethodDelete, "/"+url.PathEscape(dc), Body{}, &struct{}{})
+}
+
+func (c *Client) callEvacuations(ctx context.Context, method, path string, body Body, out any) error {
+	a, err := c.send(ctx, method, evacuationsPath+path, nil, body)
+	if err != nil {
+		return err
+	}
+	return decodeAnswer(a, out)
+}
+
 // answer holds a complete answer with status 200.
 type answer struct {
 	header http.Header
 	data   []byte
 }
 
-// do sends one request. Only a ProblemError or a verdict.Error in the chain of its error tells whether the request
-// took effect.
+// do sends one request about the table.
 func (c *Client) do(
 	ctx context.Context, method, path string, query url.Values, header http.Header, body Body,
 ) (answer, error) {
-	target := strings.TrimSuffix(c.BaseURL, "/") + "/v1/table" + path + "?" + query.Encode()
+	return c.send(ctx, method, "/v1/table"+path+"?"+query.Encode(), header, body)
+}
+
+// send sends one request. Only a ProblemError or a verdict.Error in the chain of its error tells whether the request
+// took effect.
+func (c *Client) send(ctx context.Context, method, path string, header http.Header, body Body) (answer, error) {
+	target := strings.TrimSuffix(c.BaseURL, "/") + path
 	request, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body.Data))
 	if err != nil {
 		return answer{}, verdict.Wrap(err, verdict.NotRun, verdict.CodeInvalid, "request")
--- a/cmd/relayctl/relayctl_test.go
+++ b/cmd/relayctl/relayctl_test.go
@@ -19,9 +19,12 @@
 
 	"github.com/bulrushrelay/bulrushrelay/adapter/operatorhttp"
 	"github.com/bulrushrelay/bulrushrelay/adapter/tablepb"
+	"github.com/bulrushrelay/bulrushrelay/core/evacuation"
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
+	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
 	"github.com/bulrushrelay/bulrushrelay/core/table"
 	"github.com/bulrushrelay/bulrushrelay/relay/config"
+	"github.com/bulrushrelay/bulrushrelay/relay/evacuations"
 	"github.com/bulrushrelay/bulrushrelay/standin/kv"
 )
 
@@ -70,7 +73,17 @@
 	_ = service.Start(context.Background())
 	tokens, _ := operatorhttp.NewTokens([]string{readToken}, []string{editToken})
 	e := echo.New()
-	operatorhttp.New(service, noPeers{}, tokens).Register(e)
+	operators := operatorhttp.New(service, noPeers{}, tokens)
+	operators.Register(e)
+	operators.RegisterEvacuations(e, &evacuations.Operator{
+		Store: s.engine.Client("a"), AllCells: 9,
+		Known: func(dc ident.DataCentre) bool { return dc == "nelson" },
+		Evacuated: func() ([]lifecycle.EvacuatedCentre, int) {
+			nelson := lifecycle.EvacuatedCentre{DataCentre: "nelson", Workers: 3}
+			nelson.Stays[evacuation.Ends], nelson.Stays[evacuation.NoBudget] = 5, 2
+			return []lifecycle.EvacuatedCentre{nelson}, 1
+		},
+	})
 	s.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if s.loseAnswers.Load() && r.Method == http.MethodPut {
 			e.ServeHTTP(httptest.NewRecorder(), r)
--- a/cmd/relayctl/root.go
+++ b/cmd/relayctl/root.go
@@ -47,6 +47,7 @@
 			statusCommand(),
 			explainCommand(),
 			jobCommand(),
+			evacuationCommand(),
 		},
 		Suggest:        true,
 		Reader:         in,
--- a/core/evacuation/moves.go
+++ b/core/evacuation/moves.go
@@ -31,9 +31,11 @@
 	GroupUnavailable
 	// NoRoom means that no other worker has room for the task.
 	NoRoom
+	// StayReasons is the number of reasons.
+	StayReasons
 )
 
-var stayNames = [...]string{"moves", "ends", "no_budget", "budget_used", "no_room"}
+var stayNames = [StayReasons]string{"moves", "ends", "no_budget", "budget_used", "no_room"}
 
 // String returns the external form of the reason.
 func (s Stay) String() string { return stayNames[s] }
--- a/core/lifecycle/disruption.go
+++ b/core/lifecycle/disruption.go
@@ -137,6 +137,9 @@
 
 // take finds a worker with room for a task that runs elsewhere, and books the room. It returns false if there is none.
 func (r *room) take(t *task) bool {
+	if r.searches == maxMoveSearches {
+		return true
+	}
 	if r.free == nil {
 		r.free = make([]resource.Vector, len(r.workers))
 		for i, w := range r.workers {
--- a/daemon/flags.go
+++ b/daemon/flags.go
@@ -58,6 +58,7 @@
 
 		durationFlag(&s.DrainTimeout, "drain-timeout", groupLimits, 30*time.Second, "maximum time that a graceful shutdown waits for requests in progress"),
 		durationFlag(&s.LongestRequest, "longest-request", groupLimits, DefaultLongestRequest, "maximum time for which a request may hold a slot of a target"),
+		durationFlag(&s.EvacuationBound, "evacuation-bound", groupLimits, 0, "time from a request for the evacuation of a data centre until nothing more may start there; 0 turns evacuations off; the same on all hosts"),
 		intFlag(&s.MaxCallerConnections, "max-caller-connections", groupLimits, 4096, "maximum number of open connections of callers"),
 		intFlag(&s.MaxPeerConnections, "max-peer-connections", groupLimits, DefaultMaxPeerConnections, "maximum number of open connections of other relay hosts"),
 		durationFlag(&s.KeyRetention, "key-retention", groupLimits, ledger.DefaultRetention, "how long after its issue an idempotency key may be used; the same on all hosts, fixed by the first host that starts"),
--- a/daemon/host.go
+++ b/daemon/host.go
@@ -100,8 +100,10 @@
 	contact      *contact.Service
 	entry        *entry.Service
 	fleet        *fleet
-	loanRouter   *loanRouter
-	health       health
+	// evacuations is nil if they are turned off.
+	evacuations *evacuationFollower
+	loanRouter  *loanRouter
+	health      health
 
 	callerServer   *httpServer
 	operatorServer *httpServer
@@ -237,6 +239,7 @@
 		Members: h.members,
 		Log:     h.log,
 	})
+	h.evacuations = h.newEvacuationFollower()
 	h.jobs = jobs.New(jobs.Config{
 		Store:          h.store,
 		Codec:          cellpb.Codec{},
@@ -248,7 +251,10 @@
 		Logger:         h.log.Logger,
 		Meter:          newOwnerMeter(h.metrics),
 		OnReplaced:     h.cluster.GiveUp,
+
+		RefreshEvacuations: h.evacuations.refreshFunc(),
 	}, nil)
+	h.evacuations.serve(h.jobs)
 	h.contact = newContact(h.settings.Cells, h.self, h.jobs, h.cluster, h.pool, h.workers, nil, h.log)
 	router := &cellRouter{
 		self:       h.self,
@@ -327,6 +333,7 @@
 	}
 	operators := operatorhttp.New(h.config, h.fleet, tokens)
 	operators.Register(h.operatorServer.echo)
+	operators.RegisterEvacuations(h.operatorServer.echo, h.evacuationService())
 	router := jobs.NewRouter(h.jobs, &weightedCellDirectory{
 		self:      h.self,
 		cells:     h.settings.Cells,
--- a/daemon/hostlist.go
+++ b/daemon/hostlist.go
@@ -27,7 +27,7 @@
 		case hostlist.Target:
 			next.slots += routing.SlotsPerTarget
 		case hostlist.Worker:
-			next.workers[id] = append(next.workers[id], lifecycle.Member{ID: ident.WorkerID(e.ID), Address: e.Address, Rack: e.Rack, Leaving: e.Leaving})
+			next.workers[id] = append(next.workers[id], lifecycle.Member{ID: ident.WorkerID(e.ID), Address: e.Address, Rack: e.Rack, DataCentre: e.DataCentre, Leaving: e.Leaving})
 		}
 	}
 	h.fleet.current.Store(next)
--- a/daemon/jobhost.go
+++ b/daemon/jobhost.go
@@ -84,8 +84,8 @@
 	fleet   *fleet
 	// workersNeeded receives a value after this host has become the owner of a cell.
 	workersNeeded chan struct{}
-	// evacuationsNeeded receives a value when an owner needs the requests for evacuations to be read again.
-	evacuationsNeeded chan struct{}
+	// evacuations is nil if the platform has none.
+	evacuations *evacuationFollower
 	// unassigned holds the workers that belong to no cell. Only the goroutine that follows the workers uses it.
 	unassigned map[ident.WorkerID]ident.DataCentre
 
@@ -106,8 +106,7 @@
 		metrics: p.Metrics,
 		pool:    p.peerPool(),
 
-		workersNeeded:     make(chan struct{}, 1),
-		evacuationsNeeded: make(chan struct{}, 1),
+		workersNeeded: make(chan struct{}, 1),
 	}
 	h.fleet = newFleet(h.cellMap)
 	h.createServices()
@@ -132,6 +131,7 @@
 		Log:         h.log,
 	})
 	h.members.cluster = h.cluster
+	h.evacuations = h.newEvacuationFollower()
 	h.jobs = jobs.New(jobs.Config{
 		Store:          h.ports.Store,
 		Codec:          cellpb.Codec{},
@@ -152,11 +152,12 @@
 		Meter:          newOwnerMeter(h.metrics),
 		OnReplaced:     h.cluster.GiveUp,
 
-		RefreshEvacuations: h.refreshEvacuations(),
+		RefreshEvacuations: h.evacuations.refreshFunc(),
 		RecordLatency: func(class ident.ClassName, took time.Duration) {
 			h.metrics.Histogram("job_ms", telemetry.Label{Name: "class", Value: string(class)}).Update(took.Milliseconds())
 		},
 	}, nil)
+	h.evacuations.serve(h.jobs)
 	h.contact = newContact(h.settings.Cells, h.self, h.jobs, h.cluster, h.pool, h.ports.Workers, h.ports.DecisionLog, h.log)
 }
 
@@ -250,9 +251,11 @@
 		group.Go(s.serve)
 	}
 	h.cluster.Start()
-	if h.ports.Evacuations != nil {
+	if h.evacuations != nil {
 		group.Go(func() error {
-			contain.Loop(background, h.log, "following the requests for evacuations", h.followEvacuations)
+			contain.Loop(background, h.log, "following the requests for evacuations", func(ctx context.Context) {
+				h.evacuations.run(ctx, h.workerDemand)
+			})
 			return nil
 		})
 	}
@@ -299,6 +302,7 @@
 	exportCluster(h.metrics, h.cluster, h.settings.Cells)
 	exportJobs(h.metrics, h.jobs.Stats())
 	exportOwnerLoad(h.metrics, h.jobs.Load())
+	exportEvacuated(h.metrics, h.jobs)
 }
 
 // grantChanged returns the listener that starts work in gained cells and ends it in lost ones.
--- a/daemon/loops.go
+++ b/daemon/loops.go
@@ -29,7 +29,7 @@
 
 // loops returns the background loops of the host; each runs until its context ends.
 func (h *Host) loops() []func(ctx context.Context) {
-	return []func(ctx context.Context){
+	loops := []func(ctx context.Context){
 		h.config.Run,
 		h.followTable,
 		h.followHostList,
@@ -40,6 +40,10 @@
 		func(ctx context.Context) { h.cells.RunLoans(ctx, h.loanRouter) },
 		h.contact.Run,
 	}
+	if h.evacuations != nil {
+		loops = append(loops, h.followEvacuations)
+	}
+	return loops
 }
 
 // every returns a loop that calls f immediately and then at each interval.
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -58,6 +58,9 @@
 	KeyRetention  time.Duration
 	LedgerRecords int
 	LedgerMB      int
+	// EvacuationBound is the time from a request for the evacuation of a data centre until nothing more may start there; 0
+	// turns evacuations off. It is the same on all hosts.
+	EvacuationBound time.Duration
 	// MilliCPU is the CPU capacity of this host in thousandths of a core; 0 if it is not known. Hosts with a higher
 	// capacity are preferred as owners of cells.
 	MilliCPU int
@@ -94,6 +97,10 @@
 	// idle for this long: at 30 s they got no request for 39 s.
 	DefaultLongestRequest = 10 * time.Second
 
+	// minEvacuationBound leaves time for several reads of the requests.
+	minEvacuationBound = time.Second
+	maxEvacuationBound = 10 * time.Minute
+
 	// DefaultMaxPeerConnections is many times the target number of relay hosts, 64, because a host that is replaced
 	// leaves its connection open until keepalive finds it dead.
 	DefaultMaxPeerConnections = 1024
@@ -153,6 +160,9 @@
 	if s.LongestRequest < minLongestRequest || s.LongestRequest > maxLongestRequest {
 		faults.add("longest-request", s.LongestRequest.String(), fmt.Sprintf("%s to %s", minLongestRequest, maxLongestRequest))
 	}
+	if s.EvacuationBound != 0 && (s.EvacuationBound < minEvacuationBound || s.EvacuationBound > maxEvacuationBound) {
+		faults.add("evacuation-bound", s.EvacuationBound.String(), fmt.Sprintf("0, or %s to %s", minEvacuationBound, maxEvacuationBound))
+	}
 	faults.checkRange("max-caller-connections", s.MaxCallerConnections, 1, maxConnections, "connections")
 	faults.checkRange("max-peer-connections", s.MaxPeerConnections, 1, maxConnections, "connections")
 	// Key records are compared in whole milliseconds, so that a finer setting would not take effect.
--- a/explore/explore.go
+++ b/explore/explore.go
@@ -180,6 +180,7 @@
 		HostListURL: d.hostList.URL(), EditTokens: []string{operatorToken}, Plain: true, LogFormat: "text", LogLevel: "error",
 		DrainTimeout: drainTimeout, LongestRequest: daemon.DefaultLongestRequest, MaxCallerConnections: 256,
 		MaxPeerConnections: 64, KeyRetention: time.Hour, LedgerRecords: 100_000, LedgerMB: 64,
+		EvacuationBound: 5 * time.Second,
 	}
 	if err := h.settings.Validate(); err != nil {
 		return err
--- a/relay/evacuations/follower_test.go
+++ b/relay/evacuations/follower_test.go
@@ -19,13 +19,13 @@
 )
 
 const (
-	answerTime = 4 * time.Millisecond
-	watchTime  = 1500 * time.Millisecond
+	answerTime    = 4 * time.Millisecond
+	fakeWatchTime = 1500 * time.Millisecond
 )
 
 var errDown = errors.New("store unavailable")
 
-// fakeStore is a store whose watches end after watchTime.
+// fakeStore is a store whose watches end after fakeWatchTime.
 type fakeStore struct {
 	mu       sync.Mutex
 	revision store.Revision
@@ -35,9 +35,9 @@
 	// down makes every call fail, silent makes it wait for its context.
 	down, silent bool
 	// delay is added to each answer.
-	delay time.Duration
-	lists        int
-	returned     chan struct{}
+	delay    time.Duration
+	lists    int
+	returned chan struct{}
 }
 
 func (s *fakeStore) change(f func()) {
@@ -100,7 +100,7 @@
 	select {
 	case <-changed:
 		return true, after + 1, nil
-	case <-time.After(watchTime):
+	case <-time.After(fakeWatchTime):
 		return false, revision, nil
 	case <-ctx.Done():
 		return false, 0, ctx.Err()
@@ -235,7 +235,7 @@
 		f.store.mu.Lock()
 		f.store.down = true
 		f.store.mu.Unlock()
-		f.after(watchTime + answerTime)
+		f.after(fakeWatchTime + answerTime)
 		stale, released := false, false
 		for _, s := range f.passedOn() {
 			stale = stale || s.Known() && !s.Current()
@@ -300,7 +300,7 @@
 	run(t, func(t *testing.T, f *fixture) {
 		f.after(100 * time.Millisecond)
 		f.needed.Store(false)
-		f.after(2 * watchTime)
+		f.after(2 * fakeWatchTime)
 		before := f.lists()
 		f.after(time.Minute)
 		require.Equal(t, before, f.lists())
--- a/relay/jobs/evacuations.go
+++ b/relay/jobs/evacuations.go
@@ -1,7 +1,10 @@
 package jobs
 
 import (
+	"slices"
+
 	"github.com/bulrushrelay/bulrushrelay/core/evacuation"
+	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
 )
 
 // SetEvacuations puts a set of requests for evacuations in force in all cells. It does not wait for the loops of the
@@ -70,3 +73,23 @@
 		FieldDataCentre: r.DataCentre, FieldRevision: uint64(r.Revision), FieldAgeMs: o.now().Sub(r.Since).Milliseconds(),
 	})
 }
+
+// Evacuated returns what is on the evacuated workers of the cells of this host, by data centre, and the number of these
+// cells.
+func (s *Service) Evacuated() (centres []lifecycle.EvacuatedCentre, cells int) {
+	for _, o := range s.allOwners() {
+		cells++
+		for _, e := range o.cell.Evacuated() {
+			i := slices.IndexFunc(centres, func(c lifecycle.EvacuatedCentre) bool { return c.DataCentre == e.DataCentre })
+			if i < 0 {
+				centres = append(centres, e)
+				continue
+			}
+			centres[i].Workers += e.Workers
+			for reason, tasks := range e.Stays {
+				centres[i].Stays[reason] += tasks
+			}
+		}
+	}
+	return centres, cells
+}
