explore: evacuations with job hosts that are killed, cut off, restarted or without a store

Cause: no test ran whole hosts through an evacuation. Change: job hosts over a store of their own with workers in two data centres, under load; the request comes undisturbed, before the loss of the owner, between two owners, before and during an outage of the store, and after 20 quick changes.

--- a/explore/jobhost_test.go
+++ b/explore/jobhost_test.go
@@ -26,6 +26,7 @@
 	"github.com/bulrushrelay/bulrushrelay/daemon"
 	"github.com/bulrushrelay/bulrushrelay/internal/sleep"
 	"github.com/bulrushrelay/bulrushrelay/platform"
+	"github.com/bulrushrelay/bulrushrelay/relay/evacuations"
 	"github.com/bulrushrelay/bulrushrelay/relay/jobs"
 	"github.com/bulrushrelay/bulrushrelay/standin/kv"
 	"github.com/bulrushrelay/bulrushrelay/standin/network"
@@ -37,6 +38,8 @@
 	jobHostGrace   = 5 * time.Second
 	// addressesPerJobHost is the number of listeners of a host.
 	addressesPerJobHost = 4
+	// evacuationBound is the time from a request for an evacuation until nothing more may start in the data centre.
+	evacuationBound = 5 * time.Second
 )
 
 // jobCell is the platform of one cell: its store, its table and its workers. Processes of one relay host own the cell
@@ -52,6 +55,9 @@
 	started  int
 	// workerLease is the setting of the processes. The workers themselves end their leases after lifecycle.LeaseDuration.
 	workerLease time.Duration
+	// inPicton holds the workers that are in the data centre picton instead of nelson. The processes follow the requests
+	// for evacuations if there are any.
+	inPicton map[ident.WorkerID]bool
 }
 
 // jobProcess is one process of the relay host.
@@ -88,13 +94,19 @@
 	p := &jobProcess{cell: c, store: c.store.Client(fmt.Sprint("process-", c.started)), link: worker.NewLink(c.fleet), runErr: make(chan error, 1)}
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
+	var requests evacuations.Source
+	if len(c.inPicton) > 0 {
+		requests = evacuations.StoreSource{Store: p.store}
+	}
 	relay, err := daemon.NewJobHost(daemon.JobSettings{
-		HostID: hostID, DataCentre: "nelson", Regions: map[ident.DataCentre]ident.DataCentre{"nelson": "tasman"},
-		CallerAddress: addressOf(firstAddress), StatusAddress: addressOf(firstAddress + 1), PeerAddress: addressOf(firstAddress + 2),
+		HostID: hostID, DataCentre: "nelson", Regions: map[ident.DataCentre]ident.DataCentre{"nelson": "tasman", "picton": "tasman"},
+		EvacuationBound: evacuationBound,
+		CallerAddress:   addressOf(firstAddress), StatusAddress: addressOf(firstAddress + 1), PeerAddress: addressOf(firstAddress + 2),
 		MetricsAddress: addressOf(firstAddress + 3),
 		WorkerLease:    c.workerLease, StopTime: 2 * time.Second, SmallestLease: 2 * time.Second, StoreWrites: 1000, Grace: jobHostGrace,
 	}, daemon.JobPorts{
 		Metrics: telemetry.NewRegistry(), Store: p.store, Workers: p.link, FollowWorkers: c.followWorkers, FollowTable: c.followTable,
+		Evacuations:     requests,
 		RegisterCallers: func(_ *echo.Echo, r *jobs.Router) { p.router = r },
 		RegisterStatus:  func(*echo.Echo, func() bool) {},
 		Listen:          c.transport.Listen,
@@ -115,6 +127,9 @@
 	for _, w := range c.fleet {
 		m := w.Member()
 		m.DataCentre = "nelson"
+		if c.inPicton[m.ID] {
+			m.DataCentre = "picton"
+		}
 		m.Address = string(m.ID)
 		list = append(list, m)
 	}
