relay/jobs, relay/evacuations: read the requests again when an owner regains its authority

Cause: a process that was paused may find the answer of a watch from before the pause, and start tasks by it. Change: an owner that regains full authority has the requests read again, and starts nothing until the read has ended. Result: TestRegainedAuthorityReadsEvacuationsAgain; go test -race of the evacuation tests in ./relay/jobs, ./relay/evacuations and ./explore passes.

--- a/relay/evacuations/follower.go
+++ b/relay/evacuations/follower.go
@@ -61,7 +61,8 @@
 // Config configures a Follower.
 type Config struct {
 	Source Source
-	// Demand says whether anybody needs the requests. They are read again each time that it is raised.
+	// Demand says whether anybody needs the requests. Each time that it is raised, they are read again before the next
+	// start.
 	Demand hostlist.DemandSource
 	// Known reports whether the deployment has a data centre.
 	Known func(ident.DataCentre) bool
@@ -220,6 +221,7 @@
 	case <-f.cfg.Source.Returned():
 		f.hold()
 	case <-f.cfg.Demand.Raised:
+		f.hold()
 	}
 	cancel()
 	<-answered
--- a/relay/evacuations/follower_test.go
+++ b/relay/evacuations/follower_test.go
@@ -290,6 +290,7 @@
 		f.after(100 * time.Millisecond)
 		at := time.Now()
 		f.raised <- struct{}{}
+		require.False(t, f.after(answerTime/2).Current())
 		require.True(t, f.after(2*answerTime).ReadSince(at).Current())
 	})
 }
--- a/relay/jobs/owner.go
+++ b/relay/jobs/owner.go
@@ -191,6 +191,10 @@
 	full := o.authority() == ownership.Full
 	confirmed := o.predecessorConfirmed || predecessorStopped(g)
 	if full != o.hasFullAuthority || confirmed != o.predecessorConfirmed {
+		if full && !o.hasFullAuthority && o.cfg.RefreshEvacuations != nil {
+			// The process may have been paused or cut off, and may have missed a request.
+			o.cfg.RefreshEvacuations()
+		}
 		o.hasFullAuthority = full
 		o.predecessorConfirmed = confirmed
 		o.apply(o.cell.SetAuthority(o.now(), full && !o.draining.Load(), confirmed))
