core/registry, internal/faultlog: move decisions out of platform/

How long a missing registration still counts, and whether the store is available, are decisions. Change: registrations.go and availability.go become core/registry, without a codec; the platform decodes and passes changes. faultlog.go becomes internal/faultlog. The tests move along; which answers count as failures is a test of platform/ again.

--- a/platform/availability.go
+++ b/core/registry/availability.go
@@ -1,13 +1,12 @@
-package platform
+package registry
 
 import (
-	"net/http"
 	"sync"
 	"time"
 )
 
-// availability tracks whether a service answers.
-type availability struct {
+// Availability tracks whether a service answers.
+type Availability struct {
 	// mu guards the fields below, because several calls may end at the same time.
 	mu sync.Mutex
 	// failing is set while the latest call has failed. firstAnswerAt is when a call was answered for the first time,
@@ -19,9 +18,9 @@
 	listener chan struct{}
 }
 
-// note notes the end of a call at now.
-func (a *availability) note(now time.Time, r reply) {
-	if listener := a.update(now, r); listener != nil {
+// Note notes the end of a call at now. failed says that the service did not answer it, or answered that it is not available.
+func (a *Availability) Note(now time.Time, failed bool) {
+	if listener := a.update(now, failed); listener != nil {
 		select {
 		case listener <- struct{}{}:
 		default:
@@ -30,10 +29,10 @@
 }
 
 // update applies the end of a call. It returns the listener if the service has returned by it.
-func (a *availability) update(now time.Time, r reply) (listener chan<- struct{}) {
+func (a *Availability) update(now time.Time, failed bool) (listener chan<- struct{}) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if r.err != nil || r.status >= http.StatusInternalServerError {
+	if failed {
 		a.failing = true
 		return nil
 	}
@@ -48,24 +47,24 @@
 	return nil
 }
 
-// notifyReturn returns a channel that receives a value each time the service has returned. There is one listener.
-func (a *availability) notifyReturn() <-chan struct{} {
+// NotifyReturn returns a channel that receives a value each time the service has returned. There is one listener.
+func (a *Availability) NotifyReturn() <-chan struct{} {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.listener = make(chan struct{}, 1)
 	return a.listener
 }
 
-// returned returns when a call was first answered after the last failure; zero if none has failed.
-func (a *availability) returned() time.Time {
+// Returned returns when a call was first answered after the last failure; zero if none has failed.
+func (a *Availability) Returned() time.Time {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.returnedAt
 }
 
-// answeringSince returns since when no call has failed; zero if none has been answered yet. A process that starts cannot
+// AnsweringSince returns since when no call has failed; zero if none has been answered yet. A process that starts cannot
 // know for how long the service had answered before.
-func (a *availability) answeringSince() time.Time {
+func (a *Availability) AnsweringSince() time.Time {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.returnedAt.After(a.firstAnswerAt) {
