core/lifecycle, relay/jobs: move no lasting task while the log fails

Cause: a task that saves its progress starts again only after the record of its move is durable, so that a move during an outage of the store would last as long as the outage. Change: the owner tells the cell when commits begin or cease to fail; nothing moves from evacuated workers meanwhile.

--- a/core/lifecycle/cell.go
+++ b/core/lifecycle/cell.go
@@ -93,6 +93,8 @@
 	// the worker at which the last look stopped.
 	nextMoveAt    time.Time
 	lastMovedFrom ident.WorkerID
+	// logFailing is set while the store does not accept records.
+	logFailing bool
 	// predecessorStoppedAt is when the predecessor was confirmed to renew no more leases; zero if it is not confirmed.
 	predecessorStoppedAt time.Time
 	// inDoubt is set while a successor may exist: running tasks are renewed, but no task is started or moved.
--- a/core/lifecycle/disruption.go
+++ b/core/lifecycle/disruption.go
@@ -66,13 +66,21 @@
 	eff.do(Restore{Running: c.runningOf(t)})
 }
 
+// SetLogFailing says whether the store does not accept records. A task that saves its progress starts again only after the
+// record of its move is durable, so that none moves meanwhile.
+func (c *Cell) SetLogFailing(failing bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.logFailing = failing
+}
+
 // moveFromEvacuated moves lasting tasks from evacuated workers within their disruption budgets, if it is due.
 func (c *Cell) moveFromEvacuated(now time.Time, eff *Effects) {
 	if c.nextMoveAt.IsZero() || now.Before(c.nextMoveAt) {
 		return
 	}
 	c.nextMoveAt = now.Add(moveInterval)
-	if c.inDoubt || c.startsHeld() {
+	if c.inDoubt || c.startsHeld() || c.logFailing {
 		return
 	}
 	r := c.newRoom()
--- a/core/lifecycle/disruption_test.go
+++ b/core/lifecycle/disruption_test.go
@@ -155,3 +155,18 @@
 	require.Equal(t, bound[0].Task, commandsOf[Restore](f)[0].Running.Task)
 	require.Equal(t, []ident.TaskID{free[0].Task}, f.moved())
 }
+
+// Guards against a task that is stopped while the store is down, and that waits for its record until the store returns.
+func TestNothingMovesWhileTheLogFails(t *testing.T) {
+	f := newTwoCentreFixture(t, 1)
+	f.evacuate()
+	group := f.lastingGroup(1, "n0")
+	f.report("n0", true, group[0])
+	f.evacuate("nelson")
+	f.c.SetLogFailing(true)
+	f.pass()
+	require.Empty(t, f.moved())
+	f.c.SetLogFailing(false)
+	f.pass()
+	require.Len(t, f.moved(), 1)
+}
--- a/relay/jobs/evacuations.go
+++ b/relay/jobs/evacuations.go
@@ -53,6 +53,14 @@
 	}
 }
 
+// checkLog tells the cell when the commits begin or cease to fail.
+func (o *owner) checkLog() {
+	if failing := o.log.failingFor() > 0; failing != o.logFailing {
+		o.logFailing = failing
+		o.cell.SetLogFailing(failing)
+	}
+}
+
 // logEvacuations logs the requests that have come or gone since the last set.
 func (o *owner) logEvacuations(set evacuation.Set) {
 	before := o.loggedEvacuations
--- a/relay/jobs/owner.go
+++ b/relay/jobs/owner.go
@@ -99,6 +99,8 @@
 	longestWait time.Duration
 	// loggedEvacuations is the set whose changes have been logged.
 	loggedEvacuations evacuation.Set
+	// logFailing is set while the commits fail.
+	logFailing bool
 	// wakeAt is when the timer of the loop fires.
 	wakeAt time.Time
 	// quarantined holds the workers whose quarantine has been logged.
@@ -133,6 +135,7 @@
 		o.runQueuedEvents()
 		o.checkAuthority()
 		o.applyNotedEvacuations()
+		o.checkLog()
 		o.apply(o.cell.Tick(o.now()))
 		o.plan()
 		o.logFinishedJobs(o.cell.TakeFinishedJobs())
