explore: lasting tasks that move from an evacuated data centre within their budget

Cause: no test ran the moves through whole hosts, their log and the workers. Change: a group with a budget of 1 and one without, during an evacuation, with and without the loss of the owner.

--- a/explore/evacuation_test.go
+++ b/explore/evacuation_test.go
@@ -166,3 +166,73 @@
 		e.close(e.current)
 	})
 }
+
+// lasting submits a job of lasting tasks and waits until all of them run.
+func (e *evacuable) lasting(tasks, budget int) ident.JobID {
+	id, err := e.current.router.Submit(context.Background(), lifecycle.JobSpec{Class: "batch", Groups: []lifecycle.TaskGroup{{
+		Count: tasks, Need: resource.Vector{MilliCPU: 500, MemoryMB: 100}, Lasting: true, DisruptionBudget: budget, Command: "work=10h",
+	}}})
+	require.NoError(e.t, err)
+	time.Sleep(5 * time.Second)
+	require.Len(e.t, e.running(id, time.Now()), tasks)
+	return id
+}
+
+// running lists the workers on which tasks of a job run at a time.
+func (e *evacuable) running(id ident.JobID, at time.Time) (workers []ident.WorkerID) {
+	for _, x := range e.recorder.Executions() {
+		if x.Task.Job == id && !x.StartedAt.After(at) && (!x.Stopped || x.StoppedAt.After(at)) {
+			workers = append(workers, x.Worker)
+		}
+	}
+	return workers
+}
+
+// inPictonAt counts the tasks of a job that run in picton at a time.
+func (e *evacuable) inPictonAt(id ident.JobID, at time.Time) (tasks int) {
+	for _, w := range e.running(id, at) {
+		if e.inPicton[w] {
+			tasks++
+		}
+	}
+	return tasks
+}
+
+// Guards against lasting tasks that stay in an evacuated data centre although their budget lets them move, against groups
+// that lose more tasks at a time than their budget, also beside the loss of the owner, and against moves of a group without
+// one.
+func TestLastingTasksMoveWithinTheirBudget(t *testing.T) {
+	for name, ownerLost := range map[string]bool{"undisturbed": false, "owner replaced": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const tasks = 8
+				e := newEvacuable(t)
+				e.current = e.start()
+				time.Sleep(20 * time.Second)
+				bound, movable := e.lasting(tasks, 0), e.lasting(tasks, 1)
+				stays := e.inPictonAt(bound, time.Now())
+				require.Positive(t, stays)
+				require.Positive(t, e.inPictonAt(movable, time.Now()))
+				e.request()
+				if ownerLost {
+					time.Sleep(2500 * time.Millisecond)
+					e.current.kill()
+					e.current = e.startHost(2, nil)
+				}
+				time.Sleep(90 * time.Second)
+				ended := time.Now()
+				require.Zero(t, e.inPictonAt(movable, ended))
+				require.Equal(t, stays, e.inPictonAt(bound, ended))
+				moves := 0
+				for _, x := range e.recorder.Executions() {
+					if x.Task.Job == movable && x.Stopped {
+						moves++
+						require.GreaterOrEqual(t, len(e.running(movable, x.StoppedAt)), tasks-1, x.StoppedAt.Sub(e.requestedAt))
+					}
+				}
+				require.Positive(t, moves)
+				e.close(e.current)
+			})
+		})
+	}
+}
