scenario, standin: evacuation of a data centre with relay hosts as processes

Cause: the stand-ins could not run an evacuation. Change: the action evacuation start|stop DC calls the operator interface of a random host; check reports starts in the data centre after the bound.

--- a/action/action.go
+++ b/action/action.go
@@ -39,7 +39,7 @@
 var verbs = map[string]func(a *Actions, ctx context.Context, args []string) error{
 	"host": (*Actions).host, "wait_drain": (*Actions).waitDrain, "links": (*Actions).links, "store": (*Actions).store,
 	"target": (*Actions).target, "worker": (*Actions).worker, "job": (*Actions).job,
-	"proxy": (*Actions).proxy,
+	"proxy": (*Actions).proxy, "evacuation": (*Actions).evacuation,
 }
 
 // Verbs returns the verbs that Do accepts, in alphabetical order.
--- a/action/check.go
+++ b/action/check.go
@@ -9,13 +9,16 @@
 )
 
 // Check returns the history of a run and every violation of a guarantee that it shows, including workers that were over
-// their capacity.
+// their capacity and starts in data centres under evacuation.
 func Check(d *deployment.Deployment, bounds history.Bounds) ([]history.Event, []history.Violation) {
 	events := d.Events()
 	violations := history.Check(events, bounds)
 	for _, overloaded := range d.OverloadedWorkers() {
 		violations = append(violations, history.Violation{Guarantee: "P1", Message: "worker over capacity: " + overloaded})
 	}
+	for _, start := range d.StartsUnderEvacuation() {
+		violations = append(violations, history.Violation{Guarantee: "evacuation", Message: "started after the bound: " + start})
+	}
 	return events, violations
 }
 
--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -126,9 +126,10 @@
 
 	closeFuncs []func()
 
-	// mu guards hosts, the current content of the host list.
+	// mu guards the fields below: the current content of the host list, and the evacuations that were requested.
 	mu          sync.Mutex
 	listedHosts []hostlist.Host
+	evacuations []evacuation
 }
 
 // Host is one relay host of a deployment. Its process can be replaced by a new one.
--- a/standin/deployment/prepare.go
+++ b/standin/deployment/prepare.go
@@ -44,7 +44,7 @@
 			EditTokens: []string{OperatorToken}, Plain: true, LogFormat: "text", LogLevel: d.options.LogLevel,
 			DrainTimeout: 30 * time.Second, LongestRequest: daemon.DefaultLongestRequest,
 			MaxCallerConnections: 4096, MaxPeerConnections: daemon.DefaultMaxPeerConnections, KeyRetention: ledger.DefaultRetention,
-			LedgerRecords: 500_000, LedgerMB: 256, EvacuationBound: 5 * time.Second,
+			LedgerRecords: 500_000, LedgerMB: 256, EvacuationBound: evacuationBound,
 		}
 		if h.Settings.LogLevel == "" {
 			h.Settings.LogLevel = "info"
