relay/evacuations: a panic of a read counts as a failed read

Cause: the calls to the store run in goroutines of their own, whose panics would end the process. Change: they are contained, logged and counted like those of other loops. Result: TestPanicOfAReadIsAFailure; go test -race ./relay/evacuations passes.

--- a/daemon/evacuations.go
+++ b/daemon/evacuations.go
@@ -88,6 +88,7 @@
 		Now:     time.Now,
 		Changed: f.set,
 		Ignored: f.ignore,
+		Log:     f.log,
 	}).Run(ctx)
 }
 
--- a/relay/evacuations/follower.go
+++ b/relay/evacuations/follower.go
@@ -4,12 +4,16 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/bulrushrelay/bulrushrelay/core/evacuation"
 	"github.com/bulrushrelay/bulrushrelay/core/hostlist"
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/store"
+	"github.com/bulrushrelay/bulrushrelay/internal/contain"
 	"github.com/bulrushrelay/bulrushrelay/internal/sleep"
 )
 
@@ -73,6 +77,7 @@
 	Changed func(evacuation.Set)
 	// Ignored is called once for each entry that changes nothing.
 	Ignored func(Ignored)
+	Log     logrus.FieldLogger
 }
 
 // Follower follows the requests in a store.
@@ -86,6 +91,9 @@
 	ignored map[Ignored]struct{}
 }
 
+// errPanic is the error of a call that ended with a panic, which is logged.
+var errPanic = errors.New("the call ended with a panic")
+
 // NewFollower returns a follower that has read nothing yet.
 func NewFollower(cfg Config) *Follower {
 	return &Follower{cfg: cfg}
@@ -156,6 +164,7 @@
 	answered := make(chan struct{})
 	go func() {
 		defer close(answered)
+		defer contain.Recover(f.cfg.Log, "reading the requests for evacuations", func() { err = errPanic })
 		l, err = f.cfg.Source.List(ctx)
 	}()
 	hold := time.NewTimer(f.cfg.Bound / holdsPerBound)
@@ -213,6 +222,7 @@
 	answered := make(chan struct{})
 	go func() {
 		defer close(answered)
+		defer contain.Recover(f.cfg.Log, "watching the requests for evacuations", func() { err = errPanic })
 		changed, next, err = f.cfg.Source.Wait(ctx, after)
 	}()
 	select {
--- a/relay/evacuations/follower_test.go
+++ b/relay/evacuations/follower_test.go
@@ -10,6 +10,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/require"
 
 	"github.com/bulrushrelay/bulrushrelay/core/evacuation"
@@ -34,6 +36,8 @@
 	changed  chan struct{}
 	// down makes every call fail, silent makes it wait for its context.
 	down, silent bool
+	// panics makes the next call of List panic.
+	panics bool
 	// delay is added to each answer.
 	delay    time.Duration
 	lists    int
@@ -80,6 +84,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lists++
+	if s.panics {
+		s.panics = false
+		panic("an answer that the source cannot read")
+	}
 	l := Listing{Revision: s.revision, Unreadable: s.faulty}
 	for dc, revision := range s.requests {
 		l.Requests = append(l.Requests, evacuation.Request{DataCentre: dc, Revision: revision})
@@ -109,6 +117,11 @@
 
 func (s *fakeStore) Returned() <-chan struct{} { return s.returned }
 
+func discardLog() logrus.FieldLogger {
+	log, _ := logtest.NewNullLogger()
+	return log
+}
+
 // fixture runs a follower in a synctest bubble.
 type fixture struct {
 	store  *fakeStore
@@ -144,6 +157,7 @@
 				defer f.mu.Unlock()
 				f.ignored = append(f.ignored, i)
 			},
+			Log: discardLog(),
 		})
 		ctx, cancel := context.WithCancel(context.Background())
 		ended := make(chan struct{})
@@ -268,6 +282,19 @@
 	})
 }
 
+// Guards against an answer that ends the process, or the following of the requests.
+func TestPanicOfAReadIsAFailure(t *testing.T) {
+	run(t, func(t *testing.T, f *fixture) {
+		f.after(100 * time.Millisecond)
+		f.store.mu.Lock()
+		f.store.panics = true
+		f.store.mu.Unlock()
+		f.store.request("nelson")
+		require.True(t, f.after(time.Second).Contains("nelson"))
+		require.True(t, f.after(0).Current())
+	})
+}
+
 // Guards against a host with a slow path to the store that never learns of a request, because each read takes longer than
 // starts may wait for it.
 func TestSlowReadIsUsed(t *testing.T) {
--- a/relay/evacuations/operator_test.go
+++ b/relay/evacuations/operator_test.go
@@ -39,6 +39,7 @@
 			Known:  o.Known, Bound: 5 * time.Second, Now: time.Now,
 			Changed: func(s evacuation.Set) { sets <- s },
 			Ignored: func(Ignored) {},
+			Log:     discardLog(),
 		})
 		go func() {
 			defer close(ended)
