core/lifecycle: evacuated workers do not count as sound ones for quarantines

Cause: failures of a job that has succeeded nowhere put at most half of the workers in quarantine that take tasks; evacuated workers counted among these, so that three quarters of the others could be quarantined. Change: they are left out, like workers that leave.

--- a/core/lifecycle/evacuation_test.go
+++ b/core/lifecycle/evacuation_test.go
@@ -183,3 +183,16 @@
 	f.claim("n9", Report{})
 	require.Equal(t, map[ident.WorkerID]bool{"n0": true, "n9": true, "p0": true}, f.evacuated())
 }
+
+// Guards against failures of one job that put most of the workers in quarantine that still take tasks, because evacuated
+// workers count as sound ones.
+func TestEvacuatedWorkersAreNoSoundOnesForQuarantines(t *testing.T) {
+	f := newTwoCentreFixture(t, 4)
+	f.evacuate()
+	for _, id := range []ident.WorkerID{"p0", "p1"} {
+		f.c.workers[id].health.quarantined = true
+	}
+	require.False(t, f.c.mostInQuarantineWith(f.c.workers["p2"]))
+	f.evacuate("nelson")
+	require.True(t, f.c.mostInQuarantineWith(f.c.workers["p2"]))
+}
--- a/core/lifecycle/failure.go
+++ b/core/lifecycle/failure.go
@@ -286,7 +286,7 @@
 func (c *Cell) mostInQuarantineWith(w *worker) bool {
 	all, quarantined := 0, 0
 	for _, o := range c.workers {
-		if o.member.Pool != w.member.Pool || !o.claimed || o.silent || o.leaving() {
+		if o.member.Pool != w.member.Pool || !o.claimed || o.silent || o.leaving() || o.evacuated {
 			continue
 		}
 		all++
