core/placement: revoke an eviction that is not carried out

Cause: a refused eviction released the task and booked it again. In between, what it held went to the claims on its worker. Change: Restore of an attempt that was to be evicted from the same worker lets it run on.

--- a/core/lifecycle/disruption.go
+++ b/core/lifecycle/disruption.go
@@ -55,14 +55,13 @@
 	return group.Allows(t.available())
 }
 
-// evictForPlan evicts a task for the planner. If its disruption budget forbids that, the planner books it as running
-// again.
+// evictForPlan evicts a task for the planner. If its disruption budget forbids that, the planner is told that the task
+// runs on.
 func (c *Cell) evictForPlan(now time.Time, t *task, eff *Effects) {
 	if t.mayDisrupt() {
 		c.evict(now, t, true, eff)
 		return
 	}
-	eff.do(Release{Task: t.id})
 	eff.do(Restore{Running: c.runningOf(t)})
 }
 
--- a/core/placement/cell.go
+++ b/core/placement/cell.go
@@ -215,7 +215,7 @@
 }
 
 // Restore implements Planner. A task that is already booked moves to the worker of the inventory, unless the
-// inventory has an older attempt. A worker that is not described yet keeps its tasks until UpsertWorker gives its
+// inventory has an older attempt; one that was to be evicted from the worker runs on. A worker that is not described yet keeps its tasks until UpsertWorker gives its
 // capacity.
 func (c *Cell) Restore(r Running) {
 	c.mu.Lock()
@@ -227,6 +227,7 @@
 		if t.node != nil && r.Attempt == t.attempt && t.node.worker.ID == r.Worker {
 			t.startedAt = c.stampOf(r.StartedAt)
 			t.checkpointedAt = max(t.checkpointedAt, c.stampOf(r.CheckpointedAt))
+			c.revokeEviction(t)
 			return
 		}
 		c.removeTask(t)
--- a/core/placement/evacuated_test.go
+++ b/core/placement/evacuated_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/placement"
+	"github.com/bulrushrelay/bulrushrelay/core/table"
 )
 
 func putWorker(c *placement.Cell, i int, change func(*placement.Worker)) {
@@ -90,3 +91,33 @@
 	require.Len(t, w, 1)
 	require.InDelta(t, 5.0/12, w[0].PoolUse, 0.001)
 }
+
+// Guards against a planner that waits for the end of a task whose eviction was refused, books it twice, or never evicts it
+// again.
+func TestRevokedEviction(t *testing.T) {
+	c := placement.NewCell(1, placement.Options{MinThrottle: 1})
+	rows := []table.Row{{Name: "serve"}, {Name: "etl"}}
+	rows[1].SetPriority(2)
+	c.SetTable(table.New(1, rows))
+	putWorker(c, 0, nil)
+	batch := pendingTask(1, "etl", vec(4000, 4000, 0))
+	c.Submit([]placement.Pending{batch})
+	started := c.Plan(epoch, 100).Starts
+	require.Len(t, started, 1)
+	restart := lastingTask(2, 2)
+	restart.Need = vec(2000, 2000, 0)
+	c.Submit([]placement.Pending{restart})
+	now := epoch.Add(time.Second)
+	require.Len(t, c.Plan(now, 100).Evictions, 1)
+	c.Restore(placement.Running{Pending: batch, Worker: workerID(0), StartedAt: epoch})
+	require.Equal(t, vec(4000, 4000, 0), c.Booked(workerID(0)))
+	require.True(t, c.Cancel(restart.Task))
+	c.Submit([]placement.Pending{restart})
+	now = now.Add(time.Second)
+	again := c.Plan(now, 100)
+	require.Empty(t, again.Starts)
+	require.Len(t, again.Evictions, 1)
+	c.Release(batch.Task)
+	require.Len(t, c.Plan(now.Add(time.Second), 100).Starts, 1)
+	require.Equal(t, vec(2000, 2000, 0), c.Booked(workerID(0)))
+}
--- a/core/placement/evict.go
+++ b/core/placement/evict.go
@@ -66,6 +66,16 @@
 	})
 }
 
+// revokeEviction lets a task run on whose eviction is not carried out.
+func (c *Cell) revokeEviction(t *task) {
+	if t.state != evicting {
+		return
+	}
+	t.state = running
+	c.updateWorking(t)
+	c.shares.charge(t, t.desired)
+}
+
 // cheapestVictims selects batch tasks of a worker whose eviction makes t fit. It takes tasks in the order of lost
 // work per covered part of the shortage and then drops the superfluous ones. The result is not always the cheapest
 // set, which would take exponential time to find.
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -149,7 +149,7 @@
 	RemoveWorker(id ident.WorkerID) []Running
 	// SetUnreached replaces the unreached capacity of a pool.
 	SetUnreached(u Unreached)
-	// Restore books a task that a worker's inventory shows to be running.
+	// Restore books a task that a worker's inventory shows to be running. It revokes an eviction of the same attempt.
 	Restore(r Running)
 	// Submit queues tasks. A higher attempt of a task that is still booked is queued when the booked one is released.
 	Submit(tasks []Pending)
