--- a/core/placement/cell.go
+++ b/core/placement/cell.go
@@ -111,7 +111,14 @@
 		unreached:    make(map[string]Unreached),
 		shapes:       newShapes(),
 		required: []Filter{
-			leavingFilter{}, quarantineFilter{}, avoidFilter{}, poolFilter{}, labelFilter{}, perWorkerFilter{}, fillerFilter{},
+			leavingFilter{},
+			evacuatedFilter{},
+			quarantineFilter{},
+			avoidFilter{},
+			poolFilter{},
+			labelFilter{},
+			perWorkerFilter{},
+			fillerFilter{},
 		},
 		preferred: []Filter{spreadFilter{}, preferUnavoidedFilter{}},
 		scores: []weightedScore{
@@ -160,7 +167,7 @@
 	if n.described {
 		c.spread.removeWorker(n.worker.Rack)
 	}
-	if w.Leaving || w.Quarantined || !n.worker.Capacity.Fits(w.Capacity) {
+	if w.Leaving || w.Evacuated || w.Quarantined || !n.worker.Capacity.Fits(w.Capacity) {
 		c.requeueClaims(n)
 	}
 	n.worker = w
@@ -208,7 +215,7 @@
 }
 
 // Restore implements Planner. A task that is already booked moves to the worker of the inventory, unless the
-// inventory has an older attempt. A worker that is not described yet keeps its tasks until UpsertWorker gives its
+// inventory has an older attempt; one that was to be evicted from the worker runs on. A worker that is not described yet keeps its tasks until UpsertWorker gives its
 // capacity.
 func (c *Cell) Restore(r Running) {
 	c.mu.Lock()
@@ -220,6 +227,7 @@
 		if t.node != nil && r.Attempt == t.attempt && t.node.worker.ID == r.Worker {
 			t.startedAt = c.stampOf(r.StartedAt)
 			t.checkpointedAt = max(t.checkpointedAt, c.stampOf(r.CheckpointedAt))
+			c.revokeEviction(t)
 			return
 		}
 		c.removeTask(t)
