--- a/relay/jobs/eventlist.go
+++ b/relay/jobs/eventlist.go
@@ -36,6 +36,9 @@
 	EventWorkersUnreached   EventName = "workers_unreached"
 	EventWorkersReached     EventName = "workers_reached"
 	EventCellHandedOver     EventName = "cell_handed_over"
+	EventEvacuationStarted  EventName = "evacuation_started"
+	EventEvacuationEnded    EventName = "evacuation_ended"
+	EventEvacuationIgnored  EventName = "evacuation_ignored"
 	EventLinesDropped       EventName = "lines_dropped"
 )
 
@@ -89,13 +92,16 @@
 	FieldRuledOut    FieldName = "ruled_out"
 	FieldJobRunning  FieldName = "job_running"
 	FieldPoolUse     FieldName = "pool_use_percent"
+	FieldReached     FieldName = "reached"
+	FieldUnreached   FieldName = "unreached"
+	FieldSuccessor   FieldName = "successor"
+	FieldAsked       FieldName = "asked"
+	FieldAnswering   FieldName = "answering"
+	FieldDataCentre  FieldName = "data_centre"
+	FieldRevision    FieldName = "revision"
+	FieldAgeMs       FieldName = "age_ms"
 
 	FieldRoomExpectedMs FieldName = "room_expected_ms"
-	FieldReached        FieldName = "reached"
-	FieldUnreached      FieldName = "unreached"
-	FieldSuccessor      FieldName = "successor"
-	FieldAsked          FieldName = "asked"
-	FieldAnswering      FieldName = "answering"
 )
 
 // EventKind describes a kind of event.
@@ -171,6 +177,15 @@
 		{EventCellHandedOver, "the owner gives the cell to a host that reaches more of the workers", []FieldName{
 			FieldCell, FieldEpoch, FieldSuccessor, FieldAsked, FieldAnswering, FieldReached, FieldUnreached,
 		}},
+		{EventEvacuationStarted, "the owner starts nothing more in a data centre, because an operator has requested its evacuation", []FieldName{
+			FieldCell, FieldEpoch, FieldDataCentre, FieldRevision, FieldAgeMs,
+		}},
+		{EventEvacuationEnded, "the request for an evacuation was withdrawn: the workers of the data centre take tasks again within 2 s", []FieldName{
+			FieldCell, FieldEpoch, FieldDataCentre, FieldRevision, FieldAgeMs,
+		}},
+		{EventEvacuationIgnored, "a request for an evacuation names no data centre of the deployment, or cannot be read", []FieldName{
+			FieldDataCentre, FieldRevision, FieldReason,
+		}},
 		{EventLinesDropped, "events above the rate limit were not logged; one field for each kind of event holds their number", nil},
 	}
 }
@@ -225,6 +240,9 @@
 	FieldSuccessor:   "host to which the cell goes, with its incarnation",
 	FieldAsked:       "number of workers that the successor was asked to call",
 	FieldAnswering:   "number of these workers that answered the successor",
+	FieldDataCentre:  "data centre that the request names",
+	FieldRevision:    "store revision of the request",
+	FieldAgeMs:       "milliseconds since this host first read the request",
 	FieldPoolUse:     "booked share of the pool, workers that take no tasks included, in percent",
 
 	FieldRoomExpectedMs: "time until a worker is expected to have room for the task, by learnt run times; absent without a forecast",
--- a/relay/jobs/owner.go
+++ b/relay/jobs/owner.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/bulrushrelay/bulrushrelay/core/evacuation"
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
 	"github.com/bulrushrelay/bulrushrelay/core/ownership"
@@ -42,7 +43,9 @@
 	// priorityMailbox holds the events that must not wait behind the others: cancellations and notices of durable
 	// records. The loop alternates between both mailboxes, so that neither starves the other.
 	priorityMailbox chan event
-	wg              sync.WaitGroup
+	// evacuationsNoted receives a value when the cell has been given a set of requests that the loop has to apply.
+	evacuationsNoted chan struct{}
+	wg               sync.WaitGroup
 	// stopped is set once the owner is being stopped, or once the store or a worker has proved that another owner has
 	// the cell.
 	stopped atomic.Bool
@@ -54,6 +57,9 @@
 	// callsDone is closed once a draining owner has no call to a worker queued or in flight.
 	callsDone chan struct{}
 
+	// acquiredAt is when the owner began to take its cell over.
+	acquiredAt time.Time
+
 	watchers watchers
 	waits    waitTracker
 	// answerTimes are the times that workers take to answer starts and claims.
@@ -93,6 +99,10 @@
 	lateness     lifecycle.Lateness
 	// longestWait is the longest time that an event of the current iteration was queued.
 	longestWait time.Duration
+	// loggedEvacuations is the set whose changes have been logged.
+	loggedEvacuations evacuation.Set
+	// logFailing is set while the commits fail.
+	logFailing bool
 	// wakeAt is when the timer of the loop fires.
 	wakeAt time.Time
 	// quarantined holds the workers whose quarantine has been logged.
@@ -116,6 +126,8 @@
 			o.runEvent(o.now(), e)
 		case e := <-o.mailbox:
 			o.runEvent(o.now(), e)
+		case <-o.evacuationsNoted:
+			o.applyEvacuations()
 		case <-timer.C:
 			// A late timer shows that the host is short of processor time, even if no event was queued.
 			o.longestWait = max(o.longestWait, o.now().Sub(o.wakeAt))
@@ -124,6 +136,8 @@
 		}
 		o.runQueuedEvents()
 		o.checkAuthority()
+		o.applyNotedEvacuations()
+		o.checkLog()
 		o.apply(o.cell.Tick(o.now()))
 		o.plan()
 		o.logFinishedJobs(o.cell.TakeFinishedJobs())
@@ -182,6 +196,10 @@
 	full := o.authority() == ownership.Full
 	confirmed := o.predecessorConfirmed || predecessorStopped(g)
 	if full != o.hasFullAuthority || confirmed != o.predecessorConfirmed {
+		if full && !o.hasFullAuthority && o.cfg.RefreshEvacuations != nil {
+			// The process may have been paused or cut off, and may have missed a request.
+			o.cfg.RefreshEvacuations()
+		}
 		o.hasFullAuthority = full
 		o.predecessorConfirmed = confirmed
 		o.apply(o.cell.SetAuthority(o.now(), full && !o.draining.Load(), confirmed))
