--- a/relay/jobs/eventlist.go
+++ b/relay/jobs/eventlist.go
@@ -100,6 +100,8 @@
 	FieldDataCentre  FieldName = "data_centre"
 	FieldRevision    FieldName = "revision"
 	FieldAgeMs       FieldName = "age_ms"
+
+	FieldRoomExpectedMs FieldName = "room_expected_ms"
 )
 
 // EventKind describes a kind of event.
@@ -145,7 +147,7 @@
 		}},
 		{EventTaskWaits, "a task has waited for more than 3 s; again for each other reason, and when its wait has doubled", []FieldName{
 			FieldCell, FieldEpoch, FieldTask, FieldClass, FieldWaitedMs, FieldReason, FieldRoom, FieldRuledOut,
-			FieldJobRunning, FieldPoolUse,
+			FieldJobRunning, FieldPoolUse, FieldRoomExpectedMs,
 		}},
 		{EventWorkerClaimed, "a worker accepts commands from this owner only", []FieldName{
 			FieldCell, FieldEpoch, FieldWorker, FieldLife, FieldRunning, FieldEnded,
@@ -242,6 +244,8 @@
 	FieldRevision:    "store revision of the request",
 	FieldAgeMs:       "milliseconds since this host first read the request",
 	FieldPoolUse:     "booked share of the pool, workers that take no tasks included, in percent",
+
+	FieldRoomExpectedMs: "time until a worker is expected to have room for the task, by learnt run times; absent without a forecast",
 }
 
 // EventReference returns the reference of all events and fields as Markdown.
