relay/jobs: a start counts as unanswered after 8 usual answer times

A start without an answer blocked its task for 2 s, before the stop proved that it does not run and it started elsewhere. If one start in twenty gets no answer, 40 % of the groups of ten tasks have one, and an urgent task of about 1 s has 0.7 s for all waits. The limit now follows the usual answer time, from 0.4 s to 2 s. The proof that the attempt does not run is as before.

--- a/relay/jobs/average_test.go
+++ b/relay/jobs/average_test.go
@@ -38,3 +38,18 @@
 	require.Equal(t, o.cfg.SyncWait+callTimeout, o.timesOfSync(0).timeout)
 	require.Equal(t, callTimeout, o.timesOfSync(maxBackoffSteps).timeout)
 }
+
+// Guards against starts that are given up while the answers are on a slow link, and against urgent tasks that wait for 2 s
+// because one answer was lost.
+func TestTimeForAnswerToStartFollowsUsualOne(t *testing.T) {
+	o := &owner{cfg: &Config{}}
+	require.Equal(t, minStartTimeout, o.startTimeout())
+	for range 100 {
+		o.answerTimes.add(100 * time.Millisecond)
+	}
+	require.Greater(t, o.startTimeout(), 700*time.Millisecond)
+	for range 100 {
+		o.answerTimes.add(10 * time.Second)
+	}
+	require.Equal(t, callTimeout, o.startTimeout())
+}
--- a/relay/jobs/calls.go
+++ b/relay/jobs/calls.go
@@ -353,7 +353,7 @@
 	if !o.cell.ShouldSendStart(m.ID, c.AttemptID) {
 		return notSentAnswer
 	}
-	ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(o.ctx, o.startTimeout())
 	defer cancel()
 	started := o.now()
 	a := o.cfg.Workers.Start(ctx, m, o.epoch, c)
--- a/relay/jobs/synctimes.go
+++ b/relay/jobs/synctimes.go
@@ -7,6 +7,12 @@
 	answerTimesPerLease = 8
 	// slowAnswerFactor is the number of usual answer times after which an answer counts as lost.
 	slowAnswerFactor = 4
+	// minStartTimeout leaves time for a lost packet to be sent again. An urgent task of about 1 s has 0.7 s to start, so that
+	// it can still be on time after one start without an answer.
+	minStartTimeout = 400 * time.Millisecond
+	// startPatienceFactor is the number of usual answer times after which a start counts as unanswered. A start that is given
+	// up too early costs the work until its stop, so that the owner waits longer than for the answer to a sync.
+	startPatienceFactor = 8
 )
 
 // syncTimes holds how long a worker may hold a sync, and after which time its answer counts as lost.
@@ -26,3 +32,9 @@
 	}
 	return syncTimes{timeout: min(patience<<(failures-1), callTimeout)}
 }
+
+// startTimeout returns after which time a start counts as unanswered. Its task then starts elsewhere once the worker has
+// confirmed that the attempt does not run and never will.
+func (o *owner) startTimeout() time.Duration {
+	return min(max(minStartTimeout, startPatienceFactor*o.answerTimes.mean()), callTimeout)
+}
