core/speculation: which running task deserves a copy

A group of ten tasks waits for its slowest one, and three tasks in a hundred take seven times as long. The new package decides from learnt run times which task is overdue, and stops copies where they do not win.

--- /dev/null
+++ b/core/speculation/speculation.go
@@ -0,0 +1,157 @@
+// Package speculation decides which running tasks get a copy: a second attempt on another worker, of which the first to
+// succeed counts. It has no clock, and its callers guard its state.
+package speculation
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/bulrushrelay/bulrushrelay/core/ident"
+)
+
+const (
+	// spreadsAboveMedian is how many spreads above the median a run counts as overdue. For run times with a log-normal
+	// spread of 0.5 the threshold is 2.1 medians: one ordinary task in 14 exceeds it, and of those that do, every third is
+	// one of the three in a hundred that take seven times as long.
+	spreadsAboveMedian = 3
+	// minOverdueRatio and restartCost keep the threshold above the time that a new run takes, however narrow the spread:
+	// a start, its answer and a stop take up to 200 ms more than the run.
+	minOverdueRatio = 1.5
+	restartCost     = 200 * time.Millisecond
+	// minGroupTimes and minImageTimes are how many ended tasks give a usable median. Tasks of a group are alike; those of
+	// an image may differ in size.
+	minGroupTimes = 5
+	minImageTimes = 20
+	// suspectTasks is how many tasks must be overdue on a worker for the worker to be the likely cause. With one task in
+	// ten overdue by chance and eight on a worker, three meet rarely.
+	suspectTasks = 3
+)
+
+// RunTimes estimates how long tasks of an image take. Spread is half the distance between the quartiles, and n the number
+// of observations.
+type RunTimes interface {
+	Observe(image string, took time.Duration)
+	Estimate(image string) (median, spread time.Duration, n int)
+}
+
+// Kind is the program and the class of a task, by which run times and outcomes are learnt.
+type Kind struct {
+	Class ident.ClassName
+	Image string
+}
+
+// key returns the name under which run times are learnt: the image, or the class of a task without one.
+func (k Kind) key() string {
+	if k.Image == "" {
+		return "class " + string(k.Class)
+	}
+	return k.Image
+}
+
+// Running is a running task of a group that allows copies.
+type Running struct {
+	Kind
+	Task   ident.TaskID
+	Worker ident.WorkerID
+	// RanFor is how long the attempt is known to have run.
+	RanFor time.Duration
+	// GroupTimes are run times of ended tasks of the group.
+	GroupTimes []time.Duration
+	// Eligible is false for a task that must get no copy. It still shows whether its worker is slow.
+	Eligible bool
+	// WorkerSilent is set if the worker does not answer.
+	WorkerSilent bool
+}
+
+// Cause is why a task deserves a copy.
+type Cause string
+
+// The causes.
+const (
+	// CauseSlowTask means that the task alone is overdue.
+	CauseSlowTask Cause = "slow task"
+	// CauseSlowWorker means that several tasks on the worker are overdue.
+	CauseSlowWorker Cause = "slow worker"
+	// CauseSilentWorker means that the worker does not answer.
+	CauseSilentWorker Cause = "silent worker"
+)
+
+// Candidate is a task that deserves a copy.
+type Candidate struct {
+	Kind
+	Task  ident.TaskID
+	Cause Cause
+	// RanFor is how long the task has run, and Expected how long a new run is expected to take.
+	RanFor, Expected time.Duration
+}
+
+// Decide returns the tasks that deserve a copy, the most overdue first, at most limit.
+func (l *Learner) Decide(now time.Time, running []Running, limit int) []Candidate {
+	if limit <= 0 {
+		return nil
+	}
+	var overdue []int
+	var expected []time.Duration
+	onWorker := make(map[ident.WorkerID]int)
+	for i, r := range running {
+		median, spread, ok := l.expect(r)
+		if !ok || !isOverdue(r.RanFor, median, spread) {
+			continue
+		}
+		overdue, expected = append(overdue, i), append(expected, median)
+		onWorker[r.Worker]++
+	}
+	var found []Candidate
+	for n, i := range overdue {
+		r := running[i]
+		cause := CauseSlowTask
+		switch {
+		case r.WorkerSilent:
+			cause = CauseSilentWorker
+		case onWorker[r.Worker] >= suspectTasks:
+			cause = CauseSlowWorker
+		}
+		if !r.Eligible || cause == CauseSlowTask && !l.allows(now, r.Kind) {
+			continue
+		}
+		found = append(found, Candidate{Kind: r.Kind, Task: r.Task, Cause: cause, RanFor: r.RanFor, Expected: expected[n]})
+	}
+	slices.SortFunc(found, func(a, b Candidate) int {
+		return cmp.Or(cmp.Compare(b.overdueBy(), a.overdueBy()), compareTasks(a.Task, b.Task))
+	})
+	found = l.limitProbes(found)
+	return found[:min(limit, len(found))]
+}
+
+// expect returns the median and the spread of a new run; ok is false if too little is known.
+func (l *Learner) expect(r Running) (median, spread time.Duration, ok bool) {
+	median, spread, n := l.times.Estimate(r.key())
+	ok = n >= minImageTimes
+	if len(r.GroupTimes) >= minGroupTimes {
+		median, spread = quartiles(r.GroupTimes)
+		ok = true
+	}
+	return median, spread, ok && median > 0
+}
+
+func isOverdue(ranFor, median, spread time.Duration) bool {
+	byRatio := time.Duration(minOverdueRatio*float64(median)) + restartCost
+	return ranFor >= max(median+spreadsAboveMedian*spread, byRatio)
+}
+
+// overdueBy returns the time run as a multiple of the expected one.
+func (c Candidate) overdueBy() float64 {
+	return float64(c.RanFor) / float64(c.Expected)
+}
+
+func compareTasks(a, b ident.TaskID) int {
+	return cmp.Or(cmp.Compare(a.Job.Epoch, b.Job.Epoch), cmp.Compare(a.Job.Seq, b.Job.Seq), cmp.Compare(a.Index, b.Index))
+}
+
+// quartiles returns the median and half the distance between the quartiles of a few run times.
+func quartiles(times []time.Duration) (median, spread time.Duration) {
+	sorted := slices.Sorted(slices.Values(times))
+	n := len(sorted)
+	return sorted[n/2], (sorted[n*3/4] - sorted[n/4]) / 2
+}
