--- a/core/ident/ident.go
+++ b/core/ident/ident.go
@@ -102,6 +102,21 @@
 	return uint32(group)<<taskNumberBits | uint32(member)
 }
 
+// copyBit is set in the index of the copy of a task. It lies above the numbers of the tasks of any job.
+const copyBit = 1 << (taskNumberBits - 1)
+
+// Copy returns the id under which the planner books a copy of the task. No other part of the system uses it.
+func (t TaskID) Copy() TaskID {
+	t.Index |= copyBit
+	return t
+}
+
+// Original returns the id of the task if t is the id of its copy, else t.
+func (t TaskID) Original() TaskID {
+	t.Index &^= copyBit
+	return t
+}
+
 // Group returns the number of the task group.
 func (t TaskID) Group() int {
 	return int(t.Index >> taskNumberBits)
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -12,11 +12,13 @@
 
 // Worker describes a worker of the cell.
 type Worker struct {
-	ID       ident.WorkerID
-	Rack     ident.Rack
-	Pool     string
-	Labels   []string
-	Capacity resource.Vector
+	ID   ident.WorkerID
+	Rack ident.Rack
+	// DataCentre is where the worker runs; empty if it is not known.
+	DataCentre ident.DataCentre
+	Pool       string
+	Labels     []string
+	Capacity   resource.Vector
 	// Leaving workers get no new tasks. Unlisted is set if that is only because the host list lacks the worker, which still
 	// answers.
 	Leaving  bool
