core/speculation: one type holds run times of a group and of an image

The run times of a group were sorted again at each check. They are kept as those of an image are, with a cached estimate.

--- a/core/speculation/runtimes.go
+++ b/core/speculation/runtimes.go
@@ -1,20 +1,19 @@
 package speculation
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
-	// keptTimes is how many of the latest run times of an image give its estimate.
+	// keptTimes is how many of the latest run times give an estimate.
 	keptTimes = 64
-	// refreshEvery is after how many observations a cached estimate is computed again.
+	// refreshEvery is after how many observations the cached estimate of an image is computed again.
 	refreshEvery = 8
 )
 
-// sampledTimes estimates run times from the latest ones of each image.
-type sampledTimes struct {
-	images *recent[string, samples]
-}
-
-type samples struct {
+// Times holds the latest run times of similar tasks. The zero value holds none.
+type Times struct {
 	latest []time.Duration
 	n      int
 	// median and spread are those after computedAt observations.
@@ -22,30 +21,46 @@
 	computedAt     int
 }
 
+// Observe adds a run time.
+func (t *Times) Observe(took time.Duration) {
+	if len(t.latest) < keptTimes {
+		t.latest = append(t.latest, took)
+	} else {
+		t.latest[t.n%keptTimes] = took
+	}
+	t.n++
+}
+
+// estimate returns the median, half the distance between the quartiles and the number of observations. The estimate may
+// lack the latest observations, fewer than refresh.
+func (t *Times) estimate(refresh int) (median, spread time.Duration, n int) {
+	if t == nil || t.n == 0 {
+		return 0, 0, 0
+	}
+	if t.computedAt == 0 || t.n-t.computedAt >= refresh {
+		sorted := slices.Sorted(slices.Values(t.latest))
+		k := len(sorted)
+		t.median, t.spread = sorted[k/2], (sorted[k*3/4]-sorted[k/4])/2
+		t.computedAt = t.n
+	}
+	return t.median, t.spread, t.n
+}
+
+// sampledTimes estimates run times from the latest ones of each image.
+type sampledTimes struct {
+	images *recent[string, Times]
+}
+
 func newSampledTimes() *sampledTimes {
-	return &sampledTimes{images: newRecent[string, samples](maxKinds)}
+	return &sampledTimes{images: newRecent[string, Times](maxKinds)}
 }
 
 // Observe implements RunTimes.
 func (t *sampledTimes) Observe(image string, took time.Duration) {
-	s := t.images.get(image)
-	if len(s.latest) < keptTimes {
-		s.latest = append(s.latest, took)
-	} else {
-		s.latest[s.n%keptTimes] = took
-	}
-	s.n++
+	t.images.get(image).Observe(took)
 }
 
 // Estimate implements RunTimes.
 func (t *sampledTimes) Estimate(image string) (median, spread time.Duration, n int) {
-	s := t.images.find(image)
-	if s == nil {
-		return 0, 0, 0
-	}
-	if s.computedAt == 0 || s.n-s.computedAt >= refreshEvery {
-		s.median, s.spread = quartiles(s.latest)
-		s.computedAt = s.n
-	}
-	return s.median, s.spread, s.n
+	return t.images.find(image).estimate(refreshEvery)
 }
--- a/core/speculation/speculation.go
+++ b/core/speculation/speculation.go
@@ -56,8 +56,8 @@
 	Worker ident.WorkerID
 	// RanFor is how long the attempt is known to have run.
 	RanFor time.Duration
-	// GroupTimes are run times of ended tasks of the group.
-	GroupTimes []time.Duration
+	// GroupTimes holds the run times of ended tasks of the group; nil if there are none.
+	GroupTimes *Times
 	// Eligible is false for a task that must get no copy. It still shows whether its worker is slow.
 	Eligible bool
 	// WorkerSilent is set if the worker does not answer.
@@ -126,13 +126,11 @@
 
 // expect returns the median and the spread of a new run; ok is false if too little is known.
 func (l *Learner) expect(r Running) (median, spread time.Duration, ok bool) {
-	median, spread, n := l.times.Estimate(r.key())
-	ok = n >= minImageTimes
-	if len(r.GroupTimes) >= minGroupTimes {
-		median, spread = quartiles(r.GroupTimes)
-		ok = true
+	if median, spread, n := r.GroupTimes.estimate(1); n >= minGroupTimes {
+		return median, spread, median > 0
 	}
-	return median, spread, ok && median > 0
+	median, spread, n := l.times.Estimate(r.key())
+	return median, spread, n >= minImageTimes && median > 0
 }
 
 func isOverdue(ranFor, median, spread time.Duration) bool {
@@ -148,10 +146,3 @@
 func compareTasks(a, b ident.TaskID) int {
 	return cmp.Or(cmp.Compare(a.Job.Epoch, b.Job.Epoch), cmp.Compare(a.Job.Seq, b.Job.Seq), cmp.Compare(a.Index, b.Index))
 }
-
-// quartiles returns the median and half the distance between the quartiles of a few run times.
-func quartiles(times []time.Duration) (median, spread time.Duration) {
-	sorted := slices.Sorted(slices.Values(times))
-	n := len(sorted)
-	return sorted[n/2], (sorted[n*3/4] - sorted[n/4]) / 2
-}
--- a/core/speculation/speculation_test.go
+++ b/core/speculation/speculation_test.go
@@ -59,7 +59,10 @@
 func TestEndedTasksOfTheGroupGoBeforeTheImage(t *testing.T) {
 	l := learnt()
 	r := runningTask(1, 5*time.Second)
-	r.GroupTimes = []time.Duration{4 * time.Second, 4 * time.Second, 4 * time.Second, 4 * time.Second, 4 * time.Second}
+	r.GroupTimes = &Times{}
+	for range minGroupTimes {
+		r.GroupTimes.Observe(4 * time.Second)
+	}
 	require.Empty(t, l.Decide(start, []Running{r}, 10))
 	r.RanFor = 7 * time.Second
 	require.Len(t, l.Decide(start, []Running{r}, 10), 1)
@@ -165,16 +168,16 @@
 			copied := [10]time.Duration{}
 			for at := step; ; at += step {
 				var running []Running
-				var times []time.Duration
+				var times Times
 				for _, end := range ends {
 					if end <= at {
-						times = append(times, end)
+						times.Observe(end)
 					}
 				}
 				for i, end := range ends {
 					if end > at {
 						r := runningTask(i, at)
-						r.GroupTimes, r.Eligible = times, copied[i] == 0
+						r.GroupTimes, r.Eligible = &times, copied[i] == 0
 						running = append(running, r)
 					}
 				}
