core/lifecycle: a second attempt of a task beside the first

The state of a task had room for one attempt, and a worker listed its tasks. A run now knows its task and the id under which the planner has booked it, a worker lists its runs, and a task of a speculative group may have a copy beside its current attempt. The first success settles the task and stops the other attempt; if the first attempt ends otherwise, the copy takes its place. The next owner takes over both. Nothing asks for copies yet.

BenchmarkOwner has not been run.

--- a/adapter/cellpb/codec.go
+++ b/adapter/cellpb/codec.go
@@ -150,7 +150,7 @@
 	out := &cellv1.TaskSnapshot{
 		Index: t.Index, State: uint32(t.State), Next: uint32(t.NextAttempt), Ended: uint32(t.LastEnded), LastRan: uint32(t.LastRan), MaySent: t.MaybeSent,
 		Evictions: uint32(t.Evictions), Checkpoint: encodeCheckpoint(t.Checkpoint),
-		Worker: string(t.Worker),
+		Worker: string(t.Worker), Copied: t.Copied,
 	}
 	for _, f := range t.Failures {
 		out.Failures = append(out.Failures, &cellv1.Failure{
@@ -164,7 +164,7 @@
 	in := lifecycle.TaskSnapshot{
 		Index: t.GetIndex(), State: lifecycle.State(t.GetState()), NextAttempt: ident.Attempt(t.GetNext()),
 		LastEnded: ident.Attempt(t.GetEnded()), LastRan: ident.Attempt(t.GetLastRan()), MaybeSent: t.GetMaySent(), Evictions: int(t.GetEvictions()), Checkpoint: decodeCheckpoint(t.GetCheckpoint()),
-		Worker: ident.WorkerID(t.GetWorker()),
+		Worker: ident.WorkerID(t.GetWorker()), Copied: t.GetCopied(),
 	}
 	for _, f := range t.GetFailures() {
 		in.Failures = append(in.Failures, lifecycle.Failure{
--- a/adapter/cellpb/codec_test.go
+++ b/adapter/cellpb/codec_test.go
@@ -60,7 +60,7 @@
 	largeJob := lifecycle.JobSnapshot{Job: job, Spec: spec, AcceptedAt: at, Cancelled: true, FinishedAt: at}
 	for i := range uint32(1500) {
 		largeJob.Tasks = append(largeJob.Tasks, lifecycle.TaskSnapshot{
-			Index: i, State: lifecycle.Done, NextAttempt: 2, LastEnded: 1, LastRan: 1, MaybeSent: true, Evictions: 1, Checkpoint: checkpoint, Worker: "w",
+			Index: i, State: lifecycle.Done, NextAttempt: 2, LastEnded: 1, LastRan: 1, MaybeSent: true, Evictions: 1, Checkpoint: checkpoint, Worker: "w", Copied: true,
 			Failures: []lifecycle.Failure{{Attempt: 1, Worker: "w", Message: "m"}},
 		})
 	}
--- a/core/lifecycle/attempt.go
+++ b/core/lifecycle/attempt.go
@@ -28,15 +28,15 @@
 		c.throttle(th, &eff)
 	}
 	for _, ev := range plan.Evictions {
-		if t := c.task(ev.Task); t != nil && t.run != nil && t.run.phase == phaseActive {
-			c.evict(now, t, true, &eff)
+		if r := c.runBookedAs(ev.Task); r != nil && r.phase == phaseActive {
+			c.evict(now, r, true, &eff)
 		}
 	}
 	for _, s := range plan.Starts {
 		c.startAttempt(now, s, &eff)
 	}
 	for _, th := range plan.Throttles {
-		if t := c.task(th.Task); t != nil && t.run != nil && t.run.phase != phaseActive {
+		if r := c.runBookedAs(th.Task); r != nil && r.phase != phaseActive {
 			c.throttle(th, &eff)
 		}
 	}
@@ -46,20 +46,6 @@
 	return eff
 }
 
-// throttle changes the speed of the current attempt of a task. An attempt whose start is not answered yet is throttled
-// after that.
-func (c *Cell) throttle(th placement.Throttle, eff *Effects) {
-	t := c.task(th.Task)
-	if t == nil || t.run == nil || t.run.Attempt != th.Attempt {
-		return
-	}
-	t.run.throttle = th.Fraction
-	t.run.throttleLost = t.run.phase == phaseStarting || t.run.phase == phaseLogging
-	if t.run.phase == phaseActive {
-		eff.do(ThrottleTask{AttemptID: t.run.AttemptID, Worker: t.run.worker, Fraction: th.Fraction})
-	}
-}
-
 // markImpossible marks a task that the planner cannot place. The task stays with the planner, which starts it once a
 // larger worker or a higher limit allows it.
 func (c *Cell) markImpossible(now time.Time, im placement.Impossible) {
@@ -87,14 +73,15 @@
 		return
 	}
 	t.run = &run{
-		AttemptID: AttemptID{Task: t.id, Attempt: t.nextAttempt},
-		worker:    s.Worker, booked: s.Booked.Max(resource.Vector{}), startedAt: now, maybeSentBefore: t.maybeSent,
+		AttemptID: AttemptID{Task: t.id, Attempt: t.nextAttempt}, task: t, bookedAs: t.id,
+		worker: s.Worker, booked: s.Booked.Max(resource.Vector{}), startedAt: now, maybeSentBefore: t.maybeSent,
 	}
 	t.nextAttempt++
-	w.running[t.id] = t
+	w.running[t.id] = t.run
+	c.trackSpeculative(t)
 	c.setState(now, t, Starting)
 	if t.checkpoint.ID == "" {
-		c.sendStart(t, w, eff)
+		c.sendStart(t.run, w, eff)
 		return
 	}
 	t.wait = WaitLog
@@ -103,8 +90,8 @@
 	eff.log(CheckpointConsumed{AttemptID: t.run.AttemptID, Checkpoint: t.checkpoint.ID})
 }
 
-func (c *Cell) sendStart(t *task, w *worker, eff *Effects) {
-	r := t.run
+func (c *Cell) sendStart(r *run, w *worker, eff *Effects) {
+	t := r.task
 	r.phase = phaseStarting
 	r.incarnation = w.incarnation
 	t.wait = WaitNone
@@ -121,8 +108,8 @@
 func (c *Cell) ShouldSendStart(id ident.WorkerID, attempt AttemptID) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	t := c.currentTask(id, attempt)
-	return t != nil && t.run.phase == phaseStarting && !t.settled && !t.job.cancelling
+	r := c.currentRun(id, attempt)
+	return r != nil && r.phase == phaseStarting && !r.task.settled && !r.task.job.cancelling
 }
 
 // StartAnswered applies the answer to a start.
@@ -131,65 +118,53 @@
 	defer c.mu.Unlock()
 	var eff Effects
 	c.noteFence(a)
-	t := c.currentTask(id, attempt)
-	if t == nil || t.run.phase == phaseLogging {
+	r := c.currentRun(id, attempt)
+	if r == nil || r.phase == phaseLogging {
 		return eff
 	}
+	t := r.task
 	switch a.Outcome {
 	case Applied:
 		c.callSeq++
-		t.run.confirmedSeq = c.callSeq
-		t.run.noteSeen(now)
+		r.confirmedSeq = c.callSeq
+		r.noteSeen(now)
 		t.noteRan(attempt.Attempt)
 		t.refusals = 0
 		t.refusedBy = nil
-		if t.run.phase == phaseStarting {
-			t.run.phase = phaseActive
-			c.setState(now, t, Running)
-			c.resendLostThrottle(t, &eff)
-			c.evictIfLeaving(now, t, &eff)
+		if r.phase == phaseStarting {
+			r.phase = phaseActive
+			if r == t.run {
+				c.setState(now, t, Running)
+			}
+			c.resendLostThrottle(r, &eff)
+			c.evictIfLeaving(now, r, &eff)
 		}
 	case Refused:
-		t.maybeSent = t.run.maybeSentBefore
+		if r == t.copy {
+			c.noteCopyEnd(now, r, "a worker refused the start")
+			c.endRun(now, r, &eff)
+			break
+		}
+		t.maybeSent = r.maybeSentBefore
 		t.refusals++
 		if a.Reason == ReasonUnhealthy && !slices.Contains(t.refusedBy, id) {
 			t.refusedBy = append(t.refusedBy, id)
 			t.job.refused = true
 		}
 		pause := t.refusalPause()
-		c.endRun(now, t, &eff)
+		c.noteCopyEnd(now, r, "a worker refused the start")
+		c.endRun(now, r, &eff)
 		c.requeue(now, t, pause, WaitRefused, &eff)
 	default:
 		// The start may still arrive. After the stop, the worker refuses it.
-		c.stopRun(t, &eff)
+		c.stopRun(r, &eff)
 	}
 	return eff
 }
 
-// ThrottleAnswered applies the answer to a throttle. Unless the worker has applied it, the planner may book less for the
-// attempt than it uses, or take it for one that works.
-func (c *Cell) ThrottleAnswered(id ident.WorkerID, attempt AttemptID, fraction float64, a Answer) Effects {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.noteFence(a)
-	if t := c.currentTask(id, attempt); t != nil && t.run.throttle == fraction {
-		t.run.throttleLost = a.Outcome == Unknown || a.Reason == ReasonUnsent || a.Reason == ReasonUnhealthy
-	}
-	return Effects{}
-}
-
-// resendLostThrottle repeats a throttle whose answer was lost, now that the worker answers syncs again. The fraction is
-// absolute, so a repeat is harmless if the lost call took effect.
-func (c *Cell) resendLostThrottle(t *task, eff *Effects) {
-	if t.run.throttleLost && t.run.phase == phaseActive {
-		t.run.throttleLost = false
-		eff.do(ThrottleTask{AttemptID: t.run.AttemptID, Worker: t.run.worker, Fraction: t.run.throttle})
-	}
-}
-
-func (c *Cell) evictIfLeaving(now time.Time, t *task, eff *Effects) {
-	if w := c.workers[t.run.worker]; w.member.Leaving && !c.inDoubt && !c.mustHold(t) {
-		c.evict(now, t, false, eff)
+func (c *Cell) evictIfLeaving(now time.Time, r *run, eff *Effects) {
+	if w := c.workers[r.worker]; w.member.Leaving && !c.inDoubt && !c.mustHold(r.task) {
+		c.evict(now, r, false, eff)
 	}
 }
 
@@ -199,22 +174,27 @@
 	}
 }
 
-// currentTask returns the task whose current attempt is the given one on the given worker; nil if there is none.
-func (c *Cell) currentTask(id ident.WorkerID, attempt AttemptID) *task {
+// currentRun returns the given attempt if it holds resources on the given worker, else nil.
+func (c *Cell) currentRun(id ident.WorkerID, attempt AttemptID) *run {
 	t := c.task(attempt.Task)
-	if t == nil || t.run == nil || t.run.Attempt != attempt.Attempt || t.run.worker != id {
+	if t == nil {
 		return nil
 	}
-	return t
+	for _, r := range [...]*run{t.run, t.copy} {
+		if r != nil && r.Attempt == attempt.Attempt && r.worker == id {
+			return r
+		}
+	}
+	return nil
 }
 
-func (c *Cell) stopRun(t *task, eff *Effects) {
-	t.run.phase = phaseStopping
-	if t.run.stopInProgress {
+func (c *Cell) stopRun(r *run, eff *Effects) {
+	r.phase = phaseStopping
+	if r.stopInProgress {
 		return
 	}
-	t.run.stopInProgress = true
-	eff.do(StopTasks{Worker: t.run.worker, Attempts: []AttemptID{t.run.AttemptID}})
+	r.stopInProgress = true
+	eff.do(StopTasks{Worker: r.worker, Attempts: []AttemptID{r.AttemptID}})
 }
 
 // StopAnswered applies the answer to a stop. ends describes the attempts if the call was applied.
@@ -224,9 +204,9 @@
 	var eff Effects
 	c.noteFence(a)
 	for _, attempt := range attempts {
-		if t := c.currentTask(id, attempt); t != nil {
-			t.run.stopInProgress = false
-			t.run.stopAnsweredAt = now
+		if r := c.currentRun(id, attempt); r != nil {
+			r.stopInProgress = false
+			r.stopAnsweredAt = now
 		}
 	}
 	w, ok := c.workers[id]
@@ -234,9 +214,9 @@
 		return eff
 	}
 	for _, e := range ends {
-		t := c.currentTask(id, e.AttemptID)
+		r := c.currentRun(id, e.AttemptID)
 		// Only the process to which the start was sent can prove that the attempt never ran.
-		if t != nil && e.End == EndNeverStarted && (t.run.incarnation != incarnation || t.run.confirmedSeq > 0) {
+		if r != nil && e.End == EndNeverStarted && (r.incarnation != incarnation || r.confirmedSeq > 0) {
 			e.End = EndLapsed
 		}
 		c.attemptEnded(now, w, e, &eff)
@@ -250,8 +230,8 @@
 	defer c.mu.Unlock()
 	var eff Effects
 	c.noteFence(a)
-	t := c.currentTask(id, attempt)
-	if t == nil || t.run.phase != phaseEvicting {
+	r := c.currentRun(id, attempt)
+	if r == nil || r.phase != phaseEvicting {
 		return eff
 	}
 	if a.Outcome == Applied {
@@ -259,33 +239,38 @@
 		return eff
 	}
 	if a.Reason == ReasonUnsent {
-		t.run.phase = phaseActive
-		c.setState(now, t, Running)
+		r.phase = phaseActive
+		c.setState(now, r.task, Running)
 		return eff
 	}
 	// The attempt has ended or cannot be checkpointed. The answer to the stop tells how it ended.
-	c.stopRun(t, &eff)
+	c.stopRun(r, &eff)
 	return eff
 }
 
-func (c *Cell) evict(now time.Time, t *task, preempted bool, eff *Effects) {
-	t.run.phase = phaseEvicting
-	t.run.preempted = preempted
-	c.setState(now, t, Evicting)
-	eff.do(CheckpointTask{AttemptID: t.run.AttemptID, Worker: t.run.worker, Stop: true})
+// evict checkpoints and stops an attempt. A copy is only stopped, because its progress could not be used.
+func (c *Cell) evict(now time.Time, r *run, preempted bool, eff *Effects) {
+	if r == r.task.copy {
+		c.stopRun(r, eff)
+		return
+	}
+	r.phase = phaseEvicting
+	r.preempted = preempted
+	c.setState(now, r.task, Evicting)
+	eff.do(CheckpointTask{AttemptID: r.AttemptID, Worker: r.worker, Stop: true})
 }
 
-// endRun frees the resources of the current attempt.
-func (c *Cell) endRun(now time.Time, t *task, eff *Effects) {
-	r := t.run
+// endRun frees the resources of an attempt. A copy takes the place of the first attempt.
+func (c *Cell) endRun(now time.Time, r *run, eff *Effects) {
+	t := r.task
 	if w, ok := c.workers[r.worker]; ok {
 		delete(w.running, t.id)
 	}
 	delete(c.waitingStarts, r.AttemptID)
-	t.lastEnded = max(t.lastEnded, r.Attempt)
-	t.run = nil
+	c.removeRun(now, r)
+	c.noteEnded(t, r.Attempt)
 	c.markChanged(t.job)
-	eff.do(Release{Task: t.id})
+	eff.do(Release{Task: r.bookedAs})
 }
 
 // attemptEnded applies the end of an attempt from any message. The same end may arrive repeatedly.
@@ -298,25 +283,31 @@
 		// The predecessor started this attempt, and its end is not in the log.
 		c.adopt(now, w, ActiveAttempt{AttemptID: e.AttemptID}, eff)
 	}
-	if t == nil || t.run == nil || t.run.Attempt != e.Attempt || t.run.worker != w.member.ID {
+	r := c.currentRun(w.member.ID, e.AttemptID)
+	if r == nil {
 		c.handleLateEnd(now, w, t, e, eff)
 		return
 	}
-	r := t.run
+	beside := t.copy != nil
 	if e.End == EndNeverStarted {
-		t.maybeSent = t.run.maybeSentBefore
+		t.maybeSent = r.maybeSentBefore || beside
 	} else {
 		t.noteRan(e.Attempt)
 	}
-	if e.Checkpoint.ID != "" {
+	if e.Checkpoint.ID != "" && !beside {
 		t.checkpoint = Checkpoint{ID: e.Checkpoint.ID, At: now}
 	}
-	c.endRun(now, t, eff)
-	if t.state.Final() || t.settled {
+	c.noteCopyEnd(now, r, endReason(e.End))
+	c.endRun(now, r, eff)
+	switch {
+	case t.state.Final() || t.settled:
 		c.acknowledge(w, t, e)
-		return
+	case beside && e.End != EndDone && e.End != EndFailed:
+		// Another attempt runs on, so that the task does not need the progress of this one.
+		w.pendingAcks[e.AttemptID] = struct{}{}
+	default:
+		c.afterEnd(now, w, t, e, r, eff)
 	}
-	c.afterEnd(now, w, t, e, r, eff)
 }
 
 // afterEnd decides how a task continues after the end of its current attempt r.
@@ -349,6 +340,7 @@
 	t.settled = true
 	t.wait = WaitLog
 	c.addUnloggedEnd(e.AttemptID, unloggedEnd{worker: w.member.ID})
+	c.noteSuccess(now, t, e.Attempt, r, eff)
 	c.noteWorkerSuccess(w, r, eff)
 	c.noteFirstSuccess(now, t.job, eff)
 	eff.log(TaskDone{AttemptID: e.AttemptID, At: now})
--- a/core/lifecycle/cell.go
+++ b/core/lifecycle/cell.go
@@ -7,6 +7,7 @@
 
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/placement"
+	"github.com/bulrushrelay/bulrushrelay/core/speculation"
 	"github.com/bulrushrelay/bulrushrelay/core/table"
 	"github.com/bulrushrelay/bulrushrelay/core/verdict"
 )
@@ -72,6 +73,13 @@
 	// newly durable ends since the last TakeAckedWorkers.
 	finishedJobs []*job
 	ackedWorkers []ident.WorkerID
+	// speculative holds the tasks with a run whose groups allow copies, and learner what is known of their run times.
+	speculative map[ident.TaskID]*task
+	learner     *speculation.Learner
+	// copies counts the copies that hold resources. wastedCopies is processor time; see CopyUsage.
+	copies       int
+	wastedCopies time.Duration
+	copyEvents   []CopyEvent
 	// sweepPosition is the position in jobOrder of the job at which WaitingTasks last looked.
 	sweepPosition int
 
@@ -123,6 +131,8 @@
 		unloggedEnds:     make(map[AttemptID]unloggedEnd),
 		unloggedByWorker: make(map[ident.WorkerID]int),
 		changedJobs:      make(map[ident.JobID]struct{}),
+		speculative:      make(map[ident.TaskID]*task),
+		learner:          speculation.NewLearner(nil),
 	}
 }
 
--- a/core/lifecycle/commit.go
+++ b/core/lifecycle/commit.go
@@ -95,13 +95,13 @@
 		delete(c.heldTasks, t.id)
 		t.wait = WaitNone
 		if t.run != nil && t.run.phase == phaseLogging {
-			c.endRun(now, t, eff)
+			c.endRun(now, t.run, eff)
 		}
-		if t.run != nil {
-			t.run.phase = phaseStopping
-			if !t.run.stopInProgress {
-				t.run.stopInProgress = true
-				stops[t.run.worker] = append(stops[t.run.worker], t.run.AttemptID)
+		for _, r := range t.runs() {
+			r.phase = phaseStopping
+			if !r.stopInProgress {
+				r.stopInProgress = true
+				stops[r.worker] = append(stops[r.worker], r.AttemptID)
 			}
 		}
 		c.setState(now, t, Cancelled)
@@ -180,9 +180,9 @@
 	delete(c.waitingStarts, r.AttemptID)
 	w, found := c.workers[t.run.worker]
 	if !found || !w.claimed || c.inDoubt || t.job.cancelling {
-		c.endRun(now, t, eff)
+		c.endRun(now, t.run, eff)
 		c.requeue(now, t, startRetryPause, WaitWorker, eff)
 		return
 	}
-	c.sendStart(t, w, eff)
+	c.sendStart(t.run, w, eff)
 }
--- a/core/lifecycle/failure.go
+++ b/core/lifecycle/failure.go
@@ -78,6 +78,9 @@
 	final, charged := c.recordFailure(now, w, t, e, eff)
 	switch {
 	case final:
+		for _, other := range t.runs() {
+			c.stopRun(other, eff)
+		}
 	case t.job.cancelled:
 		c.setState(now, t, Cancelled)
 	default:
--- a/core/lifecycle/groups_test.go
+++ b/core/lifecycle/groups_test.go
@@ -28,9 +28,9 @@
 	f.c.mu.Lock()
 	f.c.callSeq++
 	seq := f.c.callSeq
-	for _, t := range f.c.workers[w].sortedTasks() {
-		if !slices.ContainsFunc(ends, func(e EndedAttempt) bool { return e.AttemptID == t.run.AttemptID }) {
-			report.Active = append(report.Active, ActiveAttempt{AttemptID: t.run.AttemptID})
+	for _, r := range f.c.workers[w].sortedRuns() {
+		if !slices.ContainsFunc(ends, func(e EndedAttempt) bool { return e.AttemptID == r.AttemptID }) {
+			report.Active = append(report.Active, ActiveAttempt{AttemptID: r.AttemptID})
 		}
 	}
 	f.c.mu.Unlock()
--- a/core/lifecycle/job.go
+++ b/core/lifecycle/job.go
@@ -5,6 +5,7 @@
 
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/resource"
+	"github.com/bulrushrelay/bulrushrelay/core/speculation"
 )
 
 // unloggedEnd describes the end of an attempt whose record is not durable yet.
@@ -67,6 +68,8 @@
 	openTasks int
 	// criticalPath is the longest chain of declared run times that begins with the group.
 	criticalPath time.Duration
+	// runTimes are those of the ended tasks of a speculative group.
+	runTimes speculation.Times
 }
 
 // task is the state of one task of a job.
@@ -84,9 +87,15 @@
 	lastLogged  ident.Attempt
 	// lastEnded is the highest attempt that has certainly ended.
 	lastEnded ident.Attempt
+	// endedAbove lists ended attempts above lastEnded: a lower attempt of a speculative group may still run.
+	endedAbove []ident.Attempt
+	// copied is set once a copy of the task was started, and doneBy is the attempt that completed the task.
+	copied bool
+	doneBy ident.Attempt
 	// lastRan is the highest attempt that has run, as far as this owner and the log know.
-	lastRan    ident.Attempt
-	run        *run
+	lastRan ident.Attempt
+	// run is the current attempt, and copy a second one beside it; nil if there is none.
+	run, copy  *run
 	checkpoint Checkpoint
 	failures   []Failure
 	evictions  int
@@ -108,10 +117,13 @@
 // phase is how far the current attempt of a task has come.
 type phase uint8
 
-// run is the current attempt of a task, which holds resources on a worker.
+// run is an attempt of a task that holds resources on a worker.
 type run struct {
 	AttemptID
-	worker    ident.WorkerID
+	task   *task
+	worker ident.WorkerID
+	// bookedAs is the task under which the planner has booked the attempt.
+	bookedAs  ident.TaskID
 	phase     phase
 	booked    resource.Vector
 	startedAt time.Time
@@ -135,6 +147,11 @@
 	// throttle is the fraction decided last, 0 if none. throttleLost is set if the worker may not have received it.
 	throttle     float64
 	throttleLost bool
+	// adopted is set if a predecessor started the attempt, so that it has run for longer than this owner knows.
+	adopted bool
+	// isCopy is set for a copy, also after it has taken the place of the first attempt; copyCause is why it was started.
+	isCopy    bool
+	copyCause speculation.Cause
 }
 
 // queuedTasks lists the tasks that the planner may hold.
@@ -157,6 +174,21 @@
 	return !t.settled && !t.state.Final() && !t.job.cancelling
 }
 
+// runBookedAs returns the attempt that the planner has booked under id; nil if there is none.
+func (c *Cell) runBookedAs(id ident.TaskID) *run {
+	t := c.task(id.Original())
+	switch {
+	case t == nil:
+		return nil
+	case t.run != nil && t.run.bookedAs == id:
+		return t.run
+	case t.copy != nil && t.copy.bookedAs == id:
+		return t.copy
+	default:
+		return nil
+	}
+}
+
 // startable reports whether the task needs another attempt and has none running.
 func (t *task) startable() bool {
 	return t.open() && t.run == nil
@@ -188,5 +220,8 @@
 
 // countDone counts the task as done in its group. It is called once for each task.
 func (t *task) countDone() {
-	t.job.groups[t.id.Group()].openTasks--
+	g := &t.job.groups[t.id.Group()]
+	if g.openTasks--; g.openTasks == 0 {
+		g.runTimes = speculation.Times{}
+	}
 }
--- a/core/lifecycle/late.go
+++ b/core/lifecycle/late.go
@@ -53,9 +53,11 @@
 	case t.run == nil:
 		eff.do(Dequeue{Tasks: []ident.TaskID{t.id}})
 	case t.run.phase == phaseLogging:
-		c.endRun(now, t, eff)
+		c.endRun(now, t.run, eff)
 	default:
-		c.stopRun(t, eff)
+		for _, r := range t.runs() {
+			c.stopRun(r, eff)
+		}
 	}
 }
 
@@ -67,10 +69,12 @@
 	c.requeue(now, t, 0, WaitNone, eff)
 }
 
-// attemptLost handles a current attempt that has certainly ended without a result.
-func (c *Cell) attemptLost(now time.Time, t *task, eff *Effects) {
-	t.lastRan = t.run.Attempt
-	c.endRun(now, t, eff)
+// attemptLost handles an attempt that has certainly ended without a result.
+func (c *Cell) attemptLost(now time.Time, r *run, eff *Effects) {
+	t := r.task
+	t.lastRan = max(t.lastRan, r.Attempt)
+	c.noteCopyEnd(now, r, "its worker no longer runs it")
+	c.endRun(now, r, eff)
 	if t.state.Final() || t.settled {
 		return
 	}
--- a/core/lifecycle/policy.go
+++ b/core/lifecycle/policy.go
@@ -19,6 +19,8 @@
 	SyncRenewsAll bool
 	// ChargeAllFailures also counts failures on quarantined workers against the retries of a task.
 	ChargeAllFailures bool
+	// SpeculativeCopies lets overdue tasks of groups that allow it run a second time on another worker.
+	SpeculativeCopies bool
 }
 
 // DefaultPolicy returns the policy for the worker protocol of this project.
@@ -30,6 +32,7 @@
 		FirstBackoff:       firstBackoff,
 		MaxBackoff:         maxBackoff,
 		CheckpointInterval: checkpointInterval,
+		SpeculativeCopies:  true,
 	}
 }
 
--- a/core/lifecycle/record.go
+++ b/core/lifecycle/record.go
@@ -124,6 +124,8 @@
 	Evictions  int
 	Checkpoint Checkpoint
 	Failures   []Failure
+	// Copied is set if the task has had a copy, which may run on a worker other than Worker.
+	Copied bool
 	// Worker is where an attempt runs; empty if none does. It is valid only in the last snapshot of an owner that
 	// drained, because starts are not logged.
 	Worker ident.WorkerID
--- a/core/lifecycle/recovery.go
+++ b/core/lifecycle/recovery.go
@@ -148,7 +148,7 @@
 // known, even if the worker has more to list.
 func (w *worker) listsLaterEnd(ended []EndedAttempt) bool {
 	return slices.ContainsFunc(ended, func(e EndedAttempt) bool {
-		t := w.running[e.Task]
-		return t != nil && t.run.Attempt == e.Attempt
+		r := w.running[e.Task]
+		return r != nil && r.Attempt == e.Attempt
 	})
 }
--- a/core/lifecycle/report.go
+++ b/core/lifecycle/report.go
@@ -45,26 +45,25 @@
 	partial := r.Partial || r.PartialActive
 	c.reportSeq++
 	for _, a := range r.Active {
-		t := w.running[a.Task]
+		r := w.running[a.Task]
 		switch {
-		case t == nil || t.run.Attempt != a.Attempt:
+		case r == nil || r.Attempt != a.Attempt:
 			stops = append(stops, a.AttemptID)
 			continue
-		case c.repeatStop(now, t.run):
+		case c.repeatStop(now, r):
 			stops = append(stops, a.AttemptID)
 		}
-		t.run.noteSeen(now)
-		c.endQuarantineIfProven(now, w, t.run, eff)
-		t.run.lastReport = c.reportSeq
-		c.resendLostThrottle(t, eff)
-		observed = c.observeAttempt(now, t, a, observed, eff)
+		r.noteSeen(now)
+		c.endQuarantineIfProven(now, w, r, eff)
+		r.lastReport = c.reportSeq
+		c.resendLostThrottle(r, eff)
+		observed = c.observeAttempt(now, r, a, observed, eff)
 	}
-	for _, t := range w.unlisted(c.reportSeq, seq) {
-		r := t.run
+	for _, r := range w.unlisted(c.reportSeq, seq) {
 		switch {
 		case r.phase == phaseActive || r.phase == phaseEvicting:
 			if !partial {
-				c.attemptLost(now, t, eff)
+				c.attemptLost(now, r, eff)
 			}
 		case c.repeatStop(now, r):
 			stops = append(stops, r.AttemptID)
@@ -78,17 +77,17 @@
 	}
 }
 
-// unlisted returns, in a fixed order, the tasks that a report lacks although it was requested after their starts were
+// unlisted returns, in a fixed order, the attempts that a report lacks although it was requested after their starts were
 // confirmed.
-func (w *worker) unlisted(report, seq uint64) []*task {
-	var tasks []*task
-	for _, t := range w.running {
-		if t.run.lastReport != report && t.run.confirmedSeq < seq {
-			tasks = append(tasks, t)
+func (w *worker) unlisted(report, seq uint64) []*run {
+	var runs []*run
+	for _, r := range w.running {
+		if r.lastReport != report && r.confirmedSeq < seq {
+			runs = append(runs, r)
 		}
 	}
-	sortTasks(tasks)
-	return tasks
+	sortRuns(runs)
+	return runs
 }
 
 // repeatStop reports whether to send a stop again because the last one was answered too long ago, and marks it as sent.
@@ -101,31 +100,32 @@
 }
 
 // observeAttempt applies what a report says of a running attempt. It asks for a checkpoint if the last one is too old.
-func (c *Cell) observeAttempt(now time.Time, t *task, a ActiveAttempt, obs []placement.Observation, eff *Effects) []placement.Observation {
-	if a.Checkpoint.ID != "" && a.Checkpoint.ID != t.checkpoint.ID {
+// Progress that a copy saves beside the first attempt is ignored: only one attempt can resume.
+func (c *Cell) observeAttempt(now time.Time, r *run, a ActiveAttempt, obs []placement.Observation, eff *Effects) []placement.Observation {
+	t := r.task
+	if a.Checkpoint.ID != "" && a.Checkpoint.ID != t.checkpoint.ID && r == t.run {
 		t.checkpoint = Checkpoint{ID: a.Checkpoint.ID, At: now}
 		eff.log(CheckpointSaved{AttemptID: a.AttemptID, Checkpoint: t.checkpoint})
-		eff.do(NoteCheckpoint{Task: a.Task, At: now})
+		eff.do(NoteCheckpoint{Task: r.bookedAs, At: now})
 	}
-	r := t.run
 	lastSave := laterOf(laterOf(r.startedAt, r.checkpointAskedAt), t.checkpoint.At)
 	asksForCheckpoints := c.policy.CheckpointInterval > 0 && t.job.spec.Kind == table.Batch
-	if asksForCheckpoints && r.phase == phaseActive && now.Sub(lastSave) >= c.policy.CheckpointInterval {
+	if asksForCheckpoints && r == t.run && r.phase == phaseActive && now.Sub(lastSave) >= c.policy.CheckpointInterval {
 		r.checkpointAskedAt = now
 		eff.do(CheckpointTask{AttemptID: r.AttemptID, Worker: r.worker})
 	}
 	switch target := t.group.TailTarget; {
 	case target > 0 && a.Measurement > 0:
 		tail := a.Measurement / float64(target.Milliseconds())
-		return append(obs, placement.Observation{Task: a.Task, TailRatio: tail, At: now.Add(-a.MeasurementAge)})
+		return append(obs, placement.Observation{Task: r.bookedAs, TailRatio: tail, At: now.Add(-a.MeasurementAge)})
 	case t.group.Constraints.Filler:
 		used := resource.Vector{MilliCPU: int64(a.Measurement)}
-		return append(obs, placement.Observation{Task: a.Task, Usage: used, At: now.Add(-a.MeasurementAge)})
+		return append(obs, placement.Observation{Task: r.bookedAs, Usage: used, At: now.Add(-a.MeasurementAge)})
 	}
 	if a.Usage.IsZero() && a.Slowdown == 0 {
 		return obs
 	}
 	return append(obs, placement.Observation{
-		Task: a.Task, Usage: a.Usage, Slowdown: a.Slowdown, At: now.Add(-a.MeasurementAge),
+		Task: r.bookedAs, Usage: a.Usage, Slowdown: a.Slowdown, At: now.Add(-a.MeasurementAge),
 	})
 }
--- a/core/lifecycle/restore.go
+++ b/core/lifecycle/restore.go
@@ -56,9 +56,10 @@
 	t.checkpoint = s.Checkpoint
 	t.failures = s.Failures
 	t.leftOn = s.Worker
+	t.copied = s.Copied
 	for _, f := range s.Failures {
 		j.failedOn[f.Worker] = struct{}{}
-		t.lastEnded = max(t.lastEnded, f.Attempt)
+		t.replayEnded(f.Attempt)
 	}
 	if s.State == Done {
 		j.succeeded = true
@@ -148,7 +149,7 @@
 	}
 	t.message = r.Message
 	t.job.failedOn[r.Worker] = struct{}{}
-	t.lastEnded = max(t.lastEnded, r.Attempt)
+	t.replayEnded(r.Attempt)
 	if r.Final && t.state != Done {
 		c.replayFinal(r.At, t, Failed)
 		if t.job.spec.FailFast && !t.job.cancelled {
@@ -228,11 +229,11 @@
 		if !t.startable() {
 			continue
 		}
-		if !clean {
-			// The snapshot is older than the last starts.
+		if !clean || t.copied {
+			// The snapshot is older than the last starts, or does not tell both workers.
 			t.leftOn = ""
 		}
-		if clean && t.leftOn == "" {
+		if clean && t.leftOn == "" && !t.copied {
 			t.knownIdle = true
 			idle = append(idle, t)
 			continue
@@ -270,13 +271,10 @@
 	return eff
 }
 
-func (c *Cell) runningOf(t *task) placement.Running {
-	return placement.Running{
-		Pending:        c.pending(t),
-		Worker:         t.run.worker,
-		StartedAt:      t.run.startedAt,
-		CheckpointedAt: t.checkpoint.At,
-	}
+func (c *Cell) runningOf(r *run) placement.Running {
+	p := c.pending(r.task)
+	p.Task, p.Attempt = r.bookedAs, r.Attempt
+	return placement.Running{Pending: p, Worker: r.worker, StartedAt: r.startedAt, CheckpointedAt: r.task.checkpoint.At}
 }
 
 // Snapshot returns the durable state. It may include effects of records that are not in the log yet; replaying these
@@ -308,7 +306,7 @@
 		}
 		ts := TaskSnapshot{
 			Index: uint32(i), NextAttempt: t.nextAttempt, LastEnded: t.lastEnded, LastRan: t.lastRan, MaybeSent: t.maybeSent,
-			Evictions: t.evictions, Checkpoint: t.checkpoint, Failures: c.durableFailures(t),
+			Evictions: t.evictions, Checkpoint: t.checkpoint, Failures: c.durableFailures(t), Copied: t.copied,
 		}
 		if t.state.Final() {
 			ts.State = t.state
--- a/core/lifecycle/tick.go
+++ b/core/lifecycle/tick.go
@@ -64,7 +64,7 @@
 		c.refreshWorkersToAvoid(now, &eff)
 	}
 	for t := c.oldestWaiting(); t != nil && !t.run.startedAt.Add(maxLogWait).After(now); t = c.oldestWaiting() {
-		c.endRun(now, t, &eff)
+		c.endRun(now, t.run, &eff)
 		c.requeue(now, t, maxLogWait, WaitLog, &eff)
 	}
 	c.finishRecovery(now, &eff)
@@ -97,8 +97,8 @@
 	clear(w.pendingAcks)
 	eff.do(DropWorker{Worker: w.member.ID})
 	c.countUnreached(w, eff)
-	for _, t := range w.sortedTasks() {
-		c.attemptLost(now, t, eff)
+	for _, r := range w.sortedRuns() {
+		c.attemptLost(now, r, eff)
 	}
 	for attempt, end := range c.unloggedEnds {
 		if end.worker == w.member.ID {
--- a/core/lifecycle/worker.go
+++ b/core/lifecycle/worker.go
@@ -45,7 +45,8 @@
 	// a predecessor started.
 	partial     bool
 	endsMissing bool
-	running     map[ident.TaskID]*task
+	// running holds the attempts on the worker; there is at most one of each task.
+	running     map[ident.TaskID]*run
 	pendingAcks map[AttemptID]struct{}
 	health      health
 	// tickAt is the deadline by which the queue orders the worker, which is never too late. tickIndex is its position.
@@ -155,7 +156,7 @@
 func (c *Cell) addWorker(m Member) *worker {
 	w := &worker{
 		member:      m,
-		running:     make(map[ident.TaskID]*task),
+		running:     make(map[ident.TaskID]*run),
 		pendingAcks: make(map[AttemptID]struct{}),
 		tickIndex:   notQueued,
 	}
@@ -182,9 +183,9 @@
 	if c.inDoubt || !w.member.Leaving {
 		return
 	}
-	for _, t := range w.sortedTasks() {
-		if t.run.phase == phaseActive && t.worthMoving() && !c.mustHold(t) {
-			c.evict(now, t, false, eff)
+	for _, r := range w.sortedRuns() {
+		if r.phase == phaseActive && r.task.worthMoving() && !c.mustHold(r.task) {
+			c.evict(now, r, false, eff)
 		}
 	}
 }
@@ -221,6 +222,7 @@
 	eff.do(PutWorker{Silent: w.silent, Worker: placement.Worker{
 		ID:           w.member.ID,
 		Rack:         w.member.Rack,
+		DataCentre:   w.member.DataCentre,
 		Pool:         w.member.Pool,
 		Labels:       strings.Fields(w.member.Labels),
 		Capacity:     w.capacity,
@@ -233,8 +235,8 @@
 	if !added {
 		return
 	}
-	for _, t := range w.sortedTasks() {
-		eff.do(Restore{Running: c.runningOf(t)})
+	for _, r := range w.sortedRuns() {
+		eff.do(Restore{Running: c.runningOf(r)})
 	}
 }
 
@@ -299,9 +301,12 @@
 // adopt takes over a running attempt of the predecessor. It returns false if the attempt must be stopped.
 func (c *Cell) adopt(now time.Time, w *worker, a ActiveAttempt, eff *Effects) bool {
 	t := c.task(a.Task)
-	if t == nil || !t.startable() || a.Attempt <= t.lastEnded {
+	if t == nil || !t.open() || t.hasEnded(a.Attempt) {
 		return false
 	}
+	if t.run != nil {
+		return c.adoptSecond(now, w, t, a, eff)
+	}
 	if _, held := c.heldTasks[a.Task]; !held {
 		return false
 	}
@@ -314,16 +319,18 @@
 	t.noteRan(a.Attempt)
 	t.wait = WaitNone
 	t.run = &run{
-		AttemptID: a.AttemptID, worker: w.member.ID, phase: phaseActive, booked: a.Booked, startedAt: now, firstSeenAt: now,
-		incarnation: w.incarnation, maybeSentBefore: true, confirmedSeq: c.callSeq,
+		AttemptID: a.AttemptID, task: t, worker: w.member.ID, bookedAs: t.id, phase: phaseActive, booked: a.Booked,
+		startedAt: now, firstSeenAt: now, incarnation: w.incarnation, maybeSentBefore: true, confirmedSeq: c.callSeq,
+		adopted: true,
 	}
 	if a.Checkpoint.ID != "" {
 		t.checkpoint = Checkpoint{ID: a.Checkpoint.ID, At: now}
 	}
-	w.running[t.id] = t
+	w.running[t.id] = t.run
+	c.trackSpeculative(t)
 	c.setState(now, t, Running)
 	if w.inPlanner {
-		eff.do(Restore{Running: c.runningOf(t)})
+		eff.do(Restore{Running: c.runningOf(t.run)})
 	}
 	return true
 }
@@ -362,16 +369,20 @@
 	return strings.Compare(string(a.member.ID), string(b.member.ID))
 }
 
-// sortedTasks returns the running tasks in a fixed order, so that equal events give equal commands.
-func (w *worker) sortedTasks() []*task {
-	all := make([]*task, 0, len(w.running))
-	for _, t := range w.running {
-		all = append(all, t)
+// sortedRuns returns the running attempts in a fixed order, so that equal events give equal commands.
+func (w *worker) sortedRuns() []*run {
+	all := make([]*run, 0, len(w.running))
+	for _, r := range w.running {
+		all = append(all, r)
 	}
-	sortTasks(all)
+	sortRuns(all)
 	return all
 }
 
+func sortRuns(runs []*run) {
+	slices.SortFunc(runs, func(a, b *run) int { return compareTasks(a.Task, b.Task) })
+}
+
 func sortTasks(tasks []*task) {
 	slices.SortFunc(tasks, func(a, b *task) int { return compareTasks(a.id, b.id) })
 }
--- a/core/lifecycle/workercalls.go
+++ b/core/lifecycle/workercalls.go
@@ -25,10 +25,10 @@
 // renewals lists the attempts whose leases the next sync renews.
 func (w *worker) renewals() []AttemptID {
 	attempts := make([]AttemptID, 0, len(w.running))
-	for _, t := range w.sortedTasks() {
+	for _, r := range w.sortedRuns() {
 		// A stopping attempt is not renewed, so that it ends with its lease if the stop never arrives.
-		if t.run.phase != phaseLogging && t.run.phase != phaseStopping {
-			attempts = append(attempts, t.run.AttemptID)
+		if r.phase != phaseLogging && r.phase != phaseStopping {
+			attempts = append(attempts, r.AttemptID)
 		}
 	}
 	return attempts
