core/lifecycle: no success is acknowledged while a copy may still start

The start of a copy may be on its way when the first attempt succeeds, and would take effect after the success was acknowledged to its worker. The acknowledgement waits until the start is answered, the worker has shown the attempt, or it has certainly ended; after a takeover, until every worker of the log is claimed or has lapsed.

--- a/core/lifecycle/commit.go
+++ b/core/lifecycle/commit.go
@@ -118,6 +118,10 @@
 	if !ok {
 		return
 	}
+	if t := c.task(attempt.Task); t != nil && t.doneBy != 0 && c.startMayArrive(t) {
+		// The worker reports the end again.
+		return
+	}
 	if w, found := c.workers[end.worker]; found && w.claimed {
 		w.pendingAcks[attempt] = struct{}{}
 		c.ackedWorkers = append(c.ackedWorkers, end.worker)
--- a/core/lifecycle/copies.go
+++ b/core/lifecycle/copies.go
@@ -107,6 +107,13 @@
 	return requests
 }
 
+// MayNeedCopies reports whether tasks run whose groups allow copies.
+func (c *Cell) MayNeedCopies() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.policy.SpeculativeCopies && len(c.speculative) > 0
+}
+
 // mayCopy reports whether the cell may start copies. During the recovery, another attempt of any task may still run.
 func (c *Cell) mayCopy() bool {
 	return c.policy.SpeculativeCopies && c.table != nil && !c.inDoubt && !c.recovering && c.takeoverDurable
@@ -236,6 +243,21 @@
 	})
 }
 
+// startMayArrive reports whether the start of another attempt of the task may still take effect. A success is not
+// acknowledged before, so that nothing starts afterwards.
+func (c *Cell) startMayArrive(t *task) bool {
+	if !t.group.Speculative {
+		return false
+	}
+	for _, r := range t.runs() {
+		if r.confirmedSeq == 0 && r.firstSeenAt.IsZero() {
+			return true
+		}
+	}
+	// The predecessor may have sent a copy to a worker that has not been claimed yet.
+	return c.recovering && !c.runsListed && !t.job.acceptedByOwner
+}
+
 // endReason describes an end for the event of a copy. It is empty for a success.
 func endReason(e End) string {
 	switch e {
--- a/core/lifecycle/copies_test.go
+++ b/core/lifecycle/copies_test.go
@@ -334,6 +334,27 @@
 	require.Zero(t, f.c.CopyUsage().Running)
 }
 
+// Guards against a start after the success was acknowledged: the start of the copy is still on its way.
+func TestSuccessIsNotAcknowledgedBeforeTheCopyIsKnown(t *testing.T) {
+	f := newFixture(t, 7, "w1", "w2", "w3")
+	f.learn()
+	task := ident.TaskID{Job: f.submitSpeculative(1)}
+	first := f.startTask(task, "w1")
+	f.syncAll(3*time.Second, map[ident.WorkerID][]AttemptID{"w1": {first}})
+	second := f.startCopy("w2")
+	done := EndedAttempt{AttemptID: first, End: EndDone}
+	f.sync("w1", nil, done)
+	require.Equal(t, Done, f.taskView(task.Job, 0).State)
+	f.sync("w1", nil, done)
+	require.Empty(t, f.acks("w1"))
+	f.apply(f.c.StartAnswered(f.now, "w2", second, Answer{}))
+	f.sync("w1", nil, done)
+	require.Empty(t, f.acks("w1"))
+	f.apply(f.c.StopAnswered(f.now, "w2", []AttemptID{second}, Answer{Outcome: Applied}, "p1", []EndedAttempt{{AttemptID: second, End: EndNeverStarted}}))
+	f.sync("w1", nil, done)
+	require.Equal(t, []AttemptID{first}, f.acks("w1"))
+}
+
 // Guards against the success of a stopped attempt that its worker lists late: it is acknowledged and changes nothing.
 func TestSuccessOfStoppedAttemptIsListedLate(t *testing.T) {
 	f, task, first, second := withCopy(t)
--- a/core/lifecycle/copiesmove_test.go
+++ b/core/lifecycle/copiesmove_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/placement"
+	"github.com/bulrushrelay/bulrushrelay/core/resource"
 )
 
 // Guards against an eviction of the copy that ends the first run, and of the first run that ends the copy.
@@ -126,3 +127,32 @@
 	f.apply(f.c.StartCopies(f.now, []CopyRequest{{Copy: placement.Copy{Pending: p}}}, []placement.Start{{Task: task.Copy(), Attempt: 2, Worker: "w2"}}))
 	require.Len(t, commandsOf[StartTask](f), 1)
 }
+
+// Guards against attempts that run on after their job has failed fast, and against failures that are not counted because
+// the copy was about to be stopped.
+func TestFailFastStopsBothAttempts(t *testing.T) {
+	f := newFixture(t, 7, "w1", "w2", "w3")
+	f.learn()
+	id, eff, err := f.c.Accept(f.now, JobSpec{Class: "batch", FailFast: true, Groups: []TaskGroup{{
+		Count: 2, Need: resource.Vector{MilliCPU: 1000}, Speculative: true, Volatile: true, Constraints: placement.Constraints{Image: "image"},
+	}}})
+	require.NoError(t, err)
+	f.apply(eff)
+	task, other := ident.TaskID{Job: id}, ident.TaskID{Job: id, Index: 1}
+	first := f.startTask(task, "w1")
+	f.syncAll(3*time.Second, map[ident.WorkerID][]AttemptID{"w1": {first}})
+	second := f.startCopy("w2")
+	f.apply(f.c.StartAnswered(f.now, "w2", second, Answer{Outcome: Applied}))
+	for range 3 {
+		attempt := f.startTask(other, "w3")
+		f.sync("w3", nil, EndedAttempt{AttemptID: attempt, End: EndFailed})
+		f.syncAll(5*time.Second, map[ident.WorkerID][]AttemptID{"w1": {first}, "w2": {second}})
+	}
+	require.True(t, f.stopped(first))
+	require.True(t, f.stopped(second))
+	f.sync("w1", nil, EndedAttempt{AttemptID: first, End: EndStopped})
+	f.sync("w2", nil, EndedAttempt{AttemptID: second, End: EndStopped})
+	require.Equal(t, 1, f.released(task.Copy()))
+	require.Equal(t, Failed, f.c.jobs[id].state())
+	require.False(t, f.c.jobs[id].hasRunningAttempts())
+}
--- a/core/lifecycle/copiestakeover_test.go
+++ b/core/lifecycle/copiestakeover_test.go
@@ -126,3 +126,19 @@
 		require.Greater(t, next.Attempt, second.Attempt)
 	}
 }
+
+// Guards against a copy of the predecessor that starts after the success was acknowledged: its start may still be on its
+// way to a worker that the next owner has not claimed.
+func TestTakeoverAcknowledgesNoSuccessBeforeAllWorkersAreClaimed(t *testing.T) {
+	old, task, first, _ := withCopy(t)
+	f := takeover(old, false)
+	done := EndedAttempt{AttemptID: first, End: EndDone}
+	f.claim("w1", Report{Ended: []EndedAttempt{done}})
+	require.Equal(t, Done, f.taskView(task.Job, 0).State)
+	f.claim("w3", Report{})
+	f.sync("w1", nil, done)
+	require.Empty(t, f.acks("w1"))
+	f.claim("w2", Report{})
+	f.sync("w1", nil, done)
+	require.Equal(t, []AttemptID{first}, f.acks("w1"))
+}
--- a/core/lifecycle/late.go
+++ b/core/lifecycle/late.go
@@ -44,6 +44,9 @@
 	if isResult && t != nil && !t.group.Lasting && !t.state.Final() && (t.settled || t.job.cancelling) {
 		return
 	}
+	if e.End == EndDone && t != nil && c.startMayArrive(t) {
+		return
+	}
 	w.pendingAcks[e.AttemptID] = struct{}{}
 }
 
--- a/internal/check/executions.go
+++ b/internal/check/executions.go
@@ -15,6 +15,11 @@
 // worker over its capacity, an attempt number that was used twice, a task that ran again after its completion, and
 // evicted work that did not resume from its checkpoint.
 func Executions(r *worker.Recorder) []string {
+	return ExecutionsWithCopies(r, func(ident.TaskID) bool { return false })
+}
+
+// ExecutionsWithCopies is Executions for tasks of which some may run twice at once.
+func ExecutionsWithCopies(r *worker.Recorder, mayBeCopied func(ident.TaskID) bool) []string {
 	var faults []string
 	tasks := make(map[ident.TaskID][]worker.Execution)
 	for _, e := range r.Executions() {
@@ -22,6 +27,10 @@
 	}
 	for id, executions := range tasks {
 		slices.SortStableFunc(executions, func(a, b worker.Execution) int { return a.StartedAt.Compare(b.StartedAt) })
+		if mayBeCopied(id) {
+			faults = append(faults, checkCopies(id, executions)...)
+			continue
+		}
 		faults = append(faults, checkOverlaps(id, executions)...)
 		faults = append(faults, checkResumptions(id, executions)...)
 	}
@@ -51,6 +60,31 @@
 	return faults
 }
 
+// checkCopies checks that no attempt number is used twice, that at most two attempts run at once, and that none starts
+// after a success was acknowledged.
+func checkCopies(id ident.TaskID, executions []worker.Execution) []string {
+	var faults []string
+	for i, e := range executions {
+		running := 0
+		for j, other := range executions {
+			if j < i && e.Attempt == other.Attempt {
+				faults = append(faults, fmt.Sprintf("P3: task %s: attempt %d ran twice, on %s and %s", id, e.Attempt, other.Worker, e.Worker))
+			}
+			if j <= i && (!other.Stopped || other.StoppedAt.After(e.StartedAt)) {
+				running++
+			}
+			if other.End == lifecycle.EndDone && !other.AckedAt.IsZero() && other.AckedAt.Before(e.StartedAt) {
+				faults = append(faults, fmt.Sprintf("P3: task %s: attempt %d started after the success of attempt %d was acknowledged",
+					id, e.Attempt, other.Attempt))
+			}
+		}
+		if running > 2 {
+			faults = append(faults, fmt.Sprintf("P2: task %s ran %d times at once from %s on", id, running, e.StartedAt.Format("15:04:05.000")))
+		}
+	}
+	return faults
+}
+
 // isEndUnknown reports whether the owner that started the later attempt cannot have known how the earlier one ended:
 // neither the owner nor a predecessor had acknowledged the end, and the worker either was out of contact until the
 // lease lapsed, or crashed and forgot the end. The earlier attempt then counts as lost, although its worker may report
