relay/jobs: owners start copies of overdue tasks

The loop asks the cell for tasks that deserve a copy every 200 ms, the planner for room, and logs and counts copies started, won and lost, and the processor time of attempts that another one made superfluous. --no-speculative-copies of relayd and relayd platform turns copies off; they are on by default.

--- a/cmd/relayd/platform.go
+++ b/cmd/relayd/platform.go
@@ -31,8 +31,9 @@
 // exitSettings.
 func platformCommand(code *int) *cli.Command {
 	var (
-		path  string
-		cells int
+		path     string
+		cells    int
+		noCopies bool
 	)
 	return &cli.Command{
 		Name:  "platform",
@@ -46,6 +47,10 @@
 				Name: "cells", Usage: "cells of the deployment, the same on every host; 0 means one for each region",
 				Destination: &cells,
 			},
+			&cli.BoolFlag{
+				Name: "no-speculative-copies", Usage: "start no second attempts of overdue tasks, also in groups that allow them",
+				Destination: &noCopies, Sources: cli.EnvVars(daemon.EnvName("no-speculative-copies")),
+			},
 		},
 		Action: func(ctx context.Context, _ *cli.Command) error {
 			s, err := platform.ReadSettings(path)
@@ -53,12 +58,14 @@
 				*code = exitSettings
 				return err
 			}
-			return runPlatform(ctx, path, s, cells)
+			settings := jobSettings(s, cells)
+			settings.NoSpeculativeCopies = noCopies
+			return runPlatform(ctx, path, s, settings)
 		},
 	}
 }
 
-func runPlatform(ctx context.Context, path string, s platform.Settings, cells int) error {
+func runPlatform(ctx context.Context, path string, s platform.Settings, settings daemon.JobSettings) error {
 	sink := decisionlog.NewSink(os.Stdout)
 	defer sink.Close()
 	log := daemon.NewLogger(daemon.Settings{
@@ -69,7 +76,6 @@
 	defer client.Close()
 	metrics := telemetry.NewRegistry()
 	store := platform.NewStore(client, s.StoreAddress, observeStoreCalls(metrics, daemon.NewDependencyMonitor("store", log)))
-	settings := jobSettings(s, cells)
 	ids := daemon.CellIDs(settings.CellCount())
 	jobIDOf := func(number uint64) ident.JobID {
 		return ident.CallerAssignedJobID(jobs.CellOfNumber(ids, number), number)
--- a/daemon/flags.go
+++ b/daemon/flags.go
@@ -64,6 +64,7 @@
 		intFlag(&s.LedgerRecords, "ledger-records", groupLimits, 500_000, "maximum number of idempotency records held at once"),
 		intFlag(&s.LedgerMB, "ledger-mb", groupLimits, 256, "maximum memory for idempotency records, in MB"),
 		intFlag(&s.MilliCPU, "milli-cpu", groupLimits, 0, "CPU capacity of this host in thousandths of a core, used in the choice of cell owners; 0 if not known"),
+		boolFlag(&s.NoSpeculativeCopies, "no-speculative-copies", groupLimits, "start no second attempts of overdue tasks, also in groups that allow them"),
 	}
 }
 
--- a/daemon/host.go
+++ b/daemon/host.go
@@ -245,6 +245,7 @@
 		Clock:          jobs.SystemClock{},
 		NewPlanner:     h.newPlanner,
 		CommitInterval: commitInterval(h.settings.Cells),
+		Policy:         h.settings.policy(),
 		Logger:         h.log.Logger,
 		Meter:          newOwnerMeter(h.metrics),
 		OnReplaced:     h.cluster.GiveUp,
--- a/daemon/jobsettings.go
+++ b/daemon/jobsettings.go
@@ -44,6 +44,8 @@
 	Grace time.Duration
 	// MilliCPU is the CPU capacity of the host in thousandths of a core; 0 if it is not known.
 	MilliCPU int64
+	// NoSpeculativeCopies turns off second attempts of overdue tasks.
+	NoSpeculativeCopies bool
 }
 
 // WorkerPort performs the calls to workers, and asks them whether they answer.
@@ -119,6 +121,7 @@
 		StopRepeatDelay: s.StopTime + endListingDelay,
 		// The workers' own retry limits count every failure, too.
 		ChargeAllFailures: true,
+		SpeculativeCopies: !s.NoSpeculativeCopies,
 	}
 }
 
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -11,6 +11,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
 )
 
 // Settings configures one relay host.
@@ -61,6 +63,8 @@
 	// MilliCPU is the CPU capacity of this host in thousandths of a core; 0 if it is not known. Hosts with a higher
 	// capacity are preferred as owners of cells.
 	MilliCPU int
+	// NoSpeculativeCopies turns off second attempts of overdue tasks.
+	NoSpeculativeCopies bool
 }
 
 // AdvertisedAddress returns the address at which other hosts reach this one.
@@ -71,6 +75,13 @@
 	return s.PeerAddress
 }
 
+// policy returns the times and rules of the job service.
+func (s Settings) policy() lifecycle.Policy {
+	p := lifecycle.DefaultPolicy()
+	p.SpeculativeCopies = !s.NoSpeculativeCopies
+	return p
+}
+
 var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
 
 // Limits and defaults of the settings.
--- a/relay/jobs/eventlist.go
+++ b/relay/jobs/eventlist.go
@@ -22,6 +22,9 @@
 	EventTaskStopped        EventName = "task_stopped"
 	EventTaskSlowed         EventName = "task_slowed"
 	EventTaskWaits          EventName = "task_waits"
+	EventCopyStarted        EventName = "copy_started"
+	EventCopyWon            EventName = "copy_won"
+	EventCopyStopped        EventName = "copy_stopped"
 	EventWorkerClaimed      EventName = "worker_claimed"
 	EventWorkerLost         EventName = "worker_lost"
 	EventQuarantined        EventName = "worker_quarantined"
@@ -94,6 +97,7 @@
 	FieldSuccessor   FieldName = "successor"
 	FieldAsked       FieldName = "asked"
 	FieldAnswering   FieldName = "answering"
+	FieldRanMs       FieldName = "ran_ms"
 )
 
 // EventKind describes a kind of event.
@@ -141,6 +145,15 @@
 			FieldCell, FieldEpoch, FieldTask, FieldClass, FieldWaitedMs, FieldReason, FieldRoom, FieldRuledOut,
 			FieldJobRunning, FieldPoolUse,
 		}},
+		{EventCopyStarted, "a second attempt of a running task was placed on a worker, because the first one is overdue; ran_ms is that of the first", []FieldName{
+			FieldCell, FieldEpoch, FieldTask, FieldAttempt, FieldWorker, FieldReason, FieldRanMs,
+		}},
+		{EventCopyWon, "a copy completed its task before the first attempt", []FieldName{
+			FieldCell, FieldEpoch, FieldTask, FieldAttempt, FieldWorker, FieldRanMs,
+		}},
+		{EventCopyStopped, "a copy ended without completing its task", []FieldName{
+			FieldCell, FieldEpoch, FieldTask, FieldAttempt, FieldWorker, FieldReason, FieldRanMs,
+		}},
 		{EventWorkerClaimed, "a worker accepts commands from this owner only", []FieldName{
 			FieldCell, FieldEpoch, FieldWorker, FieldLife, FieldRunning, FieldEnded,
 		}},
@@ -223,6 +236,7 @@
 	FieldSuccessor:   "host to which the cell goes, with its incarnation",
 	FieldAsked:       "number of workers that the successor was asked to call",
 	FieldAnswering:   "number of these workers that answered the successor",
+	FieldRanMs:       "milliseconds for which the attempt is known to have run",
 	FieldPoolUse:     "booked share of the pool, workers that take no tasks included, in percent",
 }
 
--- a/relay/jobs/load.go
+++ b/relay/jobs/load.go
@@ -40,6 +40,8 @@
 	lifecycle.WorkerContact
 	// ReachedWorkers and UnreachedWorkers count the workers that answer and those that do not.
 	ReachedWorkers, UnreachedWorkers int
+	// RunningCopies counts the second attempts of tasks that hold resources.
+	RunningCopies int
 	// QueuedTasks counts the tasks that wait for a worker, QueuedCalls the calls to workers that wait behind others to
 	// the same worker, SyncsInProgress the syncs in progress, and QueuedEvents the events that wait for a loop.
 	QueuedTasks, QueuedCalls, SyncsInProgress, QueuedEvents int64
@@ -56,6 +58,7 @@
 		sum.SilentWorkers += cellLoad.SilentWorkers
 		sum.ReachedWorkers += cellLoad.ReachedWorkers
 		sum.UnreachedWorkers += cellLoad.UnreachedWorkers
+		sum.RunningCopies += cellLoad.RunningCopies
 		sum.QueuedTasks += cellLoad.QueuedTasks
 		sum.QueuedCalls += cellLoad.QueuedCalls
 		sum.SyncsInProgress += cellLoad.SyncsInProgress
@@ -86,6 +89,7 @@
 	l := Load{WorkerContact: o.cell.WorkerContact(now), QueuedCalls: o.queuedCalls.Load(), SyncsInProgress: o.syncsInProgress.Load(), QueuedEvents: o.queuedEvents.Load()}
 	contact := o.cell.Contact(now)
 	l.ReachedWorkers, l.UnreachedWorkers = len(contact.Reached), len(contact.Unreached)
+	l.RunningCopies = o.cell.CopyUsage().Running
 	if o.late.Load() {
 		l.LateCells = 1
 	}
--- a/relay/jobs/owner.go
+++ b/relay/jobs/owner.go
@@ -97,6 +97,9 @@
 	quarantined map[ident.WorkerID]struct{}
 	// waitsCheckedAt is when the loop last looked for tasks that wait.
 	waitsCheckedAt time.Time
+	// copiesCheckedAt is when the loop last looked for tasks that deserve a copy, and wastedCopyTime what has been counted.
+	copiesCheckedAt time.Time
+	wastedCopyTime  time.Duration
 }
 
 func (o *owner) now() time.Time {
@@ -124,6 +127,7 @@
 		o.checkAuthority()
 		o.apply(o.cell.Tick(o.now()))
 		o.plan()
+		o.startCopies(o.now())
 		o.logFinishedJobs(o.cell.TakeFinishedJobs())
 		o.watchers.notify(o.cell.TakeChangedJobs())
 		o.checkCallsDone()
@@ -148,6 +152,9 @@
 		d = min(d, o.lastPlanAt.Add(planInterval).Sub(now))
 	}
 	d = min(d, o.lastPlanAt.Add(o.longestPlanPause()).Sub(now))
+	if wait, ok := o.nextCopyCheck(now); ok {
+		d = min(d, wait)
+	}
 	return max(d, time.Millisecond)
 }
 
--- a/relay/jobs/service.go
+++ b/relay/jobs/service.go
@@ -71,6 +71,10 @@
 	PlannedStarts, StartedTasks, RefusedStarts, UnknownStarts atomic.Int64
 	AcceptedJobs, RefusedJobs, UnknownJobs                    atomic.Int64
 	ReplacedOwners                                            atomic.Int64
+	// CopiesStarted counts the copies of running tasks, CopiesWon those that completed their task, and CopiesLost those that
+	// ended in any other way. WastedCopyTime is the processor time, in nanoseconds, booked by attempts that ended because
+	// another attempt completed their task.
+	CopiesStarted, CopiesWon, CopiesLost, WastedCopyTime atomic.Int64
 	// TableWait is the time that owners have waited for their first table, in nanoseconds.
 	TableWait atomic.Int64
 }
