core/lifecycle: copies of tasks whose start is not answered

A worker that stands still answers no start, so that its task waited for the end of its lease, 6 s or more. A start that is not answered counts from the time at which it was decided. A refused first start beside a copy no longer marks the task as never sent. Run times of resumed attempts are not learnt. An owner whose planner places no copies no longer wakes up all the time.

--- a/core/lifecycle/attempt.go
+++ b/core/lifecycle/attempt.go
@@ -145,7 +145,7 @@
 			c.endRun(now, r, &eff)
 			break
 		}
-		t.maybeSent = r.maybeSentBefore
+		t.maybeSent = r.maybeSentBefore || t.copy != nil
 		t.refusals++
 		if a.Reason == ReasonUnhealthy && !slices.Contains(t.refusedBy, id) {
 			t.refusedBy = append(t.refusedBy, id)
--- a/core/lifecycle/copies.go
+++ b/core/lifecycle/copies.go
@@ -87,11 +87,11 @@
 	running := make([]speculation.Running, 0, len(c.speculative))
 	for _, t := range c.speculative {
 		w, known := c.workers[t.run.worker]
-		if t.run.phase != phaseActive || !known {
+		if !t.run.mayBeOverdue() || !known {
 			continue
 		}
 		running = append(running, speculation.Running{
-			Kind: t.kind(), Task: t.id, Worker: t.run.worker, RanFor: t.run.ranFor(now),
+			Kind: t.kind(), Task: t.id, Worker: t.run.worker, RanFor: t.run.takenSoFar(now),
 			GroupTimes: &t.job.groups[t.id.Group()].runTimes, Eligible: c.mayCopyTask(t), WorkerSilent: w.silent,
 		})
 	}
@@ -123,11 +123,24 @@
 // cannot resume from it, and neither does one whose attempts could fail more often than its class allows.
 func (c *Cell) mayCopyTask(t *task) bool {
 	return t.group.Speculative && !t.group.Lasting && !t.group.Constraints.Filler && t.group.TailTarget == 0 &&
-		t.open() && !t.copied && t.run != nil && t.copy == nil && t.run.phase == phaseActive &&
+		t.open() && !t.copied && t.run != nil && t.copy == nil && t.run.mayBeOverdue() &&
 		t.checkpoint.ID == "" && t.nextAttempt-t.lastLogged < attemptStride-1 &&
 		c.chargedFailures(t)+2 <= c.retries(t)+1
 }
 
+// mayBeOverdue reports whether the attempt runs, or its start is not answered: a worker that stands still answers none.
+func (r *run) mayBeOverdue() bool {
+	return r.phase == phaseActive || r.firstSeenAt.IsZero() && (r.phase == phaseStarting || r.phase == phaseStopping)
+}
+
+// takenSoFar returns for how long the attempt has run, or has waited for the answer to its start.
+func (r *run) takenSoFar(now time.Time) time.Duration {
+	if r.firstSeenAt.IsZero() {
+		return now.Sub(r.startedAt)
+	}
+	return r.ranFor(now)
+}
+
 // StartCopies starts the copies that the planner has placed, and releases those that are no longer wanted.
 func (c *Cell) StartCopies(now time.Time, requests []CopyRequest, starts []placement.Start) Effects {
 	c.mu.Lock()
@@ -158,7 +171,7 @@
 		c.markChanged(t.job)
 		c.learner.CopyStarted(now, t.kind())
 		c.copyEvents = append(c.copyEvents, CopyEvent{
-			AttemptID: r.AttemptID, Kind: CopyStarted, Worker: s.Worker, Reason: string(r.copyCause), RanFor: t.run.ranFor(now),
+			AttemptID: r.AttemptID, Kind: CopyStarted, Worker: s.Worker, Reason: string(r.copyCause), RanFor: t.run.takenSoFar(now),
 		})
 		c.sendStart(r, w, &eff)
 	}
@@ -213,7 +226,8 @@
 		c.learner.CopyEnded(t.kind(), r.copyCause, true)
 		c.copyEvents = append(c.copyEvents, CopyEvent{AttemptID: r.AttemptID, Kind: CopyWon, Worker: r.worker, RanFor: r.ranFor(now)})
 	}
-	if took := r.ranFor(now); took > 0 && !r.adopted && c.policy.SpeculativeCopies {
+	// An attempt that resumed, or whose beginning is not known, does not tell how long the task takes.
+	if took := r.ranFor(now); took > 0 && !r.adopted && t.checkpoint.ID == "" && c.policy.SpeculativeCopies {
 		c.learner.TaskEnded(t.kind(), took)
 		if t.group.Speculative {
 			t.job.groups[t.id.Group()].runTimes.Observe(took)
--- a/core/lifecycle/copiesmove_test.go
+++ b/core/lifecycle/copiesmove_test.go
@@ -156,3 +156,50 @@
 	require.Equal(t, Failed, f.c.jobs[id].state())
 	require.False(t, f.c.jobs[id].hasRunningAttempts())
 }
+
+// Guards against tasks that wait for the lease of a worker that stands still: the start on it is not answered.
+func TestCopyOfUnansweredStart(t *testing.T) {
+	for name, answer := range map[string]*Answer{"none": nil, "unknown": {}} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 7, "w1", "w2", "w3")
+			f.learn()
+			task := ident.TaskID{Job: f.submitSpeculative(1)}
+			first := f.planStart(task, "w1")
+			if answer != nil {
+				f.apply(f.c.StartAnswered(f.now, "w1", first, *answer))
+			}
+			f.now = f.now.Add(1600 * time.Millisecond)
+			require.Empty(t, f.c.CopyCandidates(f.now))
+			f.now = f.now.Add(200 * time.Millisecond)
+			second := f.startCopy("w2")
+			f.apply(f.c.StartAnswered(f.now, "w2", second, Answer{Outcome: Applied}))
+			done := EndedAttempt{AttemptID: second, End: EndDone}
+			f.sync("w2", nil, done)
+			require.Equal(t, Done, f.taskView(task.Job, 0).State)
+			require.True(t, f.stopped(first))
+			f.sync("w2", nil, done)
+			require.Empty(t, f.acks("w2"), "the first start may still take effect")
+			f.apply(f.c.StopAnswered(f.now, "w1", []AttemptID{first}, Answer{Outcome: Applied}, "p1", []EndedAttempt{{AttemptID: first, End: EndNeverStarted}}))
+			f.sync("w2", nil, done)
+			require.Equal(t, []AttemptID{second}, f.acks("w2"))
+			require.Equal(t, 1, f.released(task))
+		})
+	}
+}
+
+// Guards against a false NotRun verdict: the first start was refused, and its copy may run.
+func TestRefusedFirstStartBesideACopy(t *testing.T) {
+	f := newFixture(t, 7, "w1", "w2", "w3")
+	f.learn()
+	task := ident.TaskID{Job: f.submitSpeculative(1)}
+	first := f.planStart(task, "w1")
+	f.now = f.now.Add(3 * time.Second)
+	second := f.startCopy("w2")
+	f.takeEnqueued()
+	f.apply(f.c.StartAnswered(f.now, "w1", first, Answer{Outcome: Refused, Reason: ReasonCapacity}))
+	require.Empty(t, f.takeEnqueued(), "the copy takes the place of the first attempt")
+	require.Equal(t, ident.WorkerID("w2"), f.taskView(task.Job, 0).Worker)
+	require.True(t, f.c.task(task).maybeSent)
+	f.apply(f.c.StartAnswered(f.now, "w2", second, Answer{Outcome: Applied}))
+	require.Equal(t, Running, f.taskView(task.Job, 0).State)
+}
--- a/relay/jobs/copies.go
+++ b/relay/jobs/copies.go
@@ -21,12 +21,12 @@
 // startCopies starts copies of overdue tasks for which there is room.
 func (o *owner) startCopies(now time.Time) {
 	o.noteCopies()
-	planner, ok := o.planner.(placement.CopyPlanner)
-	if !ok || !o.copiesDue(now) {
+	if !o.copiesDue(now) {
 		return
 	}
 	o.copiesCheckedAt = now
-	if o.draining.Load() || o.authority() != ownership.Full {
+	planner, ok := o.planner.(placement.CopyPlanner)
+	if !ok || o.draining.Load() || o.authority() != ownership.Full {
 		return
 	}
 	requests := o.cell.CopyCandidates(now)
