core/speculation: run times off the rack with the data are learnt apart

A task off that rack takes up to three times as long, so that it looked overdue, and the copy of a task on that rack, which runs off it, took longer than was expected. Both are compared with runs of their own kind, and a copy is made only once the first run has taken as long as the new one will.

Nothing has been measured with racks.

--- a/core/lifecycle/copies.go
+++ b/core/lifecycle/copies.go
@@ -75,6 +75,12 @@
 	return speculation.Kind{Class: t.job.spec.Class, Image: t.group.Constraints.Image}
 }
 
+// offRack reports whether the worker is on another rack than the data of the task.
+func (t *task) offRack(w *worker) bool {
+	rack := t.group.Constraints.Rack
+	return rack != "" && w != nil && w.member.Rack != rack
+}
+
 // CopyCandidates returns the running tasks that deserve a copy, the most overdue first. It visits only the running tasks
 // of groups that allow copies.
 func (c *Cell) CopyCandidates(now time.Time) []CopyRequest {
@@ -92,7 +98,8 @@
 		}
 		running = append(running, speculation.Running{
 			Kind: t.kind(), Task: t.id, Worker: t.run.worker, RanFor: t.run.takenSoFar(now),
-			GroupTimes: &t.job.groups[t.id.Group()].runTimes, Eligible: c.mayCopyTask(t), WorkerSilent: w.silent,
+			GroupTimes: &t.job.groups[t.id.Group()].runTimes,
+			HasRack:    t.group.Constraints.Rack != "", OffRack: t.offRack(w), Eligible: c.mayCopyTask(t), WorkerSilent: w.silent,
 		})
 	}
 	var requests []CopyRequest
@@ -228,9 +235,10 @@
 	}
 	// An attempt that resumed, or whose beginning is not known, does not tell how long the task takes.
 	if took := r.ranFor(now); took > 0 && !r.adopted && t.checkpoint.ID == "" && c.policy.SpeculativeCopies {
-		c.learner.TaskEnded(t.kind(), took)
+		offRack := t.offRack(c.workers[r.worker])
+		c.learner.TaskEnded(t.kind(), offRack, took)
 		if t.group.Speculative {
-			t.job.groups[t.id.Group()].runTimes.Observe(took)
+			t.job.groups[t.id.Group()].runTimes.Observe(offRack, took)
 		}
 	}
 }
--- a/core/lifecycle/copies_test.go
+++ b/core/lifecycle/copies_test.go
@@ -45,7 +45,7 @@
 // learn makes the cell expect run times of a second for the image.
 func (f *fixture) learn() {
 	for range 40 {
-		f.c.learner.TaskEnded(f.kind(), time.Second)
+		f.c.learner.TaskEnded(f.kind(), false, time.Second)
 	}
 }
 
--- a/core/lifecycle/job.go
+++ b/core/lifecycle/job.go
@@ -69,7 +69,7 @@
 	// criticalPath is the longest chain of declared run times that begins with the group.
 	criticalPath time.Duration
 	// runTimes are those of the ended tasks of a speculative group.
-	runTimes speculation.Times
+	runTimes speculation.GroupTimes
 }
 
 // task is the state of one task of a job.
@@ -222,6 +222,6 @@
 func (t *task) countDone() {
 	g := &t.job.groups[t.id.Group()]
 	if g.openTasks--; g.openTasks == 0 {
-		g.runTimes = speculation.Times{}
+		g.runTimes = speculation.GroupTimes{}
 	}
 }
--- a/core/speculation/learner.go
+++ b/core/speculation/learner.go
@@ -59,10 +59,10 @@
 	return &Learner{times: times, kinds: newRecent[Kind, outcomes](maxKinds), classes: newRecent[ident.ClassName, outcomes](maxKinds)}
 }
 
-// TaskEnded notes the run time of an attempt that succeeded.
-func (l *Learner) TaskEnded(k Kind, took time.Duration) {
+// TaskEnded notes the run time of an attempt that succeeded on or off the rack with the data of its task.
+func (l *Learner) TaskEnded(k Kind, offRack bool, took time.Duration) {
 	if took > 0 {
-		l.times.Observe(k.key(), took)
+		l.times.Observe(k.key(offRack), took)
 	}
 }
 
--- a/core/speculation/runtimes.go
+++ b/core/speculation/runtimes.go
@@ -46,6 +46,27 @@
 	return t.median, t.spread, t.n
 }
 
+// GroupTimes holds the run times of the ended tasks of a group. The zero value holds none.
+type GroupTimes struct {
+	onRack, offRack Times
+}
+
+// Observe adds the run time of a task that ran on or off the rack with its data.
+func (g *GroupTimes) Observe(offRack bool, took time.Duration) {
+	g.of(offRack).Observe(took)
+}
+
+func (g *GroupTimes) of(offRack bool) *Times {
+	switch {
+	case g == nil:
+		return nil
+	case offRack:
+		return &g.offRack
+	default:
+		return &g.onRack
+	}
+}
+
 // sampledTimes estimates run times from the latest ones of each image.
 type sampledTimes struct {
 	images *recent[string, Times]
--- a/core/speculation/speculation.go
+++ b/core/speculation/speculation.go
@@ -41,12 +41,17 @@
 	Image string
 }
 
-// key returns the name under which run times are learnt: the image, or the class of a task without one.
-func (k Kind) key() string {
-	if k.Image == "" {
-		return "class " + string(k.Class)
+// key returns the name under which run times are learnt: the image, or the class of a task without one. Tasks off the rack
+// with their data take several times as long and are learnt apart.
+func (k Kind) key(offRack bool) string {
+	name := k.Image
+	if name == "" {
+		name = "class " + string(k.Class)
 	}
-	return k.Image
+	if offRack {
+		name += " off rack"
+	}
+	return name
 }
 
 // Running is a running task of a group that allows copies.
@@ -57,7 +62,9 @@
 	// RanFor is how long the attempt is known to have run.
 	RanFor time.Duration
 	// GroupTimes holds the run times of ended tasks of the group; nil if there are none.
-	GroupTimes *Times
+	GroupTimes *GroupTimes
+	// HasRack is set if a rack holds the data of the task, and OffRack if the attempt runs on another one.
+	HasRack, OffRack bool
 	// Eligible is false for a task that must get no copy. It still shows whether its worker is slow.
 	Eligible bool
 	// WorkerSilent is set if the worker does not answer.
@@ -95,11 +102,21 @@
 	var expected []time.Duration
 	onWorker := make(map[ident.WorkerID]int)
 	for i, r := range running {
-		median, spread, ok := l.expect(r)
-		if !ok || !isOverdue(r.RanFor, median, spread) {
+		median, spread, ok := l.expect(r, r.OffRack)
+		if !ok {
+			continue
+		}
+		newRun := median
+		if r.HasRack && !r.OffRack {
+			// The copy runs on another rack.
+			if slower, _, known := l.expect(r, true); known {
+				newRun = max(newRun, slower)
+			}
+		}
+		if r.RanFor < newRun || !isOverdue(r.RanFor, median, spread) {
 			continue
 		}
-		overdue, expected = append(overdue, i), append(expected, median)
+		overdue, expected = append(overdue, i), append(expected, newRun)
 		onWorker[r.Worker]++
 	}
 	var found []Candidate
@@ -124,12 +141,13 @@
 	return found[:min(limit, len(found))]
 }
 
-// expect returns the median and the spread of a new run; ok is false if too little is known.
-func (l *Learner) expect(r Running) (median, spread time.Duration, ok bool) {
-	if median, spread, n := r.GroupTimes.estimate(1); n >= minGroupTimes {
+// expect returns the median and the spread of runs of the task on or off the rack with its data; ok is false if too little
+// is known.
+func (l *Learner) expect(r Running, offRack bool) (median, spread time.Duration, ok bool) {
+	if median, spread, n := r.GroupTimes.of(offRack).estimate(1); n >= minGroupTimes {
 		return median, spread, median > 0
 	}
-	median, spread, n := l.times.Estimate(r.key())
+	median, spread, n := l.times.Estimate(r.key(offRack))
 	return median, spread, n >= minImageTimes && median > 0
 }
 
--- a/core/speculation/speculation_test.go
+++ b/core/speculation/speculation_test.go
@@ -25,7 +25,7 @@
 func learnt() *Learner {
 	l := NewLearner(nil)
 	for i := range 40 {
-		l.TaskEnded(Kind{Class: "urgent", Image: "image"}, time.Second+time.Duration(i-20)*10*time.Millisecond)
+		l.TaskEnded(Kind{Class: "urgent", Image: "image"}, false, time.Second+time.Duration(i-20)*10*time.Millisecond)
 	}
 	return l
 }
@@ -59,15 +59,30 @@
 func TestEndedTasksOfTheGroupGoBeforeTheImage(t *testing.T) {
 	l := learnt()
 	r := runningTask(1, 5*time.Second)
-	r.GroupTimes = &Times{}
+	r.GroupTimes = &GroupTimes{}
 	for range minGroupTimes {
-		r.GroupTimes.Observe(4 * time.Second)
+		r.GroupTimes.Observe(false, 4*time.Second)
 	}
 	require.Empty(t, l.Decide(start, []Running{r}, 10))
 	r.RanFor = 7 * time.Second
 	require.Len(t, l.Decide(start, []Running{r}, 10), 1)
 }
 
+// Guards against taking tasks off the rack with their data for slow, and against copies off that rack that take longer than
+// what is left of the first run.
+func TestTasksOffTheirRackAreLearntApart(t *testing.T) {
+	l := learnt()
+	for range 40 {
+		l.TaskEnded(Kind{Class: "urgent", Image: "image"}, true, 3*time.Second)
+	}
+	off, on := runningTask(1, 3*time.Second), runningTask(2, 2900*time.Millisecond)
+	off.HasRack, off.OffRack = true, true
+	on.HasRack = true
+	require.Empty(t, l.Decide(start, []Running{off, on}, 10))
+	off.RanFor, on.RanFor = 5*time.Second, 3*time.Second
+	require.Equal(t, []uint32{1, 2}, tasksOf(l.Decide(start, []Running{off, on}, 10)))
+}
+
 // Guards against a second copy and against copies where they are not allowed.
 func TestIneligibleTasksGetNone(t *testing.T) {
 	r := runningTask(1, time.Hour)
@@ -130,7 +145,7 @@
 	l := NewLearner(nil)
 	for i := range 3 * maxKinds {
 		k := Kind{Class: ident.ClassName(fmt.Sprint("c", i)), Image: fmt.Sprint("i", i)}
-		l.TaskEnded(k, time.Second)
+		l.TaskEnded(k, false, time.Second)
 		l.CopyStarted(start, k)
 		l.CopyEnded(k, CauseSlowTask, true)
 	}
@@ -168,10 +183,10 @@
 			copied := [10]time.Duration{}
 			for at := step; ; at += step {
 				var running []Running
-				var times Times
+				var times GroupTimes
 				for _, end := range ends {
 					if end <= at {
-						times.Observe(end)
+						times.Observe(false, end)
 					}
 				}
 				for i, end := range ends {
@@ -205,7 +220,7 @@
 			}
 			before, after = before+longest(endsAlone), after+longest(ends)
 			for _, end := range ends {
-				l.TaskEnded(runningTask(0, 0).Kind, end)
+				l.TaskEnded(runningTask(0, 0).Kind, false, end)
 			}
 			now = now.Add(time.Second)
 		}
