standin/worker: run times that vary by attempt or by task

All tasks of a group took the same time, so that no test could show what one slow task costs its job. The command can give a spread and a share of slow attempts.

--- a/standin/worker/calls.go
+++ b/standin/worker/calls.go
@@ -163,6 +163,7 @@
 		return refusal(lifecycle.ReasonCapacity)
 	}
 	taskPlan, planErr := parsePlan(s.Command, s.RunTime, s.Booked)
+	taskPlan.varyWork(s.AttemptID)
 	progress, resumeErr := checkpointProgress(s.Checkpoint, s.Task)
 	if planErr != nil || resumeErr != nil {
 		taskPlan = plan{workTime: time.Hour, failAt: time.Microsecond, failMessage: "the command or the checkpoint cannot be read"}
