core/speculation: estimates of a group count the tasks that still run

The first tasks of a group to end are its short ones: the median of the first five of ten is half of the true one, so that ordinary tasks got copies. These lost, and a run of chance losses stopped copies below one expected win in five. A group is estimated once more than half of it has ended, with the others counted as longer; the later threshold of group and image counts; copies stop below one win in ten and with more weight on what is expected at first.

--- a/core/lifecycle/copies.go
+++ b/core/lifecycle/copies.go
@@ -98,8 +98,8 @@
 		}
 		running = append(running, speculation.Running{
 			Kind: t.kind(), Task: t.id, Worker: t.run.worker, RanFor: t.run.takenSoFar(now),
-			GroupTimes: &t.job.groups[t.id.Group()].runTimes,
-			HasRack:    t.group.Constraints.Rack != "", OffRack: t.offRack(w), Eligible: c.mayCopyTask(t), WorkerSilent: w.silent,
+			GroupTimes: &t.job.groups[t.id.Group()].runTimes, GroupSize: t.group.Count,
+			HasRack: t.group.Constraints.Rack != "", OffRack: t.offRack(w), Eligible: c.mayCopyTask(t), WorkerSilent: w.silent,
 		})
 	}
 	var requests []CopyRequest
--- a/core/speculation/learner.go
+++ b/core/speculation/learner.go
@@ -7,17 +7,17 @@
 )
 
 const (
-	// minWinRate is the expected share of copies that win below which a copy is not worth its price: four of five would
-	// be thrown away, and each costs about as much as a task.
-	minWinRate = 0.2
+	// minWinRate is the expected share of copies that win below which a copy is not worth its price: nine of ten would be
+	// thrown away. Where copies are of use, about one in three wins, so that a run of losses by chance seldom reaches it.
+	minWinRate = 0.1
 	// probeInterval is how often a kind whose copies do not win gets one all the same, because the cause may pass.
 	probeInterval = 30 * time.Second
 	// priorCopies is the weight of what is expected of a kind without outcomes, in copies. priorWinRate is that of a class
 	// without outcomes.
-	priorCopies  = 4
+	priorCopies  = 8
 	priorWinRate = 0.5
 	// outcomesKept is the number of outcomes at which older ones lose half of their weight.
-	outcomesKept = 32
+	outcomesKept = 64
 	// maxKinds bounds the kinds, images and classes that are remembered.
 	maxKinds = 1024
 )
--- a/core/speculation/runtimes.go
+++ b/core/speculation/runtimes.go
@@ -19,6 +19,8 @@
 	// median and spread are those after computedAt observations.
 	median, spread time.Duration
 	computedAt     int
+	// censoredSize is the size for which censored computed the estimate.
+	censoredSize int
 }
 
 // Observe adds a run time.
@@ -46,11 +48,43 @@
 	return t.median, t.spread, t.n
 }
 
+// censored returns the estimate for size tasks of which those that have not ended take longer than the ended ones.
+func (t *Times) censored(size int) (median, spread time.Duration) {
+	if t.n > keptTimes {
+		median, spread, _ = t.estimate(refreshEvery)
+		return median, spread
+	}
+	if t.computedAt != t.n || t.censoredSize != size {
+		sorted := slices.Sorted(slices.Values(t.latest))
+		median, lower := sorted[min(size/2, len(sorted)-1)], sorted[min(size/4, len(sorted)-1)]
+		// The logarithms of run times are about symmetrical, which gives the upper quartile before it has been seen.
+		upper := float64(median) * float64(median) / float64(max(lower, 1))
+		t.median, t.spread = median, time.Duration((upper-float64(lower))/2)
+		t.computedAt, t.censoredSize = t.n, size
+	}
+	return t.median, t.spread
+}
+
 // GroupTimes holds the run times of the ended tasks of a group. The zero value holds none.
 type GroupTimes struct {
 	onRack, offRack Times
 }
 
+// estimate returns the median and the spread of the tasks of a group of size tasks on or off their rack; ok is false while
+// less than half of the group has ended, because the first tasks to end are the short ones.
+func (g *GroupTimes) estimate(offRack bool, size int) (median, spread time.Duration, ok bool) {
+	t := g.of(offRack)
+	if t == nil || t.n < minGroupTimes {
+		return 0, 0, false
+	}
+	ended := g.onRack.n + g.offRack.n
+	if 2*ended <= size {
+		return 0, 0, false
+	}
+	median, spread = t.censored(t.n * max(size, ended) / ended)
+	return median, spread, true
+}
+
 // Observe adds the run time of a task that ran on or off the rack with its data.
 func (g *GroupTimes) Observe(offRack bool, took time.Duration) {
 	g.of(offRack).Observe(took)
--- a/core/speculation/speculation.go
+++ b/core/speculation/speculation.go
@@ -12,9 +12,9 @@
 
 const (
 	// spreadsAboveMedian is how many spreads above the median a run counts as overdue. For run times with a log-normal
-	// spread of 0.5 the threshold is 2.1 medians: one ordinary task in 14 exceeds it, and of those that do, every third is
-	// one of the three in a hundred that take seven times as long.
-	spreadsAboveMedian = 3
+	// spread of 0.5 the threshold is 1.7 medians. In replays (TestReplay, TestCopiesOfSlowTasks) more spreads gave fewer copies,
+	// and left more groups waiting for a slow task.
+	spreadsAboveMedian = 2
 	// minOverdueRatio and restartCost keep the threshold above the time that a new run takes, however narrow the spread:
 	// a start, its answer and a stop take up to 200 ms more than the run.
 	minOverdueRatio = 1.5
@@ -61,8 +61,9 @@
 	Worker ident.WorkerID
 	// RanFor is how long the attempt is known to have run.
 	RanFor time.Duration
-	// GroupTimes holds the run times of ended tasks of the group; nil if there are none.
+	// GroupTimes holds the run times of ended tasks of the group; nil if there are none. GroupSize is the number of its tasks.
 	GroupTimes *GroupTimes
+	GroupSize  int
 	// HasRack is set if a rack holds the data of the task, and OffRack if the attempt runs on another one.
 	HasRack, OffRack bool
 	// Eligible is false for a task that must get no copy. It still shows whether its worker is slow.
@@ -113,7 +114,7 @@
 				newRun = max(newRun, slower)
 			}
 		}
-		if r.RanFor < newRun || !isOverdue(r.RanFor, median, spread) {
+		if r.RanFor < max(newRun, threshold(median, spread)) {
 			continue
 		}
 		overdue, expected = append(overdue, i), append(expected, newRun)
@@ -142,18 +143,21 @@
 }
 
 // expect returns the median and the spread of runs of the task on or off the rack with its data; ok is false if too little
-// is known.
+// is known. If both its group and its image are known, the later threshold counts.
 func (l *Learner) expect(r Running, offRack bool) (median, spread time.Duration, ok bool) {
-	if median, spread, n := r.GroupTimes.of(offRack).estimate(1); n >= minGroupTimes {
-		return median, spread, median > 0
-	}
 	median, spread, n := l.times.Estimate(r.key(offRack))
-	return median, spread, n >= minImageTimes && median > 0
+	byImage := n >= minImageTimes && median > 0
+	groupMedian, groupSpread, byGroup := r.GroupTimes.estimate(offRack, r.GroupSize)
+	if byGroup && (!byImage || threshold(groupMedian, groupSpread) > threshold(median, spread)) {
+		median, spread = groupMedian, groupSpread
+	}
+	return median, spread, byImage || byGroup
 }
 
-func isOverdue(ranFor, median, spread time.Duration) bool {
+// threshold returns from when on a run is overdue.
+func threshold(median, spread time.Duration) time.Duration {
 	byRatio := time.Duration(minOverdueRatio*float64(median)) + restartCost
-	return ranFor >= max(median+spreadsAboveMedian*spread, byRatio)
+	return max(median+spreadsAboveMedian*spread, byRatio)
 }
 
 // overdueBy returns the time run as a multiple of the expected one.
--- a/core/speculation/speculation_test.go
+++ b/core/speculation/speculation_test.go
@@ -59,7 +59,7 @@
 func TestEndedTasksOfTheGroupGoBeforeTheImage(t *testing.T) {
 	l := learnt()
 	r := runningTask(1, 5*time.Second)
-	r.GroupTimes = &GroupTimes{}
+	r.GroupTimes, r.GroupSize = &GroupTimes{}, 9
 	for range minGroupTimes {
 		r.GroupTimes.Observe(false, 4*time.Second)
 	}
@@ -192,7 +192,7 @@
 				for i, end := range ends {
 					if end > at {
 						r := runningTask(i, at)
-						r.GroupTimes, r.Eligible = &times, copied[i] == 0
+						r.GroupTimes, r.GroupSize, r.Eligible = &times, len(ends), copied[i] == 0
 						running = append(running, r)
 					}
 				}
@@ -228,8 +228,8 @@
 	}
 	copies, won, before, after := replay(false)
 	t.Logf("independent second runs: %d copies, %d won, group %.2f s -> %.2f s", copies, won, before, after)
-	require.Less(t, after, 0.85*before)
-	require.Less(t, copies, groups*10/8, "at most one task in eight is copied")
+	require.Less(t, after, 0.75*before)
+	require.Less(t, copies, groups*10/10, "at most one task in ten is copied")
 
 	copies, won, before, after = replay(true)
 	t.Logf("equal second runs: %d copies, %d won, group %.2f s -> %.2f s", copies, won, before, after)
--- a/relay/jobs/copies_test.go
+++ b/relay/jobs/copies_test.go
@@ -157,3 +157,69 @@
 	t.Logf("%d copies", started)
 	require.Positive(t, started)
 }
+
+// runSlowTasks runs jobs of ten tasks, one each interval, on 64 cores. It returns the mean time of the jobs and the share that
+// took more than 4 s.
+func runSlowTasks(t *testing.T, command string, interval time.Duration, copies bool) (mean time.Duration, late float64, stats *jobs.Stats) {
+	const jobCount = 300
+	synctest.Test(t, func(t *testing.T) {
+		fx := newFixture(t, 16)
+		defer fx.close()
+		h := fx.hostWith(func(cfg *jobs.Config) {
+			cfg.Policy = lifecycle.DefaultPolicy()
+			cfg.Policy.SpeculativeCopies = copies
+		})
+		fx.giveCell(h)
+		time.Sleep(time.Second)
+		took := make(chan time.Duration, jobCount)
+		for range jobCount {
+			s := speculativeSpec(10)
+			s.Groups[0].Command = command
+			begun := time.Now()
+			id := h.submit(s)
+			go func() {
+				h.awaitDone(time.Minute, id)
+				took <- time.Since(begun)
+			}()
+			time.Sleep(interval)
+		}
+		for range jobCount {
+			d := <-took
+			mean += d / jobCount
+			if d > 4*time.Second {
+				late += 1.0 / jobCount
+			}
+		}
+		time.Sleep(20 * time.Second)
+		require.Empty(t, check.ExecutionsWithCopies(fx.recorder, everyTask))
+		stats = h.svc.Stats()
+	})
+	return mean, late, stats
+}
+
+// Guards against copies that do not shorten jobs with slow tasks, and against copies without end where a second run of a
+// slow task is as long as the first. Three tasks in a hundred take seven times as long, with a spread of the others; the
+// load is about half of the capacity, and more than all of it in the last case.
+func TestCopiesOfSlowTasks(t *testing.T) {
+	const command = "work=880ms;spread=0.5;slow=0.03,7"
+	report := func(name, command string, interval time.Duration, copies bool) (mean time.Duration, late float64, started int64) {
+		mean, late, stats := runSlowTasks(t, command, interval, copies)
+		t.Logf("%s, copies %t: mean %.2f s, over 4 s %.3f, %d copies, %d won, wasted %.0f s", name, copies, mean.Seconds(), late,
+			stats.CopiesStarted.Load(), stats.CopiesWon.Load(), time.Duration(stats.WastedCopyTime.Load()).Seconds())
+		return mean, late, stats.CopiesStarted.Load()
+	}
+	without, lateWithout, _ := report("new draw", command, 400*time.Millisecond, false)
+	with, lateWith, started := report("new draw", command, 400*time.Millisecond, true)
+	require.Less(t, with, without*8/10)
+	require.Less(t, lateWith, lateWithout/3)
+	require.Less(t, started, int64(300*10/10), "at most one task in ten")
+
+	without, _, _ = report("same draw", command+";slow_tasks=1", 400*time.Millisecond, false)
+	with, _, started = report("same draw", command+";slow_tasks=1", 400*time.Millisecond, true)
+	require.InDelta(t, without.Seconds(), with.Seconds(), 0.3)
+	require.Less(t, started, int64(80), "a few at first, then probes")
+
+	without, _, _ = report("overload", command, 140*time.Millisecond, false)
+	with, _, _ = report("overload", command, 140*time.Millisecond, true)
+	require.Less(t, with, without*11/10, "copies do not delay tasks that wait")
+}
