--- a/core/speculation/speculation_test.go
+++ b/core/speculation/speculation_test.go
@@ -56,7 +56,7 @@
 }
 
 // Guards against taking a group whose tasks are all long for slow because other tasks of its image are short.
-func TestEndedTasksOfTheGroupGoBeforeTheImage(t *testing.T) {
+func TestLongTasksOfAGroupAreNotSlow(t *testing.T) {
 	l := learnt()
 	r := runningTask(1, 5*time.Second)
 	r.GroupTimes, r.GroupSize = &GroupTimes{}, 9
@@ -68,6 +68,21 @@
 	require.Len(t, l.Decide(start, []Running{r}, 10), 1)
 }
 
+// Guards against taking ordinary tasks of a group for slow because its short tasks have ended first.
+func TestFirstEndsOfAGroupAreItsShortTasks(t *testing.T) {
+	l := NewLearner(nil)
+	r := runningTask(1, 2*time.Second)
+	r.GroupTimes, r.GroupSize = &GroupTimes{}, 10
+	for i := range 5 {
+		r.GroupTimes.Observe(false, time.Duration(500+100*i)*time.Millisecond)
+	}
+	require.Empty(t, l.Decide(start, []Running{r}, 10), "half of the group tells nothing of the other half")
+	r.GroupTimes.Observe(false, 1100*time.Millisecond)
+	require.Empty(t, l.Decide(start, []Running{r}, 10), "the median of the group is 1.1 s, not 0.8 s, and the threshold 2.1 s")
+	r.RanFor = 5 * time.Second
+	require.Len(t, l.Decide(start, []Running{r}, 10), 1)
+}
+
 // Guards against taking tasks off the rack with their data for slow, and against copies off that rack that take longer than
 // what is left of the first run.
 func TestTasksOffTheirRackAreLearntApart(t *testing.T) {
