--- a/core/lifecycle/attempt.go
+++ b/core/lifecycle/attempt.go
@@ -29,7 +29,7 @@
 	}
 	for _, ev := range plan.Evictions {
 		if r := c.runBookedAs(ev.Task); r != nil && r.phase == phaseActive {
-			c.evict(now, r, true, &eff)
+			c.evictForPlan(now, r, &eff)
 		}
 	}
 	for _, s := range plan.Starts {
@@ -67,7 +67,7 @@
 		return
 	}
 	w, ok := c.workers[s.Worker]
-	if !ok || !w.claimed || c.inDoubt {
+	if !ok || !w.claimed || c.inDoubt || !c.mayStartOn(w) {
 		eff.do(Release{Task: s.Task})
 		c.requeue(now, t, startRetryPause, WaitWorker, eff)
 		return
@@ -104,12 +104,12 @@
 }
 
 // ShouldSendStart reports whether a decided start must still be sent. It must not if the task has ended, the attempt
-// was given up, or a cancellation of the job was requested in the meantime.
+// was given up, or a cancellation of the job or an evacuation of the worker was requested in the meantime.
 func (c *Cell) ShouldSendStart(id ident.WorkerID, attempt AttemptID) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := c.currentRun(id, attempt)
-	return r != nil && r.phase == phaseStarting && !r.task.settled && !r.task.job.cancelling
+	return r != nil && r.phase == phaseStarting && !r.task.settled && !r.task.job.cancelling && c.mayStartOn(c.workers[id])
 }
 
 // StartAnswered applies the answer to a start.
--- a/core/lifecycle/copies.go
+++ b/core/lifecycle/copies.go
@@ -123,7 +123,7 @@
 
 // mayCopy reports whether the cell may start copies. During the recovery, another attempt of any task may still run.
 func (c *Cell) mayCopy() bool {
-	return c.policy.SpeculativeCopies && c.table != nil && !c.inDoubt && !c.recovering && c.takeoverDurable
+	return c.policy.SpeculativeCopies && c.table != nil && !c.inDoubt && !c.recovering && c.takeoverDurable && !c.startsHeld()
 }
 
 // mayCopyTask reports whether the task may get a copy now. A task with saved progress gets none, because two attempts
@@ -160,7 +160,7 @@
 	for _, s := range starts {
 		t := c.task(s.Task.Original())
 		w, ok := c.workers[s.Worker]
-		allowed := t != nil && ok && w.claimed && c.mayCopy() && c.mayCopyTask(t)
+		allowed := t != nil && ok && w.claimed && c.mayStartOn(w) && c.mayCopy() && c.mayCopyTask(t)
 		if !allowed || t.nextAttempt != s.Attempt || t.run.worker == s.Worker || w.running[t.id] != nil {
 			eff.do(Release{Task: s.Task})
 			continue
@@ -326,7 +326,7 @@
 	r := &run{
 		AttemptID: a.AttemptID, task: t, worker: w.member.ID, bookedAs: t.id.Copy(), phase: phaseActive, booked: a.Booked,
 		startedAt: now, firstSeenAt: now, incarnation: w.incarnation, maybeSentBefore: true, confirmedSeq: c.callSeq,
-		adopted: true, isCopy: a.Attempt > t.run.Attempt,
+		ready: a.Ready, adopted: true, isCopy: a.Attempt > t.run.Attempt,
 	}
 	t.copy = r
 	if !r.isCopy {
--- a/core/lifecycle/report.go
+++ b/core/lifecycle/report.go
@@ -54,6 +54,7 @@
 			stops = append(stops, a.AttemptID)
 		}
 		r.noteSeen(now)
+		r.noteReady(a.Ready)
 		c.endQuarantineIfProven(now, w, r, eff)
 		r.lastReport = c.reportSeq
 		c.resendLostThrottle(r, eff)
--- a/core/lifecycle/tick.go
+++ b/core/lifecycle/tick.go
@@ -51,6 +51,8 @@
 		}
 	}
 	c.enqueue(now, due, &eff)
+	c.advanceReturns(now, &eff)
+	c.moveFromEvacuated(now, &eff)
 	overdue := c.popDue(now)
 	slices.SortFunc(overdue, compareWorkers)
 	anySilent := false
@@ -124,6 +126,10 @@
 	if len(c.delayed) > 0 {
 		earliest(c.delayed[0].at)
 	}
+	for _, ramp := range c.returns {
+		earliest(ramp.Next())
+	}
+	earliest(c.nextMoveAt)
 	if due, ok := c.nextDeadline(); ok {
 		earliest(due)
 	}
--- a/core/placement/planner.go
+++ b/core/placement/planner.go
@@ -23,6 +23,8 @@
 	// answers.
 	Leaving  bool
 	Unlisted bool
+	// Evacuated workers get no new tasks either, but stay part of the capacity of their pool.
+	Evacuated bool
 	// Quarantined workers get only probes: a single task at a time, and only if AcceptsProbe is set.
 	Quarantined  bool
 	AcceptsProbe bool
@@ -149,7 +151,7 @@
 	RemoveWorker(id ident.WorkerID) []Running
 	// SetUnreached replaces the unreached capacity of a pool.
 	SetUnreached(u Unreached)
-	// Restore books a task that a worker's inventory shows to be running.
+	// Restore books a task that a worker's inventory shows to be running. It revokes an eviction of the same attempt.
 	Restore(r Running)
 	// Submit queues tasks. A higher attempt of a task that is still booked is queued when the booked one is released.
 	Submit(tasks []Pending)
