core/lifecycle: no NotRun verdict after a copy has run

If the first start was unanswered, its copy ran and ended, and the first start then turned out to be refused or never carried out, the task counted as never sent: only a copy that still ran at that moment was considered. A later attempt that has run now keeps the task from that verdict.

TestWorkerOfTheCopyRestarts is new and passed before.

--- a/core/lifecycle/attempt.go
+++ b/core/lifecycle/attempt.go
@@ -145,7 +145,7 @@
 			c.endRun(now, r, &eff)
 			break
 		}
-		t.maybeSent = r.maybeSentBefore || t.copy != nil
+		t.maybeSent = r.otherMaybeSent()
 		t.refusals++
 		if a.Reason == ReasonUnhealthy && !slices.Contains(t.refusedBy, id) {
 			t.refusedBy = append(t.refusedBy, id)
@@ -290,7 +290,7 @@
 	}
 	beside := t.copy != nil
 	if e.End == EndNeverStarted {
-		t.maybeSent = r.maybeSentBefore || beside
+		t.maybeSent = r.otherMaybeSent()
 	} else {
 		t.noteRan(e.Attempt)
 	}
--- a/core/lifecycle/copies.go
+++ b/core/lifecycle/copies.go
@@ -185,6 +185,12 @@
 	return eff
 }
 
+// otherMaybeSent reports whether an attempt other than r may have been sent. A copy may have run and ended before it is
+// known that r was never carried out.
+func (r *run) otherMaybeSent() bool {
+	return r.maybeSentBefore || r.task.copy != nil || r.task.lastRan > r.Attempt
+}
+
 // trackSpeculative notes that a task has a run, or has none any more.
 func (c *Cell) trackSpeculative(t *task) {
 	switch {
--- /dev/null
+++ b/core/lifecycle/copiesrecovery_test.go
@@ -0,0 +1,53 @@
+package lifecycle
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bulrushrelay/bulrushrelay/core/ident"
+	"github.com/bulrushrelay/bulrushrelay/core/verdict"
+)
+
+// Guards against a false NotRun verdict: the copy has run and ended before it is known that the first attempt never
+// started.
+func TestCopyThatRanForbidsNotRun(t *testing.T) {
+	for name, refused := range map[string]bool{"refused": true, "never started": false} {
+		for _, end := range []End{EndFailed, EndLapsed} {
+			f := newFixture(t, 7, "w1", "w2", "w3")
+			f.learn()
+			task := ident.TaskID{Job: f.submitSpeculative(1)}
+			first := f.planStart(task, "w1")
+			f.now = f.now.Add(3 * time.Second)
+			second := f.startCopy("w2")
+			f.apply(f.c.StartAnswered(f.now, "w2", second, Answer{Outcome: Applied}))
+			f.sync("w2", nil, EndedAttempt{AttemptID: second, End: end})
+			if refused {
+				f.apply(f.c.StartAnswered(f.now, "w1", first, Answer{Outcome: Refused, Reason: ReasonCapacity}))
+			} else {
+				f.apply(f.c.StartAnswered(f.now, "w1", first, Answer{}))
+				f.apply(f.c.StopAnswered(f.now, "w1", []AttemptID{first}, Answer{Outcome: Applied}, "p1",
+					[]EndedAttempt{{AttemptID: first, End: EndNeverStarted}}))
+			}
+			eff, _, err := f.c.Cancel(f.now, task.Job)
+			require.NoError(t, err)
+			f.apply(eff)
+			require.Equal(t, Cancelled, f.taskView(task.Job, 0).State)
+			require.NotEqual(t, verdict.NotRun, f.taskView(task.Job, 0).Verdict, "%s, %v", name, end)
+		}
+	}
+}
+
+// Guards against a copy that is given up, or a third attempt, when the process of its worker starts again.
+func TestWorkerOfTheCopyRestarts(t *testing.T) {
+	f, task, first, second := withCopy(t)
+	f.apply(f.c.ClaimAnswered(f.now, "w2", f.c.NextClaimSeq(), "p2", Report{Capacity: capacity, Token: "token"}))
+	require.Equal(t, 1, f.released(task.Copy()))
+	require.Empty(t, f.c.CopyCandidates(f.now.Add(time.Hour)))
+	f.sync("w1", nil, EndedAttempt{AttemptID: first, End: EndDone})
+	require.Equal(t, Done, f.taskView(task.Job, 0).State)
+	f.sync("w2", nil, EndedAttempt{AttemptID: second, End: EndLapsed})
+	require.Contains(t, f.acks("w2"), second)
+	require.Len(t, commandsOf[StartTask](f), 2)
+}
