core/lifecycle: state of a task whose first attempt is listed after its copy

After a takeover, an attempt that is listed second and has the lower number becomes the current one, but the state of the task stayed that of the other attempt. If the planner had evicted the copy meanwhile, the task was shown as being moved until its end, although its first attempt ran on. The state now follows the current attempt whenever it is replaced.

--- a/core/lifecycle/copies.go
+++ b/core/lifecycle/copies.go
@@ -217,10 +217,18 @@
 	if t.run == nil || t.state.Final() {
 		return
 	}
+	c.showCurrentRun(now, t)
+}
+
+// showCurrentRun sets the state of a task whose current attempt has been replaced by the other one.
+func (c *Cell) showCurrentRun(now time.Time, t *task) {
 	t.wait = WaitNone
-	if t.run.phase == phaseActive {
+	switch t.run.phase {
+	case phaseActive:
 		c.setState(now, t, Running)
-	} else {
+	case phaseEvicting:
+		c.setState(now, t, Evicting)
+	default:
 		c.setState(now, t, Starting)
 	}
 }
@@ -339,6 +347,7 @@
 		// The copy was listed first.
 		t.run, t.copy = r, t.run
 		t.copy.isCopy = true
+		c.showCurrentRun(now, t)
 	}
 	c.copies++
 	w.running[t.id] = r
--- a/core/lifecycle/copiesrecovery_test.go
+++ b/core/lifecycle/copiesrecovery_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
+	"github.com/bulrushrelay/bulrushrelay/core/placement"
 	"github.com/bulrushrelay/bulrushrelay/core/verdict"
 )
 
@@ -39,6 +40,22 @@
 	}
 }
 
+// Guards against a task that is shown as being moved while its first attempt runs: the copy was listed first, and was told
+// to move before the first attempt was listed.
+func TestFirstAttemptIsListedAfterTheCopyIsEvicted(t *testing.T) {
+	old, task, first, second := withCopy(t)
+	f := takeover(old, false)
+	f.claim("w2", Report{Active: []ActiveAttempt{{AttemptID: second}}})
+	f.apply(f.c.ApplyPlan(f.now, placement.Plan{Evictions: []placement.Evict{{Task: task, Attempt: second.Attempt, Worker: "w2"}}}))
+	require.Equal(t, Evicting, f.taskView(task.Job, 0).State)
+	f.claim("w1", Report{Active: []ActiveAttempt{{AttemptID: first}}})
+	f.claim("w3", Report{})
+	require.Equal(t, Running, f.taskView(task.Job, 0).State)
+	f.apply(f.c.CheckpointAnswered(f.now, "w2", second, Answer{Outcome: Applied}, EndedAttempt{AttemptID: second, End: EndEvicted}))
+	require.Equal(t, Running, f.taskView(task.Job, 0).State)
+	require.Equal(t, ident.WorkerID("w1"), f.taskView(task.Job, 0).Worker)
+}
+
 // Guards against a copy that is given up, or a third attempt, when the process of its worker starts again.
 func TestWorkerOfTheCopyRestarts(t *testing.T) {
 	f, task, first, second := withCopy(t)
