core/lifecycle: an evicted copy in the log does not end a lower attempt

During a recovery the planner may move the copy of a task before the worker of its first attempt has answered. The record of that eviction made the next owner take all lower attempts as ended: it stopped the first attempt, and queued the task, although the attempt ran. Such a record now says only that its own attempt has ended, as that of a failure does.

--- a/core/lifecycle/copies.go
+++ b/core/lifecycle/copies.go
@@ -372,10 +372,13 @@
 	t.endedAbove = nil
 }
 
-// replayEnded notes a failure of the log. In a group with copies, a lower attempt may still run.
+// replayEnded notes an end of the log. In a group with copies, a lower attempt may still run.
 func (t *task) replayEnded(attempt ident.Attempt) {
-	if !t.group.Speculative {
+	switch {
+	case !t.group.Speculative:
 		t.lastEnded = max(t.lastEnded, attempt)
+	case !t.hasEnded(attempt):
+		t.endedAbove = append(t.endedAbove, attempt)
 	}
 }
 
--- a/core/lifecycle/copiesrecovery_test.go
+++ b/core/lifecycle/copiesrecovery_test.go
@@ -56,6 +56,28 @@
 	require.Equal(t, ident.WorkerID("w1"), f.taskView(task.Job, 0).Worker)
 }
 
+// Guards against a first attempt that a second new owner stops: the first new owner had moved the copy before the worker of
+// the first attempt answered, and the log shows only that move.
+func TestEvictionOfTheCopyDoesNotEndTheFirstAttempt(t *testing.T) {
+	old, task, first, second := withCopy(t)
+	f := takeover(old, false)
+	f.log = append(old.log, f.log...)
+	f.claim("w2", Report{Active: []ActiveAttempt{{AttemptID: second}}})
+	f.apply(f.c.ApplyPlan(f.now, placement.Plan{Evictions: []placement.Evict{{Task: task, Attempt: second.Attempt, Worker: "w2"}}}))
+	f.apply(f.c.CheckpointAnswered(f.now, "w2", second, Answer{Outcome: Applied},
+		EndedAttempt{AttemptID: second, End: EndEvicted, Checkpoint: Checkpoint{ID: "c2"}}))
+	require.Contains(t, f.acks("w2"), second)
+
+	next := takeover(f, false)
+	next.claim("w2", Report{})
+	next.claim("w1", Report{Active: []ActiveAttempt{{AttemptID: first}}})
+	next.claim("w3", Report{})
+	require.Empty(t, commandsOf[StopTasks](next))
+	require.Equal(t, ident.WorkerID("w1"), next.taskView(task.Job, 0).Worker)
+	require.Equal(t, 1, next.c.task(task).evictions)
+	require.True(t, next.c.task(task).hasEnded(second.Attempt))
+}
+
 // Guards against a copy that is given up, or a third attempt, when the process of its worker starts again.
 func TestWorkerOfTheCopyRestarts(t *testing.T) {
 	f, task, first, second := withCopy(t)
--- a/core/lifecycle/restore.go
+++ b/core/lifecycle/restore.go
@@ -98,10 +98,10 @@
 		c.replayAttempt(r.AttemptID, func(t *task) { c.replayFailure(t, r) })
 	case TaskEvicted:
 		c.replayAttempt(r.AttemptID, func(t *task) {
-			if t.lastEnded >= r.Attempt {
+			if t.hasEnded(r.Attempt) {
 				return
 			}
-			t.lastEnded = r.Attempt
+			t.replayEnded(r.Attempt)
 			t.checkpoint = r.Checkpoint
 			if r.Preempted {
 				t.evictions++
