core/lifecycle: tests of takeovers with one attempt out of sight

The worker of one of two attempts is silent until its leases lapse, or the worker of the copy does not list all of its ends when it is claimed.

--- a/core/lifecycle/copiesrecovery_test.go
+++ b/core/lifecycle/copiesrecovery_test.go
@@ -90,3 +90,58 @@
 	require.Contains(t, f.acks("w2"), second)
 	require.Len(t, commandsOf[StartTask](f), 2)
 }
+
+// Guards against a third attempt, and a success that is never acknowledged, if the worker of one of the two attempts does
+// not answer the next owner before its leases have lapsed.
+func TestTakeoverWithOneAttemptOnASilentWorker(t *testing.T) {
+	for _, clean := range []bool{false, true} {
+		old, task, first, second := withCopy(t)
+		f := takeover(old, clean)
+		f.c.CallFailed("w1")
+		f.claim("w2", Report{Active: []ActiveAttempt{{AttemptID: second}}})
+		f.claim("w3", Report{})
+		f.sync("w2", []AttemptID{second})
+		f.tickUntil(f.now.Add(f.c.policy.lapseAfter() / 2))
+		require.True(t, f.c.Recovering())
+		require.Empty(t, f.c.CopyCandidates(f.now), "the first attempt may run")
+		done := EndedAttempt{AttemptID: second, End: EndDone}
+		f.sync("w2", nil, done)
+		require.Equal(t, Done, f.taskView(task.Job, 0).State)
+		f.sync("w2", nil, done)
+		require.Empty(t, f.acks("w2"), "a start may be on its way to w1")
+		f.tickUntil(f.now.Add(f.c.policy.lapseAfter()))
+		require.False(t, f.c.Recovering())
+		f.sync("w2", nil, done)
+		require.Equal(t, []AttemptID{second}, f.acks("w2"))
+
+		f.claim("w1", Report{Active: []ActiveAttempt{{AttemptID: first}}})
+		require.True(t, f.stopped(first))
+		f.sync("w1", nil, EndedAttempt{AttemptID: first, End: EndStopped})
+		require.Equal(t, []AttemptID{first}, f.acks("w1"))
+		require.Empty(t, commandsOf[StartTask](f))
+	}
+}
+
+// Guards against a copy that is stopped, or a task that starts again, because the worker of the copy has not listed all ends
+// when it is claimed.
+func TestTakeoverWithTheCopyInAPartialReport(t *testing.T) {
+	for _, clean := range []bool{false, true} {
+		old, task, first, second := withCopy(t)
+		f := takeover(old, clean)
+		f.takeEnqueued()
+		f.claim("w1", Report{Ended: []EndedAttempt{{AttemptID: first, End: EndLapsed}}})
+		f.claim("w3", Report{})
+		f.claim("w2", Report{Active: []ActiveAttempt{{AttemptID: second}}, Partial: true})
+		require.True(t, f.c.Recovering())
+		require.Empty(t, f.takeEnqueued())
+		other := AttemptID{Task: ident.TaskID{Job: ident.JobID{Cell: 1, Epoch: 3, Seq: 1}}, Attempt: 1}
+		f.syncPartial("w2", []ActiveAttempt{{AttemptID: second}}, EndedAttempt{AttemptID: other, End: EndDone})
+		require.Empty(t, commandsOf[StopTasks](f))
+		require.Empty(t, f.c.CopyCandidates(f.now.Add(time.Hour)))
+		f.sync("w2", nil, EndedAttempt{AttemptID: second, End: EndFailed})
+		require.False(t, f.c.Recovering())
+		f.tickUntil(f.now.Add(1500 * time.Millisecond))
+		require.Equal(t, []ident.TaskID{task}, f.takeEnqueued(), "once")
+		require.Greater(t, f.planStart(task, "w3").Attempt, second.Attempt)
+	}
+}
