--- a/relay/jobs/eventlist.go
+++ b/relay/jobs/eventlist.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 )
 
@@ -117,6 +118,11 @@
 
 // EventKinds returns the descriptions of all kinds of events.
 func EventKinds() []EventKind {
+	return slices.Concat(workEventKinds(), ownerEventKinds())
+}
+
+// workEventKinds describes the events about jobs, their tasks and their attempts.
+func workEventKinds() []EventKind {
 	return []EventKind{
 		{EventCallRefused, "the host that took the call answered it without executing it", []FieldName{
 			FieldJob, FieldMethod, FieldPath, FieldStatus, FieldReason, FieldTable,
@@ -160,6 +166,12 @@
 		{EventCopyStopped, "a copy ended without completing its task", []FieldName{
 			FieldCell, FieldEpoch, FieldTask, FieldAttempt, FieldWorker, FieldReason, FieldRanMs,
 		}},
+	}
+}
+
+// ownerEventKinds describes the events about workers, owners and hosts.
+func ownerEventKinds() []EventKind {
+	return []EventKind{
 		{EventWorkerClaimed, "a worker accepts commands from this owner only", []FieldName{
 			FieldCell, FieldEpoch, FieldWorker, FieldLife, FieldRunning, FieldEnded,
 		}},
