--- a/cmd/relayd/platform.go
+++ b/cmd/relayd/platform.go
@@ -32,9 +32,10 @@
 // exitSettings.
 func platformCommand(code *int) *cli.Command {
 	var (
-		path     string
-		cells    int
-		noCopies bool
+		path        string
+		cells       int
+		noCopies    bool
+		noLookAhead bool
 	)
 	return &cli.Command{
 		Name:  "platform",
@@ -52,6 +53,10 @@
 				Name: "no-speculative-copies", Usage: "start no second attempts of overdue tasks, also in groups that allow them",
 				Destination: &noCopies, Sources: cli.EnvVars(daemon.EnvName("no-speculative-copies")),
 			},
+			&cli.BoolFlag{
+				Name: daemon.NoLookAheadFlag, Usage: daemon.NoLookAheadUsage,
+				Destination: &noLookAhead, Sources: cli.EnvVars(daemon.EnvName(daemon.NoLookAheadFlag)),
+			},
 		},
 		Action: func(ctx context.Context, _ *cli.Command) error {
 			s, err := platform.ReadSettings(path)
@@ -61,6 +66,7 @@
 			}
 			settings := jobSettings(s, cells)
 			settings.NoSpeculativeCopies = noCopies
+			settings.NoLookAhead = noLookAhead
 			return runPlatform(ctx, path, s, settings)
 		},
 	}
--- a/daemon/jobsettings.go
+++ b/daemon/jobsettings.go
@@ -50,6 +50,8 @@
 	MilliCPU int64
 	// NoSpeculativeCopies turns off second attempts of overdue tasks.
 	NoSpeculativeCopies bool
+	// NoLookAhead turns look-ahead placement off; see placement.Options.
+	NoLookAhead bool
 }
 
 // WorkerPort performs the calls to workers, and asks them whether they answer.
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -68,6 +68,8 @@
 	MilliCPU int
 	// NoSpeculativeCopies turns off second attempts of overdue tasks.
 	NoSpeculativeCopies bool
+	// NoLookAhead turns look-ahead placement off; see placement.Options.
+	NoLookAhead bool
 }
 
 // AdvertisedAddress returns the address at which other hosts reach this one.
--- a/relay/jobs/eventlist.go
+++ b/relay/jobs/eventlist.go
@@ -105,6 +105,8 @@
 	FieldRevision    FieldName = "revision"
 	FieldAgeMs       FieldName = "age_ms"
 	FieldRanMs       FieldName = "ran_ms"
+
+	FieldRoomExpectedMs FieldName = "room_expected_ms"
 )
 
 // EventKind describes a kind of event.
@@ -155,7 +157,7 @@
 		}},
 		{EventTaskWaits, "a task has waited for more than 3 s; again for each other reason, and when its wait has doubled", []FieldName{
 			FieldCell, FieldEpoch, FieldTask, FieldClass, FieldWaitedMs, FieldReason, FieldRoom, FieldRuledOut,
-			FieldJobRunning, FieldPoolUse,
+			FieldJobRunning, FieldPoolUse, FieldRoomExpectedMs,
 		}},
 		{EventCopyStarted, "a second attempt of a running task was placed on a worker, because the first one is overdue; ran_ms is that of the first", []FieldName{
 			FieldCell, FieldEpoch, FieldTask, FieldAttempt, FieldWorker, FieldReason, FieldRanMs,
@@ -268,6 +270,8 @@
 	FieldAgeMs:       "milliseconds since this host first read the request",
 	FieldRanMs:       "milliseconds for which the attempt is known to have run",
 	FieldPoolUse:     "booked share of the pool, workers that take no tasks included, in percent",
+
+	FieldRoomExpectedMs: "time until a worker is expected to have room for the task, by learnt run times; absent without a forecast",
 }
 
 // EventReference returns the reference of all events and fields as Markdown.
