--- a/cmd/relayd/platform.go
+++ b/cmd/relayd/platform.go
@@ -34,6 +34,7 @@
 	var (
 		path        string
 		cells       int
+		noCopies    bool
 		noLookAhead bool
 	)
 	return &cli.Command{
@@ -48,6 +49,10 @@
 				Name: "cells", Usage: "cells of the deployment, the same on every host; 0 means one for each region",
 				Destination: &cells,
 			},
+			&cli.BoolFlag{
+				Name: "no-speculative-copies", Usage: "start no second attempts of overdue tasks, also in groups that allow them",
+				Destination: &noCopies, Sources: cli.EnvVars(daemon.EnvName("no-speculative-copies")),
+			},
 			&cli.BoolFlag{
 				Name: daemon.NoLookAheadFlag, Usage: daemon.NoLookAheadUsage,
 				Destination: &noLookAhead, Sources: cli.EnvVars(daemon.EnvName(daemon.NoLookAheadFlag)),
@@ -60,6 +65,7 @@
 				return err
 			}
 			settings := jobSettings(s, cells)
+			settings.NoSpeculativeCopies = noCopies
 			settings.NoLookAhead = noLookAhead
 			return runPlatform(ctx, path, s, settings)
 		},
--- a/core/lifecycle/disruption.go
+++ b/core/lifecycle/disruption.go
@@ -24,11 +24,11 @@
 	return t.run != nil && t.run.phase == phaseActive && t.run.ready
 }
 
-// noteReady applies what a report says of the readiness of the current attempt.
-func (t *task) noteReady(ready bool) {
-	t.run.ready = ready
-	if t.available() {
-		t.moving = false
+// noteReady applies what a report says of the readiness of the attempt.
+func (r *run) noteReady(ready bool) {
+	r.ready = ready
+	if r.task.available() {
+		r.task.moving = false
 	}
 }
 
@@ -55,14 +55,14 @@
 	return group.Allows(t.available())
 }
 
-// evictForPlan evicts a task for the planner. If its disruption budget forbids that, the planner is told that the task
-// runs on.
-func (c *Cell) evictForPlan(now time.Time, t *task, eff *Effects) {
-	if t.mayDisrupt() {
-		c.evict(now, t, true, eff)
+// evictForPlan evicts an attempt for the planner. If the disruption budget of its task forbids that, the planner is told
+// that the attempt runs on.
+func (c *Cell) evictForPlan(now time.Time, r *run, eff *Effects) {
+	if r.task.mayDisrupt() {
+		c.evict(now, r, true, eff)
 		return
 	}
-	eff.do(Restore{Running: c.runningOf(t)})
+	eff.do(Restore{Running: c.runningOf(r)})
 }
 
 // SetLogFailing says whether the store does not accept records. A task that saves its progress starts again only after the
@@ -82,22 +82,23 @@
 	if c.inDoubt || c.startsHeld() || c.logFailing {
 		return
 	}
-	r := c.newRoom()
+	free := c.newRoom()
 	moves := 0
 	for _, w := range c.workersFrom(c.lastMovedFrom) {
 		if !w.evacuated || w.member.Leaving || !w.claimed {
 			continue
 		}
-		for _, t := range w.sortedTasks() {
-			if moves == maxMoves || r.searches == maxMoveSearches {
+		for _, r := range w.sortedRuns() {
+			if moves == maxMoves || free.searches == maxMoveSearches {
 				c.lastMovedFrom = w.member.ID
 				return
 			}
-			if t.run.phase != phaseActive || t.job.cancelling || c.mustHold(t) || t.whyStays(r) != evacuation.Moves {
+			t := r.task
+			if r.phase != phaseActive || t.job.cancelling || c.mustHold(t) || t.whyStays(free) != evacuation.Moves {
 				continue
 			}
 			t.moving = true
-			c.evict(now, t, false, eff)
+			c.evict(now, r, false, eff)
 			moves++
 		}
 	}
@@ -167,8 +168,8 @@
 // unbooked returns what the attempts on the worker leave of its capacity.
 func (w *worker) unbooked() resource.Vector {
 	free := w.capacity
-	for _, t := range w.running {
-		free = free.Sub(t.run.booked)
+	for _, r := range w.running {
+		free = free.Sub(r.booked)
 	}
 	return free
 }
@@ -180,7 +181,7 @@
 		return true
 	}
 	for _, other := range w.running {
-		if other.group == t.group {
+		if other.task.group == t.group {
 			limit--
 		}
 	}
--- a/core/lifecycle/evacuation.go
+++ b/core/lifecycle/evacuation.go
@@ -90,10 +90,10 @@
 
 // abandonWaitingStarts ends the attempts on a worker whose start waits for its log record.
 func (c *Cell) abandonWaitingStarts(now time.Time, w *worker, eff *Effects) {
-	for _, t := range w.sortedTasks() {
-		if t.run.phase == phaseLogging {
-			c.endRun(now, t, eff)
-			c.requeue(now, t, 0, WaitNone, eff)
+	for _, r := range w.sortedRuns() {
+		if r.phase == phaseLogging {
+			c.endRun(now, r, eff)
+			c.requeue(now, r.task, 0, WaitNone, eff)
 		}
 	}
 }
--- a/core/lifecycle/evacuationview.go
+++ b/core/lifecycle/evacuationview.go
@@ -36,8 +36,8 @@
 			centres = append(centres, EvacuatedCentre{DataCentre: w.member.DataCentre})
 		}
 		centres[i].Workers++
-		for _, t := range w.running {
-			centres[i].Stays[t.whyStays(room)]++
+		for _, r := range w.running {
+			centres[i].Stays[r.task.whyStays(room)]++
 		}
 	}
 	slices.SortFunc(centres, func(a, b EvacuatedCentre) int { return strings.Compare(string(a.DataCentre), string(b.DataCentre)) })
--- a/relay/jobs/eventlist.go
+++ b/relay/jobs/eventlist.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 )
 
@@ -22,6 +23,9 @@
 	EventTaskStopped        EventName = "task_stopped"
 	EventTaskSlowed         EventName = "task_slowed"
 	EventTaskWaits          EventName = "task_waits"
+	EventCopyStarted        EventName = "copy_started"
+	EventCopyWon            EventName = "copy_won"
+	EventCopyStopped        EventName = "copy_stopped"
 	EventWorkerClaimed      EventName = "worker_claimed"
 	EventWorkerLost         EventName = "worker_lost"
 	EventQuarantined        EventName = "worker_quarantined"
@@ -100,6 +104,7 @@
 	FieldDataCentre  FieldName = "data_centre"
 	FieldRevision    FieldName = "revision"
 	FieldAgeMs       FieldName = "age_ms"
+	FieldRanMs       FieldName = "ran_ms"
 
 	FieldRoomExpectedMs FieldName = "room_expected_ms"
 )
@@ -115,6 +120,11 @@
 
 // EventKinds returns the descriptions of all kinds of events.
 func EventKinds() []EventKind {
+	return slices.Concat(workEventKinds(), ownerEventKinds())
+}
+
+// workEventKinds describes the events about jobs, their tasks and their attempts.
+func workEventKinds() []EventKind {
 	return []EventKind{
 		{EventCallRefused, "the host that took the call answered it without executing it", []FieldName{
 			FieldJob, FieldMethod, FieldPath, FieldStatus, FieldReason, FieldTable,
@@ -149,6 +159,21 @@
 			FieldCell, FieldEpoch, FieldTask, FieldClass, FieldWaitedMs, FieldReason, FieldRoom, FieldRuledOut,
 			FieldJobRunning, FieldPoolUse, FieldRoomExpectedMs,
 		}},
+		{EventCopyStarted, "a second attempt of a running task was placed on a worker, because the first one is overdue; ran_ms is that of the first", []FieldName{
+			FieldCell, FieldEpoch, FieldTask, FieldAttempt, FieldWorker, FieldReason, FieldRanMs,
+		}},
+		{EventCopyWon, "a copy completed its task before the first attempt", []FieldName{
+			FieldCell, FieldEpoch, FieldTask, FieldAttempt, FieldWorker, FieldRanMs,
+		}},
+		{EventCopyStopped, "a copy ended without completing its task", []FieldName{
+			FieldCell, FieldEpoch, FieldTask, FieldAttempt, FieldWorker, FieldReason, FieldRanMs,
+		}},
+	}
+}
+
+// ownerEventKinds describes the events about workers, owners and hosts.
+func ownerEventKinds() []EventKind {
+	return []EventKind{
 		{EventWorkerClaimed, "a worker accepts commands from this owner only", []FieldName{
 			FieldCell, FieldEpoch, FieldWorker, FieldLife, FieldRunning, FieldEnded,
 		}},
@@ -243,6 +268,7 @@
 	FieldDataCentre:  "data centre that the request names",
 	FieldRevision:    "store revision of the request",
 	FieldAgeMs:       "milliseconds since this host first read the request",
+	FieldRanMs:       "milliseconds for which the attempt is known to have run",
 	FieldPoolUse:     "booked share of the pool, workers that take no tasks included, in percent",
 
 	FieldRoomExpectedMs: "time until a worker is expected to have room for the task, by learnt run times; absent without a forecast",
