core/lifecycle: end acknowledged jobs that cannot run, and keep finished jobs that the inbox may name

A job that was acknowledged without its owner may turn out to lack its class or to fit no worker. JobAccepted.Refused accepts it and ends it as failed in one record, with the verdict not-run. Retention keeps a finished job with a caller's number as long as an entry of the inbox may still name it, because the job would run again.

--- a/adapter/cellpb/codec_test.go
+++ b/adapter/cellpb/codec_test.go
@@ -34,6 +34,7 @@
 func TestRecordsRoundTrip(t *testing.T) {
 	want := []lifecycle.Record{
 		lifecycle.JobAccepted{Job: job, Spec: spec, At: at},
+		lifecycle.JobAccepted{Job: job, Spec: spec, At: at, Refused: "too large"},
 		lifecycle.JobCancelled{Job: job, At: at, MaybeSent: []uint32{0, 2}},
 		lifecycle.TaskDone{AttemptID: attempt, At: at},
 		lifecycle.TaskFailed{AttemptID: attempt, Worker: "w", Message: "m", Final: true, At: at},
--- a/adapter/cellpb/records.go
+++ b/adapter/cellpb/records.go
@@ -18,7 +18,7 @@
 	switch r := record.(type) {
 	case lifecycle.JobAccepted:
 		out.Kind = &cellv1.Record_JobAccepted{JobAccepted: &cellv1.JobAccepted{
-			Job: encodeJobID(r.Job), Spec: encodeSpec(r.Spec), AtUnixMs: encodeTime(r.At),
+			Job: encodeJobID(r.Job), Spec: encodeSpec(r.Spec), AtUnixMs: encodeTime(r.At), Refused: r.Refused,
 		}}
 	case lifecycle.JobCancelled:
 		out.Kind = &cellv1.Record_JobCancelled{JobCancelled: &cellv1.JobCancelled{
@@ -60,7 +60,9 @@
 	switch k := record.GetKind().(type) {
 	case *cellv1.Record_JobAccepted:
 		r := k.JobAccepted
-		return lifecycle.JobAccepted{Job: decodeJobID(r.GetJob()), Spec: decodeSpec(r.GetSpec()), At: decodeTime(r.GetAtUnixMs())}, nil
+		return lifecycle.JobAccepted{
+			Job: decodeJobID(r.GetJob()), Spec: decodeSpec(r.GetSpec()), At: decodeTime(r.GetAtUnixMs()), Refused: r.GetRefused(),
+		}, nil
 	case *cellv1.Record_JobCancelled:
 		r := k.JobCancelled
 		return lifecycle.JobCancelled{Job: decodeJobID(r.GetJob()), At: decodeTime(r.GetAtUnixMs()), MaybeSent: r.GetMaySent()}, nil
--- a/core/lifecycle/cell.go
+++ b/core/lifecycle/cell.go
@@ -49,6 +49,8 @@
 	loggedWorkers map[ident.WorkerID]string
 	// hostListKnown is set once SetMembers has been called. Before that, a worker that is not listed may belong to the cell.
 	hostListKnown bool
+	// retention limits which finished jobs are forgotten.
+	retention Retention
 	// newestLogTime is the latest time that the restored log and snapshot state.
 	newestLogTime time.Time
 	// heldTasks holds the tasks that may still run on a worker that has not answered since the takeover, and all tasks
@@ -152,7 +154,7 @@
 	id := ident.CallerAssignedJobID(c.id, spec.ClientNumber)
 	spec.ClientToken = spec.idempotencyToken(c.id)
 	if earlier, used := c.tokens[spec.ClientToken]; used && spec.ClientToken != "" {
-		if !sameWork(earlier.spec, spec) {
+		if !SameWork(earlier.spec, spec) {
 			return ident.JobID{}, Effects{}, verdict.New(verdict.NotRun, verdict.CodeConflict,
 				"client token %q was used for job %s with another specification", spec.ClientToken, earlier.job)
 		}
@@ -194,8 +196,8 @@
 	return known && token != ""
 }
 
-// sameWork compares two submissions without the fields that come from the table, which may change between them.
-func sameWork(a, b JobSpec) bool {
+// SameWork compares two submissions without the fields that come from the table, which may change between them.
+func SameWork(a, b JobSpec) bool {
 	return a.Name == b.Name && a.Class == b.Class && a.Pool == b.Pool && a.FailFast == b.FailFast &&
 		slices.EqualFunc(a.Groups, b.Groups, TaskGroup.equal)
 }
--- a/core/lifecycle/record.go
+++ b/core/lifecycle/record.go
@@ -18,6 +18,8 @@
 		Job  ident.JobID
 		Spec JobSpec
 		At   time.Time
+		// Refused says why the job cannot run; empty if it can. A refused job ends as failed at once.
+		Refused string
 	}
 	// JobCancelled ends the tasks of a job that are not final.
 	JobCancelled struct {
--- a/core/lifecycle/restore.go
+++ b/core/lifecycle/restore.go
@@ -73,7 +73,10 @@
 	switch r := record.(type) {
 	case JobAccepted:
 		if _, ok := c.jobs[r.Job]; !ok {
-			c.insertJob(r.Job, r.Spec, r.At)
+			j := c.insertJob(r.Job, r.Spec, r.At)
+			if r.Refused != "" {
+				c.failUnstarted(r.At, j, r.Refused)
+			}
 		}
 	case JobCancelled:
 		if j, ok := c.jobs[r.Job]; ok {
--- a/core/lifecycle/view.go
+++ b/core/lifecycle/view.go
@@ -209,6 +209,8 @@
 
 func (t *task) verdict() verdict.Verdict {
 	switch {
+	case t.state == Failed && !t.maybeSent:
+		return verdict.NotRun
 	case t.state == Done || t.state == Failed:
 		return verdict.Ran
 	case t.state == Cancelled && !t.maybeSent:
@@ -264,7 +266,7 @@
 	before := len(c.jobs)
 	for i, j := range finished {
 		old := len(finished)-i > maxFinishedJobs || now.Sub(j.keptSince) > FinishedRetention
-		if !old || j.hasRunningAttempts() {
+		if !old || j.hasRunningAttempts() || c.retention.keeps(j) {
 			continue
 		}
 		delete(c.jobs, j.id)
