relay/jobs: Retry-After grows with the age of the cause

Each refusal of a job named a constant of its own: 1 s, 2 s, or the 1.5 to 4.5 s for which a submission waits for the store. All of them now come from core/retry, by what is missing and for how long: an owner, the store, or room in the queue of records. Answers whose outcome is unknown carry one too. A submission that repeats an accepted one is no longer refused because the queue of records is full.

job_retries_advised_total counts them by cause. Tests of relay/jobs and core/retry pass.

--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -17,8 +17,24 @@
 	StoreUnavailable
 	// CellFull means that the cell takes no further jobs until some of its work is done.
 	CellFull
+	// Causes is the number of causes.
+	Causes
 )
 
+// String returns the name of the cause in metrics.
+func (c Cause) String() string {
+	switch c {
+	case OwnerMissing:
+		return "owner_missing"
+	case StoreUnavailable:
+		return "store_unavailable"
+	case CellFull:
+		return "cell_full"
+	default:
+		return "unknown"
+	}
+}
+
 const (
 	// MinDelay and MaxDelay bound every delay. The wire carries whole seconds.
 	MinDelay = time.Second
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/bulrushrelay/bulrushrelay/adapter/telemetry"
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/ownership"
+	"github.com/bulrushrelay/bulrushrelay/core/retry"
 	"github.com/bulrushrelay/bulrushrelay/internal/contain"
 	"github.com/bulrushrelay/bulrushrelay/relay/cluster"
 	"github.com/bulrushrelay/bulrushrelay/relay/jobs"
@@ -77,6 +78,9 @@
 	raiseCounter(m, "cell_log_records_total", s.Records.Load())
 	raiseCounter(m, "cells_replaced_total", s.ReplacedOwners.Load())
 	raiseCounter(m, "cells_table_wait_ms_total", time.Duration(s.TableWait.Load()).Milliseconds())
+	for cause := range retry.Causes {
+		raiseCounter(m, "job_retries_advised_total", s.Refusals(cause), telemetry.Label{Name: "cause", Value: cause.String()})
+	}
 }
 
 func exportOwnerLoad(m *telemetry.Registry, l jobs.Load) {
--- a/relay/jobs/api.go
+++ b/relay/jobs/api.go
@@ -8,13 +8,14 @@
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
 	"github.com/bulrushrelay/bulrushrelay/core/ownership"
+	"github.com/bulrushrelay/bulrushrelay/core/retry"
 	"github.com/bulrushrelay/bulrushrelay/core/verdict"
 )
 
 // Submit accepts a job in a cell and returns its id once the job is durable. An error with verdict NotRun proves that
 // the job does not exist; after MayHaveRun the caller can safely repeat the call with the same client token.
 func (s *Service) Submit(ctx context.Context, cell ident.CellID, spec lifecycle.JobSpec) (ident.JobID, error) {
-	o, err := s.ownerForSubmission(cell)
+	o, err := s.ownerForSubmission(cell, spec.Class)
 	if err != nil {
 		s.stats.RefusedJobs.Add(1)
 		return ident.JobID{}, err
@@ -38,21 +39,18 @@
 	return id, err
 }
 
-func (s *Service) ownerForSubmission(cell ident.CellID) (*owner, error) {
+func (s *Service) ownerForSubmission(cell ident.CellID, class ident.ClassName) (*owner, error) {
 	o, ok := s.owners.Get(cell)
 	if !ok || o.stopped.Load() {
 		return nil, errNotOwned(cell)
 	}
 	if o.draining.Load() {
-		return nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "cell %d is being handed over", cell).WithRetryAfter(time.Second)
+		return nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "cell %d is being handed over", cell).
+			WithRetryAfter(s.retryAfter(retry.OwnerMissing, 0, class))
 	}
 	if o.authority() == ownership.None {
 		return nil, errNotOwned(cell)
 	}
-	if o.log.queueFull() {
-		return nil, verdict.New(verdict.NotRun, verdict.CodeLimited, "too many records of cell %d are queued for the store", cell).
-			WithRetryAfter(s.cfg.DurableWait)
-	}
 	return o, nil
 }
 
@@ -62,6 +60,10 @@
 		rec *pendingRecord
 		err error
 	)
+	if o.log.queueFull() && !o.cell.IsRepeat(spec) {
+		return id, verdict.New(verdict.NotRun, verdict.CodeLimited, "too many records of cell %d are queued for the store", o.cellID).
+			WithRetryAfter(o.retryAfter(retry.CellFull, o.log.failingFor(), spec.Class))
+	}
 	storeFailingFor := o.log.failingFor()
 	ok := o.call(ctx, func() { id, rec, err = o.queueSubmission(spec, storeFailingFor) })
 	if !ok {
@@ -75,13 +77,14 @@
 	}
 	if o.withdraw(id, spec, rec) {
 		return ident.JobID{}, verdict.New(verdict.NotRun, verdict.CodeDeadline,
-			"the job could not be made durable: the store does not answer").WithRetryAfter(o.cfg.DurableWait)
+			"the job could not be made durable: the store does not answer").WithRetryAfter(o.retryAfterStore(spec.Class))
 	}
 	if isDurable(rec) {
 		return id, nil
 	}
 	return id, verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable,
-		"job %s may have been accepted: the store did not answer; a repeat with the same client token is safe", id)
+		"job %s may have been accepted: the store did not answer; a repeat with the same client token is safe", id).
+		WithRetryAfter(o.retryAfterStore(spec.Class))
 }
 
 // queueSubmission returns the record for which a submission waits: a new one, or that of an earlier attempt with the
@@ -92,7 +95,8 @@
 			// A new record would only wait behind those that the store does not accept. Refusing at once lets the caller
 			// try another cell or come back later.
 			return ident.JobID{}, nil, verdict.New(verdict.NotRun, verdict.CodeLimited,
-				"the store has not answered for %s", storeFailingFor.Round(time.Millisecond)).WithRetryAfter(stalledStoreRetryAfter)
+				"the store has not answered for %s", storeFailingFor.Round(time.Millisecond)).
+				WithRetryAfter(o.retryAfter(retry.StoreUnavailable, storeFailingFor, spec.Class))
 		}
 		id, eff, err := o.cell.Accept(o.now(), spec)
 		if err != nil {
@@ -128,10 +132,6 @@
 	return err
 }
 
-// stalledStoreRetryAfter is the delay after which a caller should repeat a job that was refused because the store
-// does not answer. It is about the time in which a successor takes the cell over.
-const stalledStoreRetryAfter = 2 * time.Second
-
 // awaitDurable waits until the record is durable. It returns false after Config.DurableWait, or when the caller's or
 // the owner's context ends first.
 func (o *owner) awaitDurable(ctx context.Context, rec *pendingRecord) bool {
@@ -209,7 +209,7 @@
 		return err
 	}
 	return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "the owner of cell %d may have a successor that knows more jobs", o.cellID).
-		WithRetryAfter(time.Second)
+		WithRetryAfter(o.retryAfter(retry.OwnerMissing, 0, ""))
 }
 
 // errSubmissionPending returns the error for a cancellation whose job is still being submitted: the job may yet be
--- a/relay/jobs/owner.go
+++ b/relay/jobs/owner.go
@@ -12,6 +12,7 @@
 	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
 	"github.com/bulrushrelay/bulrushrelay/core/ownership"
 	"github.com/bulrushrelay/bulrushrelay/core/placement"
+	"github.com/bulrushrelay/bulrushrelay/core/retry"
 	"github.com/bulrushrelay/bulrushrelay/core/store"
 	"github.com/bulrushrelay/bulrushrelay/core/table"
 )
@@ -57,6 +58,9 @@
 	// answerTimes are the times that workers take to answer starts and claims.
 	answerTimes movingAverage
 
+	// retryAfter returns when a caller should repeat a refused call.
+	retryAfter func(cause retry.Cause, lasted time.Duration, class ident.ClassName) time.Duration
+
 	// queuedEvents counts the events in the mailboxes, queuedCalls the calls in the outboxes, and syncsInProgress the
 	// syncs in progress. late says whether the owner has fallen behind.
 	queuedEvents, queuedCalls, syncsInProgress atomic.Int64
--- a/relay/jobs/router.go
+++ b/relay/jobs/router.go
@@ -9,6 +9,7 @@
 
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
+	"github.com/bulrushrelay/bulrushrelay/core/retry"
 	"github.com/bulrushrelay/bulrushrelay/core/verdict"
 	"github.com/bulrushrelay/bulrushrelay/internal/sleep"
 )
@@ -50,6 +51,8 @@
 	peer      Peer
 	// submitTimeout is how long a submission waits for an owner that accepts it.
 	submitTimeout time.Duration
+
+	outages outages
 }
 
 // NewRouter returns a router for calls that arrive at this host. local may be nil if this host owns no cells.
@@ -65,8 +68,9 @@
 func (r *Router) owner(cell ident.CellID) (address string, local bool, err error) {
 	address, local, ok := r.directory.Owner(cell)
 	if !ok {
-		return "", false, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "cell %d has no owner at present", cell).
-			WithRetryAfter(time.Second)
+		r.outages.note(cell, false)
+		err := verdict.New(verdict.NotRun, verdict.CodeUnavailable, "cell %d has no owner at present", cell)
+		return "", false, r.withRetryAfter(cell, lifecycle.JobSpec{}, err)
 	}
 	return address, local, nil
 }
@@ -94,7 +98,8 @@
 		return err
 	}
 	return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeUnavailable,
-		"job number %x: an earlier submission may have been accepted", spec.ClientNumber)
+		"job number %x: an earlier submission may have been accepted", spec.ClientNumber).
+		WithRetryAfter(verdict.FromError(err).RetryAfter)
 }
 
 // isUnavailable reports whether a job was certainly not accepted by a cell that may be able to accept it soon.
@@ -107,7 +112,7 @@
 func (r *Router) tryCells(ctx, waitCtx context.Context, spec lifecycle.JobSpec) (ident.JobID, error) {
 	cells := r.directory.Cells()
 	if len(cells) == 0 {
-		return ident.JobID{}, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "no cell is known yet").WithRetryAfter(time.Second)
+		return ident.JobID{}, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "no cell is known yet").WithRetryAfter(retry.MinDelay)
 	}
 	switch {
 	case spec.ClientNumber != 0:
@@ -194,10 +199,16 @@
 	if err != nil {
 		return ident.JobID{}, err
 	}
+	var id ident.JobID
 	if local {
-		return r.local.Submit(ctx, cell, spec)
+		id, err = r.local.Submit(ctx, cell, spec)
+	} else {
+		id, err = r.peer.Submit(ctx, address, cell, spec)
+	}
+	if err == nil {
+		r.outages.note(cell, true)
 	}
-	return r.peer.Submit(ctx, address, cell, spec)
+	return id, err
 }
 
 // Get returns a job with at most limit of its tasks, starting at index from.
--- a/relay/jobs/service.go
+++ b/relay/jobs/service.go
@@ -11,6 +11,7 @@
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
 	"github.com/bulrushrelay/bulrushrelay/core/ownership"
+	"github.com/bulrushrelay/bulrushrelay/core/retry"
 	"github.com/bulrushrelay/bulrushrelay/core/shard"
 	"github.com/bulrushrelay/bulrushrelay/core/table"
 	"github.com/bulrushrelay/bulrushrelay/core/verdict"
@@ -71,6 +72,8 @@
 	PlannedStarts, StartedTasks, RefusedStarts, UnknownStarts atomic.Int64
 	AcceptedJobs, RefusedJobs, UnknownJobs                    atomic.Int64
 	ReplacedOwners                                            atomic.Int64
+	// refusals counts the answers with a time for a repeat, by cause.
+	refusals [retry.Causes]atomic.Int64
 	// TableWait is the time that owners have waited for their first table, in nanoseconds.
 	TableWait atomic.Int64
 }
@@ -205,7 +208,7 @@
 	//nolint:gosec // The context lives as long as the ownership, not as long as the call.
 	ctx, cancel := context.WithCancel(context.Background())
 	o := &owner{
-		cfg: &s.cfg, cellID: g.Cell, epoch: g.Epoch, stats: &s.stats, table: t,
+		cfg: &s.cfg, cellID: g.Cell, epoch: g.Epoch, stats: &s.stats, table: t, retryAfter: s.retryAfter,
 		cell:    lifecycle.NewCell(g.Cell, g.Epoch, t),
 		planner: s.cfg.NewPlanner(g.Cell, t),
 		logger:  s.cfg.Logger.WithFields(logrus.Fields{"cell": g.Cell, "epoch": g.Epoch}),
