relay/jobs: accept jobs without the owner, through an inbox of the cell

About 3 s pass between the death of an owner and the work of its successor. In that time a host could only answer 504, and most of these jobs were lost.

A host whose call to the owner fails, or is not answered within four times the usual answer time (250 ms to 1 s), writes a job with a caller's number into the inbox of the cell and answers once it is durable. The owner follows the inbox, and removes an entry in the transaction of the log entry that accepts its job. A denial or a refusal is sent only after the inbox key was read and is absent; if it cannot be read, the answer is 504 with a Retry-After. An entry of a job that the log has is removed; a finished job is kept until no entry of it can come. A job that cannot run ends as failed. The feature is off without Config.Inbox.

--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -35,8 +35,8 @@
 	}
 }
 
+// The bounds of every delay. The wire carries whole seconds.
 const (
-	// MinDelay and MaxDelay bound every delay. The wire carries whole seconds.
 	MinDelay = time.Second
 	MaxDelay = 4 * time.Second
 )
--- a/relay/jobs/api.go
+++ b/relay/jobs/api.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -21,6 +22,9 @@
 		return ident.JobID{}, err
 	}
 	id, err := o.submit(ctx, spec)
+	if err != nil {
+		id, err = o.proveRefusal(ctx, spec, err)
+	}
 	if err != nil {
 		e := verdict.FromError(err)
 		o.logDecision(EventJobRefused, Fields{
@@ -198,6 +202,11 @@
 	if submission != nil && !o.awaitDurable(ctx, submission) {
 		return errSubmissionPending(id)
 	}
+	if submission == nil {
+		if _, err := o.findInInbox(ctx, id); err != nil {
+			return err
+		}
+	}
 	return o.confirmNotFound(o.cancelJob(ctx, id))
 }
 
@@ -245,16 +254,28 @@
 }
 
 // Get returns a job with at most limit of its tasks, starting at index from.
-func (s *Service) Get(_ context.Context, id ident.JobID, from, limit int) (lifecycle.JobView, error) {
+func (s *Service) Get(ctx context.Context, id ident.JobID, from, limit int) (lifecycle.JobView, error) {
 	o, ok := s.owners.Get(id.Cell)
 	if !ok {
 		return lifecycle.JobView{}, errNotOwned(id.Cell)
 	}
-	v, err := o.cell.Get(id, from, limit)
+	v, err := o.get(ctx, id, from, limit)
 	o.waits.explain(v.Tasks)
 	return v, o.confirmNotFound(err)
 }
 
+// get returns a job of the cell, also if it is still in the inbox.
+func (o *owner) get(ctx context.Context, id ident.JobID, from, limit int) (lifecycle.JobView, error) {
+	v, err := o.cell.Get(id, from, limit)
+	if err == nil {
+		return v, nil
+	}
+	if found, findErr := o.findInInbox(ctx, id); findErr != nil || !found {
+		return v, cmp.Or(findErr, err)
+	}
+	return o.cell.Get(id, from, limit)
+}
+
 // WaitingJobs returns the number of jobs of a cell that have not run any task yet, by class.
 func (s *Service) WaitingJobs(_ context.Context, cell ident.CellID) (map[ident.ClassName]int, error) {
 	o, ok := s.owners.Get(cell)
@@ -280,7 +301,7 @@
 	if !ok {
 		return nil, errNotOwned(id.Cell)
 	}
-	if _, err := o.cell.Get(id, 0, 0); err != nil {
+	if _, err := o.get(ctx, id, 0, 0); err != nil {
 		return nil, o.confirmNotFound(err)
 	}
 	changed := o.watchers.add(id)
--- a/relay/jobs/eventlist.go
+++ b/relay/jobs/eventlist.go
@@ -14,6 +14,8 @@
 	EventJobAccepted        EventName = "job_accepted"
 	EventJobRefused         EventName = "job_refused"
 	EventJobCancelled       EventName = "job_cancelled"
+	EventJobInInbox         EventName = "job_in_inbox"
+	EventInboxTaken         EventName = "inbox_taken"
 	EventJobFinished        EventName = "job_finished"
 	EventTaskStarted        EventName = "task_started"
 	EventStartRefused       EventName = "task_start_refused"
@@ -118,6 +120,12 @@
 			FieldCell, FieldEpoch, FieldJob, FieldClass, FieldVerdict, FieldCode, FieldReason, FieldAuthority, FieldTable,
 		}},
 		{EventJobCancelled, "the record of a cancellation is durable", []FieldName{FieldCell, FieldEpoch, FieldJob, FieldDurableMs}},
+		{EventJobInInbox, "a host has made a job durable in the inbox of its cell, because the owner did not take it in time", []FieldName{
+			FieldCell, FieldJob, FieldClass, FieldReason, FieldDurableMs,
+		}},
+		{EventInboxTaken, "the owner has removed a job from the inbox; reason says why if the job is not new or cannot run", []FieldName{
+			FieldCell, FieldEpoch, FieldJob, FieldWaitedMs, FieldReason,
+		}},
 		{EventJobFinished, "all tasks of a job have ended", []FieldName{
 			FieldCell, FieldEpoch, FieldJob, FieldClass, FieldState, FieldTookMs, FieldObjectiveMs, FieldLate,
 		}},
--- a/relay/jobs/load.go
+++ b/relay/jobs/load.go
@@ -19,6 +19,8 @@
 	// counts a task that has waited for long, once for each reason of the wait.
 	LongestWait(cell ident.CellID, class ident.ClassName, d time.Duration)
 	TaskWaits(reason string)
+	// InboxWait records how long an entry was in the inbox, by the clocks of two hosts.
+	InboxWait(d time.Duration)
 }
 
 // discardMeasurements is the Meter of a service that was given none.
@@ -26,6 +28,7 @@
 
 func (discardMeasurements) LoopDelay(time.Duration)   {}
 func (discardMeasurements) CommitDelay(time.Duration) {}
+func (discardMeasurements) InboxWait(time.Duration)   {}
 
 func (discardMeasurements) LongestWait(ident.CellID, ident.ClassName, time.Duration) {}
 func (discardMeasurements) TaskWaits(string)                                         {}
--- a/relay/jobs/load_test.go
+++ b/relay/jobs/load_test.go
@@ -36,6 +36,7 @@
 
 func (*maxMeter) LongestWait(ident.CellID, ident.ClassName, time.Duration) {}
 func (*maxMeter) TaskWaits(string)                                         {}
+func (*maxMeter) InboxWait(time.Duration)                                  {}
 
 // takeMax returns the maxima since the last call.
 func (m *maxMeter) takeMax() (loop, commit time.Duration) {
--- a/relay/jobs/log.go
+++ b/relay/jobs/log.go
@@ -31,6 +31,9 @@
 	entriesPerSnapshot = 256
 	// snapshotRetryEntries is the number of further log entries after which a snapshot that failed is tried again.
 	snapshotRetryEntries = 16
+	// maxInboxRemovals bounds the inbox entries that one commit removes, for the same limit as maxTruncateOps: a commit has two
+	// conditions and one write besides.
+	maxInboxRemovals = 29
 	// maxTruncateOps bounds the operations of one transaction. The smallest limit of the supported stores is 32, which
 	// includes the condition.
 	maxTruncateOps = 30
@@ -43,7 +46,11 @@
 
 // pendingRecord is a record that is queued for the log or being written.
 type pendingRecord struct {
-	record   lifecycle.Record
+	// record is nil if the entry only removes a key.
+	record lifecycle.Record
+	// removedKey is the inbox entry that the commit of the record removes; empty if there is none.
+	removedKey string
+
 	size     int
 	queuedAt time.Time
 	// done is closed when the record is durable or withdrawn; durable says which.
@@ -76,7 +83,7 @@
 	interval time.Duration
 	// onCommitted is called with each durable batch, and takeSnapshot returns the state after it. onReplaced is called
 	// once if the store proves that this owner has been replaced.
-	onCommitted  func([]lifecycle.Record)
+	onCommitted  func([]*pendingRecord, []lifecycle.Record)
 	takeSnapshot func() (lifecycle.Snapshot, bool)
 	onReplaced   func(reason string)
 	meter        Meter
@@ -112,6 +119,8 @@
 	head          Head
 	headRevision  store.Revision
 	snapshotParts []string
+	// headWrittenAt is a time before which the head was not yet stored; zero if an earlier owner wrote it.
+	headWrittenAt time.Time
 	// openSnapshot is the snapshot of which it is not known whether its head is stored; nil if there is none.
 	openSnapshot *snapshotWrite
 	// garbage are the keys of parts that no head names or will name, and of entries that an earlier owner left although the
@@ -126,13 +135,18 @@
 	for i, r := range records {
 		pending[i] = &pendingRecord{record: r, size: l.codec.RecordSize(r), queuedAt: now, done: make(chan struct{})}
 	}
+	l.enqueue(pending, l.shareWait(records))
+	return pending
+}
+
+// enqueue queues records that may wait for shareWait to share a commit.
+func (l *cellLog) enqueue(pending []*pendingRecord, shareWait time.Duration) {
 	l.mu.Lock()
 	for _, rec := range pending {
 		l.queue = append(l.queue, rec)
 		l.queuedBytes += rec.size
 		l.lastQueued = rec
 	}
-	shareWait := l.shareWait(records)
 	if shareWait > 0 {
 		l.writeWithin(shareWait)
 	}
@@ -140,7 +154,6 @@
 	if shareWait == 0 {
 		l.writeNow()
 	}
-	return pending
 }
 
 // writeWithin makes the writer take the queued records after d at the latest. It requires mu.
@@ -195,8 +208,13 @@
 func (l *cellLog) takeBatch() []*pendingRecord {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	n, size := 0, 0
+	n, size, removals := 0, 0, 0
 	for l.writeDue && n < len(l.queue) && (n == 0 || size+l.queue[n].size <= maxBatchBytes) {
+		if l.queue[n].removedKey != "" {
+			if removals++; removals > maxInboxRemovals {
+				break
+			}
+		}
 		size += l.queue[n].size
 		n++
 	}
@@ -254,10 +272,7 @@
 // writeBatch makes one batch durable or requeues it. It returns false if the owner has been replaced or ctx has
 // ended.
 func (l *cellLog) writeBatch(ctx context.Context, batch []*pendingRecord) bool {
-	records := make([]lifecycle.Record, len(batch))
-	for i, rec := range batch {
-		records[i] = rec.record
-	}
+	records, removals := contentOf(batch)
 	marker := uuid.NewString()
 	value, err := l.codec.EncodeBatch(marker, records)
 	if err != nil {
@@ -268,7 +283,7 @@
 	pause := l.interval
 	mayBeWritten := false
 	for {
-		outcome := l.tryWrite(ctx, key, marker, value)
+		outcome := l.tryWrite(ctx, key, marker, append([]store.Op{{Key: key, Value: value}}, removals...))
 		l.trackFailure(outcome)
 		switch outcome {
 		case store.Applied:
@@ -323,12 +338,12 @@
 const fencedOutcome store.Outcome = 255
 
 // tryWrite makes one attempt to write a log entry. After an unknown outcome the same value is written to the same key
-// again, so that it takes effect at most once.
-func (l *cellLog) tryWrite(ctx context.Context, key, marker string, value []byte) store.Outcome {
+// again, so that it takes effect at most once. ops holds the write of the entry and the removals that belong to it.
+func (l *cellLog) tryWrite(ctx context.Context, key, marker string, ops []store.Op) store.Outcome {
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	compares := []store.Compare{l.ownershipCondition(), store.KeyAbsent(key)}
-	res, err := l.store.Txn(callCtx, compares, []store.Op{{Key: key, Value: value}})
+	res, err := l.store.Txn(callCtx, compares, ops)
 	if res.Outcome != store.NotApplied || err != nil {
 		return res.Outcome
 	}
@@ -354,7 +369,7 @@
 func (l *cellLog) markDurable(batch []*pendingRecord, records []lifecycle.Record) {
 	l.seq++
 	l.entriesSinceSnapshot++
-	l.onCommitted(records)
+	l.onCommitted(batch, records)
 	l.meter.CommitDelay(longestQueued(time.Now(), batch))
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/relay/jobs/owner.go
+++ b/relay/jobs/owner.go
@@ -79,7 +79,10 @@
 	pendingSubmissions map[ident.JobID]*pendingRecord
 	// pendingCancellations holds the cancellations that are not durable yet.
 	pendingCancellations map[ident.JobID]*pendingRecord
-	planNeeded           bool
+	// takenEntries holds the inbox entries whose removal is not durable yet, waitingEntries those that cannot be taken yet.
+	takenEntries   map[ident.JobID]takenEntry
+	waitingEntries map[ident.JobID]inboxEntry
+	planNeeded     bool
 	// planUnfinished is set while the planner has work left to do between other events.
 	planUnfinished bool
 	lastPlanAt     time.Time
@@ -276,7 +279,7 @@
 }
 
 // onCommitted is called by the log writer after each durable batch.
-func (o *owner) onCommitted(records []lifecycle.Record) {
+func (o *owner) onCommitted(batch []*pendingRecord, records []lifecycle.Record) {
 	o.stats.Commits.Add(1)
 	o.stats.Records.Add(int64(len(records)))
 	// The log writer waits for this event, so that a caller that learns of the commit also sees its effect.
@@ -292,14 +295,20 @@
 				delete(o.pendingCancellations, typed.Job)
 			}
 		}
+		o.noteEntriesTaken(batch)
 		o.wakeSyncs(o.cell.TakeAckedWorkers())
 	})
 }
 
 // takeSnapshot returns the state after all commits reported so far. It returns false if the owner has stopped.
-func (o *owner) takeSnapshot(clean bool) (lifecycle.Snapshot, bool) {
+func (o *owner) takeSnapshot() (lifecycle.Snapshot, bool) {
 	var s lifecycle.Snapshot
-	ok := o.callPriority(o.ctx, func() { s = o.cell.Snapshot(o.now(), clean) })
+	retention := o.inboxRetention(o.ctx)
+	ok := o.callPriority(o.ctx, func() {
+		o.cell.SetRetention(retention)
+		s = o.cell.Snapshot(o.now(), false)
+		o.cell.SetRetention(lifecycle.Retention{Limited: retention.Limited})
+	})
 	return s, ok
 }
 
@@ -311,6 +320,7 @@
 	o.table = t
 	o.planner.SetTable(t)
 	o.apply(o.cell.SetTable(o.now(), t))
+	o.retryEntries()
 	o.planNeeded = true
 	if waited, ok := o.endTableWait(); ok {
 		o.logDecision(EventTableReceived, Fields{FieldTable: o.tableRevision(), FieldWaitedMs: waited.Milliseconds()})
--- a/relay/jobs/router.go
+++ b/relay/jobs/router.go
@@ -51,6 +51,10 @@
 	peer      Peer
 	// submitTimeout is how long a submission waits for an owner that accepts it.
 	submitTimeout time.Duration
+	// inbox is nil if the deployment uses no inboxes.
+	inbox *inboxWriter
+	// answerTimes are the times that owners take to accept a job.
+	answerTimes movingAverage
 
 	outages outages
 }
@@ -60,6 +64,9 @@
 	r := &Router{local: local, directory: d, peer: p, submitTimeout: DefaultDurableWait}
 	if local != nil {
 		r.submitTimeout = local.cfg.DurableWait
+		if local.cfg.Inbox.enabled() {
+			r.inbox = newInboxWriter(local.cfg.Inbox, local.cfg.Codec)
+		}
 	}
 	return r
 }
@@ -81,6 +88,9 @@
 // all as long as it would for the store. After an outage the owners first have to claim their cells again, and
 // refusing jobs during that time would serve no purpose.
 func (r *Router) Submit(ctx context.Context, spec lifecycle.JobSpec) (ident.JobID, error) {
+	if cells := r.directory.Cells(); len(cells) > 0 && r.usesInbox(spec) {
+		return r.submitNumbered(ctx, CellOfNumber(cells, spec.ClientNumber), spec)
+	}
 	waitCtx, cancel := context.WithTimeout(ctx, r.submitTimeout)
 	defer cancel()
 	for {
--- a/relay/jobs/service.go
+++ b/relay/jobs/service.go
@@ -58,6 +58,8 @@
 	// them.
 	DecisionLog   DecisionLog
 	RecordLatency func(class ident.ClassName, took time.Duration)
+	// Inbox holds the settings of the inboxes; the zero value uses none.
+	Inbox InboxConfig
 	// Meter receives the delays that owners measure; nil drops them.
 	Meter Meter
 	// OnReplaced is called when an owner has stopped although this host may still hold the grant: the store or a worker has
@@ -72,6 +74,10 @@
 	PlannedStarts, StartedTasks, RefusedStarts, UnknownStarts atomic.Int64
 	AcceptedJobs, RefusedJobs, UnknownJobs                    atomic.Int64
 	ReplacedOwners                                            atomic.Int64
+	// InboxWritten and InboxRefused count the attempts of this host to write an entry, by their result. InboxTaken counts
+	// the entries that its owners have removed: among them InboxLeftovers of jobs that the log had already, and
+	// InboxFailed of jobs that cannot run.
+	InboxWritten, InboxRefused, InboxTaken, InboxLeftovers, InboxFailed atomic.Int64
 	// refusals counts the answers with a time for a repeat, by cause.
 	refusals [retry.Causes]atomic.Int64
 	// TableWait is the time that owners have waited for their first table, in nanoseconds.
@@ -178,6 +184,9 @@
 	o.run("the loop of the owner", o.loop, o.endLoop)
 	o.run("saving estimates", func() { o.saveEstimatesPeriodically(o.ctx) }, nil)
 	o.run("the log writer", func() { o.log.run(o.ctx) }, nil)
+	if s.cfg.Inbox.enabled() {
+		o.run("following the inbox", func() { o.followInbox(o.ctx) }, nil)
+	}
 	return s.install(o)
 }
 
@@ -220,16 +229,19 @@
 		conns:                make(map[ident.WorkerID]*workerConn),
 		pendingSubmissions:   make(map[ident.JobID]*pendingRecord),
 		pendingCancellations: make(map[ident.JobID]*pendingRecord),
+		takenEntries:         make(map[ident.JobID]takenEntry),
+		waitingEntries:       make(map[ident.JobID]inboxEntry),
 		watchers:             watchers{byJob: make(map[ident.JobID]map[chan struct{}]struct{})},
 	}
 	o.cell.SetPolicy(s.cfg.Policy)
+	o.cell.SetRetention(lifecycle.Retention{Limited: s.cfg.Inbox.enabled()})
 	o.planner.SetTable(t)
 	o.log = &cellLog{
 		store: s.cfg.Store, codec: s.cfg.Codec, cell: g.Cell, epoch: g.Epoch,
 		interval:     s.cfg.CommitInterval,
 		onCommitted:  o.onCommitted,
 		meter:        s.cfg.Meter,
-		takeSnapshot: func() (lifecycle.Snapshot, bool) { return o.takeSnapshot(false) },
+		takeSnapshot: o.takeSnapshot,
 		onReplaced:   o.replaced,
 		wake:         make(chan struct{}, 1),
 		writerDone:   make(chan struct{}),
--- a/relay/jobs/waits_test.go
+++ b/relay/jobs/waits_test.go
@@ -27,6 +27,8 @@
 	m.longest[class] = d
 }
 
+func (m *waitMeter) InboxWait(time.Duration) {}
+
 func (m *waitMeter) TaskWaits(reason string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
