--- a/cmd/relayd/platform.go
+++ b/cmd/relayd/platform.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"net/http"
 	"os"
 	"os/signal"
@@ -31,8 +33,9 @@
 // exitSettings.
 func platformCommand(code *int) *cli.Command {
 	var (
-		path  string
-		cells int
+		path       string
+		cells      int
+		inboxShare float64
 	)
 	return &cli.Command{
 		Name:  "platform",
@@ -46,19 +49,35 @@
 				Name: "cells", Usage: "cells of the deployment, the same on every host; 0 means one for each region",
 				Destination: &cells,
 			},
+			&cli.FloatFlag{
+				Name: "inbox-write-share", Value: daemon.DefaultInboxWriteShare, Destination: &inboxShare,
+				Usage: "share of the store's writes with which all hosts together make jobs durable that the owner of their cell " +
+					"does not take in time; 0 turns this off; the same on every host",
+				Sources: cli.EnvVars(daemon.EnvName("inbox-write-share")),
+			},
 		},
 		Action: func(ctx context.Context, _ *cli.Command) error {
 			s, err := platform.ReadSettings(path)
-			if err != nil {
+			if err = errors.Join(err, checkInboxShare(inboxShare)); err != nil {
 				*code = exitSettings
 				return err
 			}
-			return runPlatform(ctx, path, s, cells)
+			settings := jobSettings(s, cells)
+			settings.InboxWriteShare = inboxShare
+			return runPlatform(ctx, path, s, settings)
 		},
 	}
 }
 
-func runPlatform(ctx context.Context, path string, s platform.Settings, cells int) error {
+// checkInboxShare checks a share of the store's writes.
+func checkInboxShare(share float64) error {
+	if !(share >= 0 && share <= 1) {
+		return fmt.Errorf("inbox-write-share: %g: want 0 to 1", share)
+	}
+	return nil
+}
+
+func runPlatform(ctx context.Context, path string, s platform.Settings, settings daemon.JobSettings) error {
 	sink := decisionlog.NewSink(os.Stdout)
 	defer sink.Close()
 	log := daemon.NewLogger(daemon.Settings{
@@ -69,7 +88,6 @@
 	defer client.Close()
 	metrics := telemetry.NewRegistry()
 	store := platform.NewStore(client, s.StoreAddress, observeStoreCalls(metrics, daemon.NewDependencyMonitor("store", log)))
-	settings := jobSettings(s, cells)
 	ids := daemon.CellIDs(settings.CellCount())
 	jobIDOf := func(number uint64) ident.JobID {
 		return ident.CallerAssignedJobID(jobs.CellOfNumber(ids, number), number)
--- a/daemon/directory.go
+++ b/daemon/directory.go
@@ -37,6 +37,17 @@
 	return ident.Instance{}, "", false
 }
 
+// runningMembers returns the number of hosts that are known to run.
+func (m *memberDirectory) runningMembers() int {
+	n := 0
+	for _, member := range m.cluster.Members() {
+		if member.Running() {
+			n++
+		}
+	}
+	return n
+}
+
 func reportsCell(member cluster.Member, cell ident.CellID) bool {
 	return slices.ContainsFunc(member.Loads, func(l membership.Load) bool { return l.Cell == cell })
 }
--- a/daemon/jobhost.go
+++ b/daemon/jobhost.go
@@ -146,6 +146,7 @@
 		Cells:          h.settings.Cells,
 		Logger:         h.log.Logger,
 		DecisionLog:    h.ports.DecisionLog,
+		Inbox:          h.settings.inboxConfig(h.ports.Store, h.members.runningMembers),
 		Meter:          newOwnerMeter(h.metrics),
 		OnReplaced:     h.cluster.GiveUp,
 		RecordLatency: func(class ident.ClassName, took time.Duration) {
@@ -215,11 +216,15 @@
 	return address, owner == d.members.self, ok
 }
 
-// ready reports whether the host has a table, knows the owner of at least one cell, and is not draining.
+// ready reports whether the host has a table, can place jobs, and is not draining. Without inboxes it can place jobs only
+// if it knows the owner of a cell.
 func (h *JobHost) ready() bool {
 	if !h.health.inPhase(phaseReady) || !h.hasTable.Load() {
 		return false
 	}
+	if h.settings.InboxWriteShare > 0 {
+		return true
+	}
 	for _, id := range CellIDs(h.settings.Cells) {
 		if _, _, ok := h.members.Owner(id); ok {
 			return true
--- a/daemon/jobsettings.go
+++ b/daemon/jobsettings.go
@@ -42,6 +42,9 @@
 	StoreWrites   float64
 	// Grace is the time from the signal to stop until the process is killed.
 	Grace time.Duration
+	// InboxWriteShare is the share of StoreWrites that all hosts together may use to write jobs into the inboxes of cells. With
+	// 0, no host uses inboxes.
+	InboxWriteShare float64
 	// MilliCPU is the CPU capacity of the host in thousandths of a core; 0 if it is not known.
 	MilliCPU int64
 }
@@ -129,6 +132,27 @@
 	return max(jobCommitInterval, shared)
 }
 
+// DefaultInboxWriteShare is the usual value of JobSettings.InboxWriteShare. The 28 jobs a second of the largest known
+// deployment are a quarter of the 120 writes a second that it gives them.
+const DefaultInboxWriteShare = 0.1
+
+const (
+	// maxInboxEntries and maxInboxBytes bound the inbox of one cell: the jobs of a minute without an owner.
+	maxInboxEntries = 2000
+	maxInboxBytes   = 8 << 20
+)
+
+// inboxConfig returns the settings of the inboxes. hosts returns the number of hosts that share their limits.
+func (s JobSettings) inboxConfig(kv jobs.InboxStore, hosts func() int) jobs.InboxConfig {
+	if s.InboxWriteShare <= 0 {
+		return jobs.InboxConfig{}
+	}
+	return jobs.InboxConfig{
+		Store: kv, WritesPerSecond: s.InboxWriteShare * s.StoreWrites,
+		MaxEntries: maxInboxEntries, MaxBytes: maxInboxBytes, Hosts: hosts,
+	}
+}
+
 // CellIDs lists the ids of n cells, from 0.
 func CellIDs(n int) []ident.CellID {
 	out := make([]ident.CellID, n)
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -78,6 +78,11 @@
 	raiseCounter(m, "cell_log_records_total", s.Records.Load())
 	raiseCounter(m, "cells_replaced_total", s.ReplacedOwners.Load())
 	raiseCounter(m, "cells_table_wait_ms_total", time.Duration(s.TableWait.Load()).Milliseconds())
+	raiseCounter(m, "inbox_written_total", s.InboxWritten.Load())
+	raiseCounter(m, "inbox_refused_total", s.InboxRefused.Load())
+	raiseCounter(m, "inbox_taken_total", s.InboxTaken.Load())
+	raiseCounter(m, "inbox_leftovers_total", s.InboxLeftovers.Load())
+	raiseCounter(m, "inbox_failed_total", s.InboxFailed.Load())
 	for cause := range retry.Causes {
 		raiseCounter(m, "job_retries_advised_total", s.Refusals(cause), telemetry.Label{Name: "cause", Value: cause.String()})
 	}
@@ -98,12 +103,15 @@
 
 // ownerMeter implements jobs.Meter.
 type ownerMeter struct {
-	loopDelay, durableTime metrics.Histogram
-	registry               *telemetry.Registry
+	loopDelay, durableTime, inboxWait metrics.Histogram
+	registry                          *telemetry.Registry
 }
 
 func newOwnerMeter(m *telemetry.Registry) ownerMeter {
-	return ownerMeter{loopDelay: m.Histogram("owner_loop_delay_us"), durableTime: m.Histogram("cell_log_durable_ms"), registry: m}
+	return ownerMeter{
+		loopDelay: m.Histogram("owner_loop_delay_us"), durableTime: m.Histogram("cell_log_durable_ms"),
+		inboxWait: m.Histogram("inbox_wait_ms"), registry: m,
+	}
 }
 
 // LoopDelay implements jobs.Meter.
@@ -112,6 +120,9 @@
 // CommitDelay implements jobs.Meter.
 func (o ownerMeter) CommitDelay(d time.Duration) { o.durableTime.Update(d.Milliseconds()) }
 
+// InboxWait implements jobs.Meter.
+func (o ownerMeter) InboxWait(d time.Duration) { o.inboxWait.Update(d.Milliseconds()) }
+
 // LongestWait implements jobs.Meter.
 func (o ownerMeter) LongestWait(cell ident.CellID, class ident.ClassName, d time.Duration) {
 	labels := []telemetry.Label{{Name: "cell", Value: strconv.FormatUint(uint64(cell), 10)}, {Name: "class", Value: string(class)}}
