--- a/relay/jobs/inboxwriter.go
+++ b/relay/jobs/inboxwriter.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
-	"sync"
+	"maps"
 	"time"
 
 	"golang.org/x/time/rate"
 
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
+	"github.com/bulrushrelay/bulrushrelay/core/shard"
 	"github.com/bulrushrelay/bulrushrelay/core/store"
 	"github.com/bulrushrelay/bulrushrelay/core/verdict"
 	"github.com/bulrushrelay/bulrushrelay/internal/sleep"
@@ -26,26 +27,41 @@
 	minInboxBurst = 4
 )
 
+// inboxUsage is what this host has written into the inbox of one cell.
+type inboxUsage struct {
+	// sizes holds the sizes of the entries that may still be in the inbox.
+	sizes       map[ident.JobID]int
+	recountedAt time.Time
+}
+
 // inboxWriter writes jobs into the inboxes of cells, within the limits of this host.
 type inboxWriter struct {
 	cfg     InboxConfig
 	codec   Codec
 	limiter *rate.Limiter
-
-	// mu guards the fields below. It is not held during calls to the store.
-	mu sync.Mutex
-	// written holds the sizes of the entries that this host has written and that may still be in the inbox.
-	written     map[ident.CellID]map[ident.JobID]int
-	recountedAt map[ident.CellID]time.Time
+	// usage is sharded by cell. No shard is held during a call to the store.
+	usage *shard.Map[ident.CellID, *inboxUsage]
 }
 
 func newInboxWriter(cfg InboxConfig, codec Codec) *inboxWriter {
 	return &inboxWriter{
 		cfg: cfg, codec: codec, limiter: rate.NewLimiter(rate.Limit(cfg.WritesPerSecond), max(int(cfg.WritesPerSecond), minInboxBurst)),
-		written: make(map[ident.CellID]map[ident.JobID]int), recountedAt: make(map[ident.CellID]time.Time),
+		usage: shard.NewMap[ident.CellID, *inboxUsage](ownerShards, func(c ident.CellID) uint64 { return uint64(c) }),
 	}
 }
 
+// withUsage calls f with the usage of a cell, under the lock of its shard.
+func (w *inboxWriter) withUsage(cell ident.CellID, f func(u *inboxUsage)) {
+	w.usage.WithShard(cell, func(entries map[ident.CellID]*inboxUsage) {
+		u := entries[cell]
+		if u == nil {
+			u = &inboxUsage{sizes: make(map[ident.JobID]int)}
+			entries[cell] = u
+		}
+		f(u)
+	})
+}
+
 // put writes a job into the inbox of its cell and returns nil once it is durable there. An error with verdict NotRun proves
 // that the inbox did not hold the job and that this call has not written it.
 func (w *inboxWriter) put(ctx context.Context, job ident.JobID, spec lifecycle.JobSpec) error {
@@ -127,29 +143,23 @@
 }
 
 // fits counts an entry if it is within the part of this host.
-func (w *inboxWriter) fits(job ident.JobID, size, hosts int) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	entries := w.written[job.Cell]
-	bytes := size
-	for _, n := range entries {
-		bytes += n
-	}
-	if len(entries)+1 > max(w.cfg.MaxEntries/hosts, 1) || len(entries) > 0 && bytes > w.cfg.MaxBytes/hosts {
-		return false
-	}
-	if entries == nil {
-		entries = make(map[ident.JobID]int)
-		w.written[job.Cell] = entries
-	}
-	entries[job] = size
-	return true
+func (w *inboxWriter) fits(job ident.JobID, size, hosts int) (ok bool) {
+	w.withUsage(job.Cell, func(u *inboxUsage) {
+		bytes := size
+		for _, n := range u.sizes {
+			bytes += n
+		}
+		// One entry always fits, however many hosts there are.
+		entries := len(u.sizes) + 1
+		if ok = entries == 1 || entries <= w.cfg.MaxEntries/hosts && bytes <= w.cfg.MaxBytes/hosts; ok {
+			u.sizes[job] = size
+		}
+	})
+	return ok
 }
 
 func (w *inboxWriter) release(job ident.JobID) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	delete(w.written[job.Cell], job)
+	w.withUsage(job.Cell, func(u *inboxUsage) { delete(u.sizes, job) })
 }
 
 // recount forgets the entries of a cell that have been taken.
@@ -169,25 +179,21 @@
 			delete(counted, entry.job)
 		}
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for job := range counted {
-		delete(w.written[cell], job)
-	}
+	w.withUsage(cell, func(u *inboxUsage) {
+		for job := range counted {
+			delete(u.sizes, job)
+		}
+	})
 }
 
 // beginRecount returns the entries that are counted at present, and whether they are due to be counted again.
-func (w *inboxWriter) beginRecount(cell ident.CellID) (counted map[ident.JobID]struct{}, due bool) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
+func (w *inboxWriter) beginRecount(cell ident.CellID) (counted map[ident.JobID]int, due bool) {
 	now := time.Now()
-	if now.Sub(w.recountedAt[cell]) < inboxRecountInterval {
-		return nil, false
-	}
-	w.recountedAt[cell] = now
-	counted = make(map[ident.JobID]struct{}, len(w.written[cell]))
-	for job := range w.written[cell] {
-		counted[job] = struct{}{}
-	}
-	return counted, true
+	w.withUsage(cell, func(u *inboxUsage) {
+		if due = now.Sub(u.recountedAt) >= inboxRecountInterval; due {
+			u.recountedAt = now
+			counted = maps.Clone(u.sizes)
+		}
+	})
+	return counted, due
 }
--- a/relay/jobs/retryafter.go
+++ b/relay/jobs/retryafter.go
@@ -2,12 +2,12 @@
 
 import (
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
 	"github.com/bulrushrelay/bulrushrelay/core/retry"
+	"github.com/bulrushrelay/bulrushrelay/core/shard"
 	"github.com/bulrushrelay/bulrushrelay/core/table"
 	"github.com/bulrushrelay/bulrushrelay/core/verdict"
 )
@@ -53,38 +53,35 @@
 // outage is a time in which the owner of a cell has not answered this host.
 type outage struct{ began, lastSign time.Time }
 
-// outages holds the outages of the owners of cells.
+// outages holds the outages of the owners of cells. One cell is one shard.
 type outages struct {
-	// mu guards byCell, which concurrent calls share.
-	mu     sync.Mutex
-	byCell map[ident.CellID]outage
+	byCell *shard.Map[ident.CellID, outage]
+}
+
+func newOutages() outages {
+	return outages{shard.NewMap[ident.CellID, outage](ownerShards, func(c ident.CellID) uint64 { return uint64(c) })}
 }
 
 // note records whether the owner of a cell has answered a call.
-func (o *outages) note(cell ident.CellID, answered bool) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if answered {
-		delete(o.byCell, cell)
-		return
-	}
-	if o.byCell == nil {
-		o.byCell = make(map[ident.CellID]outage)
-	}
+func (o outages) note(cell ident.CellID, answered bool) {
 	now := time.Now()
-	present := o.byCell[cell]
-	if now.Sub(present.lastSign) > outageMemory {
-		present.began = now
-	}
-	present.lastSign = now
-	o.byCell[cell] = present
+	o.byCell.WithShard(cell, func(entries map[ident.CellID]outage) {
+		if answered {
+			delete(entries, cell)
+			return
+		}
+		present := entries[cell]
+		if now.Sub(present.lastSign) > outageMemory {
+			present.began = now
+		}
+		present.lastSign = now
+		entries[cell] = present
+	})
 }
 
 // lasted returns how long the owner of a cell has not answered; 0 if it answers.
-func (o *outages) lasted(cell ident.CellID) time.Duration {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	present := o.byCell[cell]
+func (o outages) lasted(cell ident.CellID) time.Duration {
+	present, _ := o.byCell.Get(cell)
 	if now := time.Now(); now.Sub(present.lastSign) <= outageMemory {
 		return now.Sub(present.began)
 	}
--- a/relay/jobs/router.go
+++ b/relay/jobs/router.go
@@ -61,7 +61,7 @@
 
 // NewRouter returns a router for calls that arrive at this host. local may be nil if this host owns no cells.
 func NewRouter(local *Service, d Directory, p Peer) *Router {
-	r := &Router{local: local, directory: d, peer: p, submitTimeout: DefaultDurableWait}
+	r := &Router{local: local, directory: d, peer: p, submitTimeout: DefaultDurableWait, outages: newOutages()}
 	if local != nil {
 		r.submitTimeout = local.cfg.DurableWait
 		if local.cfg.Inbox.enabled() {
