--- a/relay/jobs/inbox_test.go
+++ b/relay/jobs/inbox_test.go
@@ -344,3 +344,22 @@
 		require.Equal(t, "work=1s", owner.get(id).Spec.Groups[0].Command)
 	})
 }
+
+// Guards against queries and cancellations that are held until their callers give up because the owner does not answer.
+func TestCallsToASilentOwnerEndEarly(t *testing.T) {
+	inboxScenario(t, 1, func(fx *fixture, entry *entryHost) {
+		owner := fx.ownerHost(entry)
+		id := entry.place(numberedSpec(1))
+		entry.setOwner(owner, linkCut)
+		for name, call := range map[string]func() error{
+			"query":        func() error { _, err := entry.router.Get(bg, id, 0, 1); return err },
+			"cancellation": func() error { return entry.router.Cancel(bg, id) },
+		} {
+			begun := time.Now()
+			err := call()
+			requireVerdict(t, verdict.MayHaveRun, err)
+			require.Positive(t, verdict.FromError(err).RetryAfter, name)
+			require.LessOrEqual(t, time.Since(begun), 2*time.Second, name)
+		}
+	})
+}
--- a/relay/jobs/inboxfixture_test.go
+++ b/relay/jobs/inboxfixture_test.go
@@ -143,6 +143,17 @@
 	}
 }
 
+// Get and Cancel end like a call over a cut link.
+func (e *entryHost) Get(ctx context.Context, _ string, _ ident.JobID, _, _ int, _ uint64, _ time.Duration) (lifecycle.JobView, error) {
+	<-ctx.Done()
+	return lifecycle.JobView{}, verdict.Wrap(ctx.Err(), verdict.MayHaveRun, verdict.CodeUnknown, "call to peer")
+}
+
+func (e *entryHost) Cancel(ctx context.Context, _ string, _ ident.JobID) error {
+	<-ctx.Done()
+	return verdict.Wrap(ctx.Err(), verdict.MayHaveRun, verdict.CodeUnknown, "call to peer")
+}
+
 // place submits a job through the router within the time of a client's call, and requires that it is accepted.
 func (e *entryHost) place(s lifecycle.JobSpec) ident.JobID {
 	e.fixture.t.Helper()
--- a/relay/jobs/retryafter.go
+++ b/relay/jobs/retryafter.go
@@ -47,6 +47,14 @@
 	}
 }
 
+// withRetryAfterUnknown adds the time of a repeat to the error of a call whose outcome is not known.
+func (r *Router) withRetryAfterUnknown(cell ident.CellID, err error) error {
+	if err == nil || verdict.FromError(err).Verdict != verdict.MayHaveRun {
+		return err
+	}
+	return r.withRetryAfter(cell, lifecycle.JobSpec{}, err)
+}
+
 // outageMemory is how long after its last sign an outage of an owner counts as ended.
 const outageMemory = 10 * time.Second
 
--- a/relay/jobs/router.go
+++ b/relay/jobs/router.go
@@ -221,16 +221,26 @@
 	return id, err
 }
 
+// queryTimeout bounds a query, which an owner answers from its memory, or after one read of the inbox.
+func (r *Router) queryTimeout() time.Duration {
+	return min(maxOwnerPatience, r.submitTimeout)
+}
+
 // Get returns a job with at most limit of its tasks, starting at index from.
 func (r *Router) Get(ctx context.Context, id ident.JobID, from, limit int) (lifecycle.JobView, error) {
 	address, local, err := r.owner(id.Cell)
 	if err != nil {
 		return lifecycle.JobView{}, err
 	}
+	callCtx, cancel := context.WithTimeout(ctx, r.queryTimeout())
+	defer cancel()
+	var v lifecycle.JobView
 	if local {
-		return r.local.Get(ctx, id, from, limit)
+		v, err = r.local.Get(callCtx, id, from, limit)
+	} else {
+		v, err = r.peer.Get(callCtx, address, id, from, limit, 0, 0)
 	}
-	return r.peer.Get(ctx, address, id, from, limit, 0, 0)
+	return v, r.withRetryAfterUnknown(id.Cell, err)
 }
 
 // List returns at most limit jobs of a cell, beginning with the one that follows the job after.
@@ -256,10 +266,14 @@
 	if err != nil {
 		return err
 	}
+	callCtx, cancel := context.WithTimeout(ctx, r.submitTimeout+withdrawTimeout)
+	defer cancel()
 	if local {
-		return r.local.Cancel(ctx, id)
+		err = r.local.Cancel(callCtx, id)
+	} else {
+		err = r.peer.Cancel(callCtx, address, id)
 	}
-	return r.peer.Cancel(ctx, address, id)
+	return r.withRetryAfterUnknown(id.Cell, err)
 }
 
 // Watch delivers a job now and after each change, until its state is final or ctx ends. It continues when the cell
