--- /dev/null
+++ b/explore/inbox_test.go
@@ -0,0 +1,111 @@
+package explore
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bulrushrelay/bulrushrelay/core/ident"
+	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
+	"github.com/bulrushrelay/bulrushrelay/core/resource"
+	"github.com/bulrushrelay/bulrushrelay/core/verdict"
+	"github.com/bulrushrelay/bulrushrelay/daemon"
+	"github.com/bulrushrelay/bulrushrelay/internal/check"
+	"github.com/bulrushrelay/bulrushrelay/internal/sleep"
+)
+
+const (
+	inboxHosts = 3
+	// callTime is how long a client of the platform waits for an answer.
+	callTime = 3 * time.Second
+)
+
+// calls holds the outcomes of submissions, each with one call.
+type calls struct {
+	mu       sync.Mutex
+	accepted []ident.JobID
+	// refused counts the others by verdict.
+	refused map[verdict.Verdict]int
+	longest time.Duration
+}
+
+func (c *calls) submit(p *jobProcess, number uint64) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTime)
+	defer cancel()
+	begun := time.Now()
+	id, err := p.router.Submit(ctx, lifecycle.JobSpec{Class: "batch", ClientNumber: number, Groups: []lifecycle.TaskGroup{{
+		Count: 1, Need: resource.Vector{MilliCPU: 500, MemoryMB: 100}, RunTime: 500 * time.Millisecond, Command: "work=500ms",
+	}}})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.longest = max(c.longest, time.Since(begun))
+	if err == nil {
+		c.accepted = append(c.accepted, id)
+		return
+	}
+	c.refused[verdict.FromError(err).Verdict]++
+}
+
+// playLostOwner submits 20 jobs a second through hosts that do not own the cell, while its owner is lost, and checks that the
+// accepted ones run once. It returns the outcomes of the calls.
+func playLostOwner(t *testing.T, inboxWriteShare float64) *calls {
+	const jobsInAll = 300
+	c := newJobCell(t)
+	c.inboxWriteShare = inboxWriteShare
+	c.readable.Store(outageTable(1, 10))
+	var (
+		logs  []*ownerLog
+		hosts []*jobProcess
+	)
+	for n := range inboxHosts {
+		logs = append(logs, &ownerLog{})
+		hosts = append(hosts, c.startHost(n+1, logs[n]))
+	}
+	time.Sleep(15 * time.Second)
+	owner := slices.IndexFunc(logs, func(l *ownerLog) bool { return l.claims > 0 })
+	require.NotEqual(t, -1, owner)
+	others := slices.Delete(slices.Clone(hosts), owner, owner+1)
+	result := &calls{refused: make(map[verdict.Verdict]int)}
+	var clients, killed sync.WaitGroup
+	for i := range jobsInAll {
+		if i == jobsInAll/4 {
+			killed.Go(hosts[owner].kill)
+		}
+		clients.Go(func() { result.submit(others[i%len(others)], uint64(i+1)) })
+		require.NoError(t, sleep.For(t.Context(), 50*time.Millisecond))
+	}
+	clients.Wait()
+	killed.Wait()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	for _, id := range result.accepted {
+		require.Empty(t, check.UnfinishedTasks(others[0].awaitFinal(ctx, id)))
+	}
+	require.Empty(t, check.Executions(c.recorder))
+	executions := len(c.recorder.Executions())
+	require.GreaterOrEqual(t, executions, len(result.accepted))
+	require.LessOrEqual(t, executions, len(result.accepted)+result.refused[verdict.MayHaveRun], "a job ran that was refused with proof")
+	others[1].kill()
+	c.close(others[0])
+	return result
+}
+
+// Guards against jobs that are not accepted because the owner of their cell is lost, in a deployment of whole hosts.
+func TestJobsAreAcceptedWhileTheOwnerIsLost(t *testing.T) {
+	for name, share := range map[string]float64{"without inboxes": 0, "with inboxes": daemon.DefaultInboxWriteShare} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := playLostOwner(t, share)
+				t.Logf("%d accepted, others %v, the longest call took %s", len(r.accepted), r.refused, r.longest)
+				if share > 0 {
+					require.Empty(t, r.refused)
+				}
+			})
+		})
+	}
+}
--- a/explore/jobhost_test.go
+++ b/explore/jobhost_test.go
@@ -52,6 +52,8 @@
 	started  int
 	// workerLease is the setting of the processes. The workers themselves end their leases after lifecycle.LeaseDuration.
 	workerLease time.Duration
+	// inboxWriteShare is the setting of the processes; 0 means no inboxes.
+	inboxWriteShare float64
 }
 
 // jobProcess is one process of the relay host.
@@ -93,6 +95,7 @@
 		CallerAddress: addressOf(firstAddress), StatusAddress: addressOf(firstAddress + 1), PeerAddress: addressOf(firstAddress + 2),
 		MetricsAddress: addressOf(firstAddress + 3),
 		WorkerLease:    c.workerLease, StopTime: 2 * time.Second, SmallestLease: 2 * time.Second, StoreWrites: 1000, Grace: jobHostGrace,
+		InboxWriteShare: c.inboxWriteShare,
 	}, daemon.JobPorts{
 		Metrics: telemetry.NewRegistry(), Store: p.store, Workers: p.link, FollowWorkers: c.followWorkers, FollowTable: c.followTable,
 		RegisterCallers: func(_ *echo.Echo, r *jobs.Router) { p.router = r },
