--- a/explore/inbox_test.go
+++ b/explore/inbox_test.go
@@ -51,6 +51,13 @@
 	c.refused[verdict.FromError(err).Verdict]++
 }
 
+// hasClaimed reports whether the host has claimed a worker.
+func (l *ownerLog) hasClaimed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.claims > 0
+}
+
 // playLostOwner submits 20 jobs a second through hosts that do not own the cell, while its owner is lost, and checks that the
 // accepted ones run once. It returns the outcomes of the calls.
 func playLostOwner(t *testing.T, inboxWriteShare float64) *calls {
@@ -67,7 +74,7 @@
 		hosts = append(hosts, c.startHost(n+1, logs[n]))
 	}
 	time.Sleep(15 * time.Second)
-	owner := slices.IndexFunc(logs, func(l *ownerLog) bool { return l.claims > 0 })
+	owner := slices.IndexFunc(logs, (*ownerLog).hasClaimed)
 	require.NotEqual(t, -1, owner)
 	others := slices.Delete(slices.Clone(hosts), owner, owner+1)
 	result := &calls{refused: make(map[verdict.Verdict]int)}
