relay/jobs: keep the inbox of a cell closed while an owner serves it

An earlier try of a job could be in the inbox although its caller got no answer, so that an owner needed a read of the store to refuse or deny a job. In an outage of the store it answered that the outcome is unknown (504) where its own log proved a refusal (429) before.

An owner now closes the inbox with a key that holds its epoch, /cell/<c>/gate, and then reads it. A write into the inbox names the revision of the gate and is made only if the gate is absent, was opened for a hand-over, or names an earlier epoch than that of the present owner record. The key has no lease: a lease may lapse in an outage in which the owner keeps full authority because no host has had contact with the store. An owner with full authority that has read the inbox refuses and denies without a read.

A call that finds the inbox closed waits up to 2 s for a claim if the owner is lost or in doubt.

The tests of an inbox that is used beside a serving owner are replaced: such a host must not use it, entries are found at a takeover only, and refusals in an outage must have proof where they had to have none.

--- a/daemon/jobsettings.go
+++ b/daemon/jobsettings.go
@@ -143,7 +143,7 @@
 )
 
 // inboxConfig returns the settings of the inboxes. hosts returns the number of hosts that share their limits.
-func (s JobSettings) inboxConfig(kv jobs.InboxStore, hosts func() int) jobs.InboxConfig {
+func (s JobSettings) inboxConfig(kv jobs.Store, hosts func() int) jobs.InboxConfig {
 	if s.InboxWriteShare <= 0 {
 		return jobs.InboxConfig{}
 	}
--- a/relay/jobs/api.go
+++ b/relay/jobs/api.go
@@ -21,11 +21,10 @@
 		s.stats.RefusedJobs.Add(1)
 		return ident.JobID{}, err
 	}
+	inboxKnown := o.inboxKnown.Load()
 	id, err := o.submit(ctx, spec)
 	if err != nil {
-		id, err = o.proveRefusal(ctx, spec, err)
-	}
-	if err != nil {
+		err = o.checkRefusal(spec, err, inboxKnown)
 		e := verdict.FromError(err)
 		o.logDecision(EventJobRefused, Fields{
 			FieldJob: jobField(ident.CallerAssignedJobID(cell, spec.ClientNumber)), FieldClass: spec.Class, FieldVerdict: e.Verdict.String(),
@@ -203,7 +202,7 @@
 		return errSubmissionPending(id)
 	}
 	if submission == nil {
-		if _, err := o.findInInbox(ctx, id); err != nil {
+		if _, err := o.awaitAccepted(ctx, id); err != nil {
 			return err
 		}
 	}
@@ -270,7 +269,7 @@
 	if err == nil {
 		return v, nil
 	}
-	if found, findErr := o.findInInbox(ctx, id); findErr != nil || !found {
+	if found, findErr := o.awaitAccepted(ctx, id); findErr != nil || !found {
 		return v, cmp.Or(findErr, err)
 	}
 	return o.cell.Get(id, from, limit)
--- a/relay/jobs/inbox.go
+++ b/relay/jobs/inbox.go
@@ -23,16 +23,10 @@
 	repeatWindow = time.Minute
 )
 
-// InboxStore is the subset of the key-value store that the inboxes need.
-type InboxStore interface {
-	Store
-	Watch(ctx context.Context, prefix string, from store.Revision) <-chan store.WatchBatch
-}
-
 // InboxConfig holds the settings of the inboxes. Hosts write jobs there that the owner of their cell does not take in time.
 type InboxConfig struct {
 	// Store is nil if the deployment uses no inboxes.
-	Store InboxStore
+	Store Store
 	// WritesPerSecond bounds the writes of all hosts together, MaxEntries and MaxBytes the inbox of one cell.
 	WritesPerSecond      float64
 	MaxEntries, MaxBytes int
--- a/relay/jobs/inboxfixture_test.go
+++ b/relay/jobs/inboxfixture_test.go
@@ -18,6 +18,7 @@
 	"github.com/bulrushrelay/bulrushrelay/core/store"
 	"github.com/bulrushrelay/bulrushrelay/core/verdict"
 	"github.com/bulrushrelay/bulrushrelay/relay/jobs"
+	"github.com/bulrushrelay/bulrushrelay/standin/kv"
 )
 
 // link is how a call of the entry host to the owner ends.
@@ -99,6 +100,34 @@
 	return h
 }
 
+// slowOwnerHost gives the cell to a new host whose calls to the store take d. It closes the inbox until 2d after the return of
+// this function, and reads it until 3d after it.
+func (fx *fixture) slowOwnerHost(entry *entryHost, d time.Duration) *host {
+	h := fx.inboxHost(nil)
+	h.setDelay(d)
+	fx.giveCell(h)
+	entry.setOwner(h, linkUp)
+	return h
+}
+
+// claimCell gives the cell to a new host that does not work yet, as after the loss of an owner. The inbox is open until it does.
+func (fx *fixture) claimCell() *host {
+	h := fx.inboxHost(nil)
+	fx.grantCell(h)
+	return h
+}
+
+// takeOver lets a host that has claimed the cell begin to work.
+func (fx *fixture) takeOver(h *host) {
+	require.NoError(fx.t, h.svc.Acquire(bg, h.Grant(cell), fx.members()))
+	h.svc.SetMembers(cell, fx.members())
+}
+
+// setDelay delays the calls of a host to the store.
+func (h *host) setDelay(d time.Duration) {
+	h.fixture.engine.Client(h.name).SetFault(kv.Fault{Delay: d})
+}
+
 func (e *entryHost) setOwner(h *host, l link) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/relay/jobs/inboxowner.go
+++ b/relay/jobs/inboxowner.go
@@ -26,77 +26,83 @@
 	reason string
 }
 
-// followInbox takes the entries of the inbox until ctx ends: those that are there at first, and then each new one.
-func (o *owner) followInbox(ctx context.Context) {
-	backoff := minInboxBackoff
-	for ctx.Err() == nil {
-		read, err := o.readInbox(ctx, storeTimeout)
-		if err != nil {
-			if sleep.For(ctx, backoff) != nil {
-				return
+// takeInbox closes the inbox and takes its entries. No entry can come after that, so that the owner knows all of them. It
+// tries until it has done so or ctx ends.
+func (o *owner) takeInbox(ctx context.Context) {
+	var (
+		gate store.Revision
+		read store.RangeResult
+	)
+	for backoff := minInboxBackoff; ; backoff = min(2*backoff, maxInboxBackoff) {
+		var err error
+		if gate == 0 {
+			gate, err = o.log.closeGate(ctx)
+		}
+		if err == nil {
+			if read, err = o.readInbox(ctx); err == nil {
+				break
 			}
-			backoff = min(2*backoff, maxInboxBackoff)
-			continue
 		}
-		backoff = minInboxBackoff
-		o.postEntries(read.Entries)
-		o.watchInbox(ctx, read.Revision)
-		if sleep.For(ctx, minInboxBackoff) != nil {
+		o.logger.WithError(err).Debug("the inbox cannot be closed and read; trying again")
+		if sleep.For(ctx, backoff) != nil {
 			return
 		}
 	}
+	o.post(func() {
+		if o.draining.Load() {
+			// The next owner takes the entries.
+			return
+		}
+		o.closedGate = gate
+		for _, e := range read.Entries {
+			if entry, ok := decodeInboxEntry(o.cfg.Codec, o.cellID, e); ok {
+				o.takeEntry(entry)
+			}
+		}
+		o.noteInboxKnown()
+	})
 }
 
-func (o *owner) readInbox(ctx context.Context, timeout time.Duration) (store.RangeResult, error) {
-	callCtx, cancel := context.WithTimeout(ctx, timeout)
+func (o *owner) readInbox(ctx context.Context) (store.RangeResult, error) {
+	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	return o.cfg.Inbox.Store.Range(callCtx, inboxPrefix(o.cellID))
 }
 
-// watchInbox takes new entries until the watch ends.
-func (o *owner) watchInbox(ctx context.Context, from store.Revision) {
-	watchCtx, stop := context.WithCancel(ctx)
-	defer stop()
-	for batch := range o.cfg.Inbox.Store.Watch(watchCtx, inboxPrefix(o.cellID), from) {
-		var added []store.Entry
-		for _, e := range batch.Events {
-			if !e.Deleted {
-				added = append(added, e.Entry)
-			}
-		}
-		o.postEntries(added)
-		if batch.Err != nil {
-			return
-		}
+// noteInboxKnown sets inboxKnown once the cell knows the jobs of all entries. It runs in the loop.
+func (o *owner) noteInboxKnown() {
+	if o.closedGate != 0 && len(o.waitingEntries) == 0 && !o.draining.Load() {
+		o.inboxKnown.Store(true)
 	}
 }
 
-func (o *owner) postEntries(all []store.Entry) {
-	if len(all) == 0 {
-		return
-	}
-	o.post(func() {
-		for _, e := range all {
-			if entry, ok := decodeInboxEntry(o.cfg.Codec, o.cellID, e); ok {
-				o.takeEntry(entry)
-			}
-		}
-	})
+// leaveInbox ends the time in which this owner knows every entry, and returns the revision of the gate that it has closed; 0
+// if there is none. It runs in the loop of a draining owner.
+func (o *owner) leaveInbox() store.Revision {
+	o.inboxKnown.Store(false)
+	gate := o.closedGate
+	o.closedGate = 0
+	return gate
 }
 
-// takeEntry accepts the job of an inbox entry and removes the entry with the same commit. It returns the record that waits
-// for the store, or nil if the entry cannot be taken now. It runs in the loop.
-func (o *owner) takeEntry(e inboxEntry) *pendingRecord {
-	if o.draining.Load() {
-		// The next owner takes it.
-		return nil
+// reopenInbox lets hosts use the inbox while the cell is handed over. If it fails, they can use it once the next owner has
+// claimed the cell.
+func (o *owner) reopenInbox(ctx context.Context, gate store.Revision) {
+	if gate == 0 {
+		return
 	}
-	if taken, ok := o.takenEntries[e.job]; ok {
-		return taken.rec
+	if err := o.log.reopenGate(ctx, gate); err != nil {
+		o.logger.WithError(err).Debug("the inbox cannot be opened before the hand-over")
 	}
+}
+
+// takeEntry accepts the job of an inbox entry and removes the entry with the same commit, unless it has to wait for the table.
+// It runs in the loop.
+func (o *owner) takeEntry(e inboxEntry) {
 	delete(o.waitingEntries, e.job)
 	if o.cell.IsRepeat(e.spec) && o.keepSubmission(e) {
-		return o.removeEntry(e, nil, "the log has the job")
+		o.removeEntry(e, nil, "the log has the job")
+		return
 	}
 	now := o.now()
 	var (
@@ -112,16 +118,14 @@
 	reason := ""
 	if err != nil && isUnavailable(err) {
 		o.waitingEntries[e.job] = e
-		return nil
+		return
 	}
 	if err != nil {
 		reason = err.Error()
 		id, eff = o.cell.AcceptAsFailed(now, e.spec, reason)
 		o.stats.InboxFailed.Add(1)
 	}
-	rec := o.removeEntry(e, eff.Records[0], reason)
-	o.pendingSubmissions[id] = rec
-	return rec
+	o.pendingSubmissions[id] = o.removeEntry(e, eff.Records[0], reason)
 }
 
 // keepSubmission makes sure that a job which the cell knows stays in the log, so that its entry can be removed. It returns
@@ -149,9 +153,13 @@
 
 // retryEntries takes the entries that waited for the table.
 func (o *owner) retryEntries() {
+	if o.draining.Load() {
+		return
+	}
 	for _, e := range o.waitingEntries {
 		o.takeEntry(e)
 	}
+	o.noteInboxKnown()
 }
 
 // noteEntriesTaken reports the entries whose removal is durable.
@@ -178,89 +186,63 @@
 	o.logDecision(EventInboxTaken, Fields{FieldJob: jobField(job), FieldWaitedMs: taken.waited.Milliseconds(), FieldReason: taken.reason})
 }
 
-// findInInbox looks for a job that the cell does not know, and takes it. It returns true once the job is durable in the log.
-// False without an error proves that the job was neither in the inbox nor in the log during the call.
-func (o *owner) findInInbox(ctx context.Context, id ident.JobID) (bool, error) {
+// awaitAccepted waits for the record of a job whose acceptance is not durable yet. It returns true once the job is durable in
+// the log. False without an error proves that the job was neither in the inbox nor in the log during the call.
+func (o *owner) awaitAccepted(ctx context.Context, id ident.JobID) (bool, error) {
 	if !o.cfg.Inbox.enabled() || !id.CallerAssigned() {
 		return false, nil
 	}
-	entry, found, err := readInboxEntry(ctx, o.cfg.Inbox.Store, o.cfg.Codec, id)
-	if err != nil {
-		return false, verdict.FromError(err).WithRetryAfter(o.retryAfterStore(""))
+	if !o.inboxKnown.Load() {
+		return false, verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "job %s may be in the inbox of its cell", id).
+			WithRetryAfter(o.retryAfterStore(""))
 	}
-	// An entry leaves the inbox only into the log, so that the log is asked after the inbox.
 	var (
 		rec   *pendingRecord
 		known bool
 	)
 	if !o.call(ctx, func() {
-		if rec = o.pendingSubmissions[id]; rec == nil && found {
-			rec = o.takeEntry(entry)
-		}
-		known = o.cell.IsRepeat(lifecycle.JobSpec{ClientNumber: id.Seq})
+		rec, known = o.pendingSubmissions[id], o.cell.IsRepeat(lifecycle.JobSpec{ClientNumber: id.Seq})
 	}) {
 		err := o.errNotRun(ctx)
 		return false, verdict.Wrap(err, verdict.MayHaveRun, verdict.FromError(err).Code, "job %s may be in the inbox", id)
 	}
-	switch {
-	case rec != nil && !o.awaitDurable(ctx, rec), rec == nil && found && !known:
+	if rec != nil && !o.awaitDurable(ctx, rec) {
 		return false, verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "job %s is not in the log yet", id).
 			WithRetryAfter(o.retryAfterStore(""))
-	default:
-		return rec != nil || known, nil
 	}
+	return rec != nil || known, nil
 }
 
-// proveRefusal checks a refusal against the inbox: an earlier call may have left the job there. A refusal with
-// CodeUnavailable proves nothing in any case; see withUnknownOutcome.
-func (o *owner) proveRefusal(ctx context.Context, spec lifecycle.JobSpec, refusal error) (ident.JobID, error) {
+// checkRefusal replaces the verdict NotRun of a refusal unless the job certainly does not exist: an earlier call may have left
+// it in the inbox. inboxKnown says whether the cell knew the jobs of all entries before it refused this one, and full authority
+// that the inbox is still closed. A refusal with CodeUnavailable proves nothing in any case; see withUnknownOutcome.
+func (o *owner) checkRefusal(spec lifecycle.JobSpec, refusal error, inboxKnown bool) error {
 	e := verdict.FromError(refusal)
 	if !o.cfg.Inbox.enabled() || spec.ClientNumber == 0 || e.Verdict != verdict.NotRun || isFinalRefusal(e) || isUnavailable(e) {
-		return ident.JobID{}, refusal
+		return refusal
 	}
-	id := ident.CallerAssignedJobID(o.cellID, spec.ClientNumber)
-	entry, found, err := readInboxEntry(ctx, o.cfg.Inbox.Store, o.cfg.Codec, id)
-	switch {
-	case err != nil:
-		return ident.JobID{}, verdict.Wrap(errors.Join(refusal, err), verdict.MayHaveRun, e.Code, "job %s", id).WithRetryAfter(e.RetryAfter)
-	case found:
-		if err := entry.checkSameWork(spec); err != nil {
-			return ident.JobID{}, err
-		}
-		o.post(func() { o.takeEntry(entry) })
-		return id, nil
-	case o.cell.IsRepeat(spec):
-		// The entry has left the inbox for the log since the refusal.
-		return o.submit(ctx, spec)
-	case o.authority() != ownership.Full:
-		return ident.JobID{}, verdict.Wrap(refusal, verdict.MayHaveRun, e.Code, "cell %d may have another owner", o.cellID).WithRetryAfter(e.RetryAfter)
-	default:
-		return ident.JobID{}, refusal
+	if inboxKnown && o.inboxKnown.Load() && o.authority() == ownership.Full {
+		return refusal
 	}
+	return verdict.Wrap(refusal, verdict.MayHaveRun, e.Code, "an earlier call may have left the job in the inbox of cell %d", o.cellID).
+		WithRetryAfter(e.RetryAfter)
 }
 
-// inboxRetention returns which finished jobs the next snapshot may forget. A write to the inbox names the snapshot head, so
-// that one which was decided before the present head takes no effect any more, and one that is decided later belongs to a
-// call that came after it. If the inbox cannot be read, nothing is forgotten. It runs in the log writer.
-func (o *owner) inboxRetention(ctx context.Context) lifecycle.Retention {
-	if !o.cfg.Inbox.enabled() {
-		return lifecycle.Retention{}
-	}
-	r := lifecycle.Retention{Limited: true}
-	if o.log.headWrittenAt.IsZero() {
+// retention returns which finished jobs the next snapshot may forget: those that no entry can name any more. No host can write
+// an entry while the inbox is closed. One that is written after that belongs to a call that came after the snapshot, and
+// clients do not repeat a call later than repeatWindow. It runs in the loop.
+func (o *owner) retention() lifecycle.Retention {
+	r := lifecycle.Retention{Limited: o.cfg.Inbox.enabled()}
+	if o.closedGate == 0 {
 		return r
 	}
-	// The log writer must not wait for long: commits wait behind it.
-	read, err := o.readInbox(ctx, inboxReadTimeout)
-	if err != nil {
-		return r
+	r.FinishedBefore = o.now().Add(-repeatWindow)
+	r.Keep = make(map[ident.JobID]struct{}, len(o.takenEntries)+len(o.waitingEntries))
+	for job := range o.takenEntries {
+		r.Keep[job] = struct{}{}
 	}
-	r.FinishedBefore = o.log.headWrittenAt.Add(-repeatWindow)
-	r.Keep = make(map[ident.JobID]struct{}, len(read.Entries))
-	for _, e := range read.Entries {
-		if entry, ok := decodeInboxEntry(o.cfg.Codec, o.cellID, e); ok {
-			r.Keep[entry.job] = struct{}{}
-		}
+	for job := range o.waitingEntries {
+		r.Keep[job] = struct{}{}
 	}
 	return r
 }
--- a/relay/jobs/inboxwriter.go
+++ b/relay/jobs/inboxwriter.go
@@ -63,17 +63,26 @@
 }
 
 // put writes a job into the inbox of its cell and returns nil once it is durable there. An error with verdict NotRun proves
-// that the inbox did not hold the job and that this call has not written it.
+// that this call has not written the job and will not. It says nothing about earlier calls.
 func (w *inboxWriter) put(ctx context.Context, job ident.JobID, spec lifecycle.JobSpec) error {
 	value, err := encodeInboxEntry(w.codec, job, spec, time.Now())
 	if err != nil {
 		return verdict.Wrap(err, verdict.NotRun, verdict.CodeInvalid, "job %s cannot be encoded", job)
 	}
-	mayBeWritten, reserved := false, false
+	reserved, written := false, false
+	defer func() {
+		if reserved && !written {
+			w.release(job)
+		}
+	}()
 	for {
+		gate, err := openGateRevision(ctx, w.cfg.Store, job.Cell)
+		if err != nil {
+			return errNotInInbox(job, false, err)
+		}
 		entry, found, err := readInboxEntry(ctx, w.cfg.Store, w.codec, job)
 		if err != nil {
-			return err
+			return errNotInInbox(job, false, err)
 		}
 		if found {
 			return entry.checkSameWork(spec)
@@ -84,40 +93,58 @@
 			}
 			reserved = true
 		}
-		outcome := w.tryWrite(ctx, job, value)
-		if outcome == store.Applied {
+		switch outcome, err := w.tryWrite(ctx, job, value, gate); outcome {
+		case store.Applied:
+			written = true
 			return nil
+		case store.Unknown:
+			written = true
+			return w.finishWrite(ctx, job, spec, value, gate, err)
+		}
+		if sleep.For(ctx, inboxRetryPause) != nil {
+			return errNotInInbox(job, false, context.Cause(ctx))
 		}
-		mayBeWritten = mayBeWritten || outcome == store.Unknown
-		if sleep.For(ctx, inboxRetryPause) == nil {
+	}
+}
+
+// finishWrite repeats a write whose outcome is not known until the entry is seen in the inbox or ctx ends. The owner may
+// have taken the entry meanwhile.
+func (w *inboxWriter) finishWrite(
+	ctx context.Context, job ident.JobID, spec lifecycle.JobSpec, value []byte, gate store.Revision, err error,
+) error {
+	for sleep.For(ctx, inboxRetryPause) == nil {
+		var outcome store.Outcome
+		if outcome, err = w.tryWrite(ctx, job, value, gate); outcome == store.Applied {
+			return nil
+		}
+		if outcome == store.Unknown || err != nil {
 			continue
 		}
-		if mayBeWritten {
-			return verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable, "the write of job %s into the inbox was not answered", job)
+		// Either the entry is there, or the gate has been closed since.
+		if entry, found, readErr := readInboxEntry(ctx, w.cfg.Store, w.codec, job); readErr == nil {
+			if found {
+				return entry.checkSameWork(spec)
+			}
+			return errNotInInbox(job, true, errInboxClosed)
 		}
-		w.release(job)
-		return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "job %s was not written into the inbox", job)
 	}
+	return errNotInInbox(job, true, err)
 }
 
-// tryWrite makes one attempt to write an entry. The condition on the snapshot head, which is read after the call has come,
-// stops an attempt that takes effect late: the owner may have forgotten the job by then.
-func (w *inboxWriter) tryWrite(ctx context.Context, job ident.JobID, value []byte) store.Outcome {
+// tryWrite makes one attempt to write an entry. The condition on the gate stops an attempt that takes effect late: an owner
+// that has closed the gate since knows all entries, and may have forgotten the job.
+func (w *inboxWriter) tryWrite(ctx context.Context, job ident.JobID, value []byte, gate store.Revision) (store.Outcome, error) {
 	callCtx, cancel := context.WithTimeout(ctx, inboxWriteTimeout)
 	defer cancel()
-	head, _, err := w.cfg.Store.Get(callCtx, headKey(job.Cell))
-	if err != nil {
-		return store.NotApplied
-	}
 	key := inboxKey(job)
 	compares := []store.Compare{
-		store.KeyAbsent(key), {Key: headKey(job.Cell), Field: store.FieldModRevision, Revision: head.ModRevision},
+		store.KeyAbsent(key), {Key: gateKey(job.Cell), Field: store.FieldModRevision, Revision: gate},
 	}
 	result, err := w.cfg.Store.Txn(callCtx, compares, []store.Op{{Key: key, Value: value}})
 	if err != nil {
-		return store.OutcomeOf(err)
+		return store.OutcomeOf(err), err
 	}
-	return result.Outcome
+	return result.Outcome, nil
 }
 
 // reserve counts an entry against the limits of this host, or returns a refusal.
--- a/relay/jobs/log.go
+++ b/relay/jobs/log.go
@@ -119,8 +119,6 @@
 	head          Head
 	headRevision  store.Revision
 	snapshotParts []string
-	// headWrittenAt is a time before which the head was not yet stored; zero if an earlier owner wrote it.
-	headWrittenAt time.Time
 	// openSnapshot is the snapshot of which it is not known whether its head is stored; nil if there is none.
 	openSnapshot *snapshotWrite
 	// garbage are the keys of parts that no head names or will name, and of entries that an earlier owner left although the
--- a/relay/jobs/owner.go
+++ b/relay/jobs/owner.go
@@ -48,6 +48,9 @@
 	// crashed is set once a panic has ended the owner.
 	crashed  atomic.Bool
 	draining atomic.Bool
+	// inboxKnown is set while the inbox is closed and the cell knows the jobs of all its entries. It holds only with full
+	// authority: a host that claims the cell opens the inbox.
+	inboxKnown atomic.Bool
 	// loopDone is closed when the loop has run its last event.
 	loopDone chan struct{}
 	// callsDone is closed once a draining owner has no call to a worker queued or in flight.
@@ -82,7 +85,9 @@
 	// takenEntries holds the inbox entries whose removal is not durable yet, waitingEntries those that cannot be taken yet.
 	takenEntries   map[ident.JobID]takenEntry
 	waitingEntries map[ident.JobID]inboxEntry
-	planNeeded     bool
+	// closedGate is the revision with which this owner closed the inbox, once it has read all entries; 0 before.
+	closedGate store.Revision
+	planNeeded bool
 	// planUnfinished is set while the planner has work left to do between other events.
 	planUnfinished bool
 	lastPlanAt     time.Time
@@ -303,15 +308,16 @@
 // takeSnapshot returns the state after all commits reported so far. It returns false if the owner has stopped.
 func (o *owner) takeSnapshot() (lifecycle.Snapshot, bool) {
 	var s lifecycle.Snapshot
-	retention := o.inboxRetention(o.ctx)
-	ok := o.callPriority(o.ctx, func() {
-		o.cell.SetRetention(retention)
-		s = o.cell.Snapshot(o.now(), false)
-		o.cell.SetRetention(lifecycle.Retention{Limited: retention.Limited})
-	})
+	ok := o.callPriority(o.ctx, func() { s = o.snapshot(false) })
 	return s, ok
 }
 
+// snapshot returns the state of the cell and forgets old finished jobs. It runs in the loop.
+func (o *owner) snapshot(isClean bool) lifecycle.Snapshot {
+	o.cell.SetRetention(o.retention())
+	return o.cell.Snapshot(o.now(), isClean)
+}
+
 // useTable puts a table in force in the cell and its planner.
 func (o *owner) useTable(t *table.Table) {
 	if t == o.table {
--- a/relay/jobs/service.go
+++ b/relay/jobs/service.go
@@ -13,6 +13,7 @@
 	"github.com/bulrushrelay/bulrushrelay/core/ownership"
 	"github.com/bulrushrelay/bulrushrelay/core/retry"
 	"github.com/bulrushrelay/bulrushrelay/core/shard"
+	"github.com/bulrushrelay/bulrushrelay/core/store"
 	"github.com/bulrushrelay/bulrushrelay/core/table"
 	"github.com/bulrushrelay/bulrushrelay/core/verdict"
 )
@@ -185,7 +186,7 @@
 	o.run("saving estimates", func() { o.saveEstimatesPeriodically(o.ctx) }, nil)
 	o.run("the log writer", func() { o.log.run(o.ctx) }, nil)
 	if s.cfg.Inbox.enabled() {
-		o.run("following the inbox", func() { o.followInbox(o.ctx) }, nil)
+		o.run("taking the inbox", func() { o.takeInbox(o.ctx) }, nil)
 	}
 	return s.install(o)
 }
@@ -306,9 +307,14 @@
 	}
 	defer s.stopOwner(cell, o.epoch)
 	o.draining.Store(true)
-	if !o.call(ctx, func() { o.apply(o.cell.SetAuthority(o.now(), false, o.predecessorConfirmed)) }) {
+	var gate store.Revision
+	if !o.call(ctx, func() {
+		o.apply(o.cell.SetAuthority(o.now(), false, o.predecessorConfirmed))
+		gate = o.leaveInbox()
+	}) {
 		return o.errNotRun(ctx)
 	}
+	o.reopenInbox(ctx, gate)
 	select {
 	case <-o.callsDone:
 	case <-o.ctx.Done():
@@ -353,7 +359,7 @@
 		}
 		ran := o.call(ctx, func() {
 			if o.log.allDurable() {
-				snapshot = o.cell.Snapshot(o.now(), true)
+				snapshot = o.snapshot(true)
 				snapshotTaken = true
 				o.cancel()
 			}
--- a/relay/jobs/snapshot.go
+++ b/relay/jobs/snapshot.go
@@ -36,8 +36,6 @@
 	head  Head
 	value []byte
 	parts []string
-	// begunAt is before the first attempt to write the head.
-	begunAt time.Time
 }
 
 // writeSnapshot writes a snapshot and truncates the log. After a failure the log stays as it is, and the snapshot is
@@ -89,7 +87,7 @@
 			return err
 		}
 	}
-	l.openSnapshot = &snapshotWrite{head: head, value: value, parts: keys, begunAt: time.Now()}
+	l.openSnapshot = &snapshotWrite{head: head, value: value, parts: keys}
 	return l.finishSnapshot(ctx)
 }
 
@@ -107,7 +105,6 @@
 	}
 	l.garbage = append(l.garbage, l.snapshotParts...)
 	l.head, l.headRevision, l.snapshotParts = l.openSnapshot.head, revision, l.openSnapshot.parts
-	l.headWrittenAt = l.openSnapshot.begunAt
 	l.openSnapshot = nil
 	l.entriesSinceSnapshot = int(l.seq - l.head.Seq)
 	l.truncate(ctx)
--- a/relay/jobs/submit.go
+++ b/relay/jobs/submit.go
@@ -19,6 +19,9 @@
 	ownerPatienceFactor = 4
 	minOwnerPatience    = 250 * time.Millisecond
 	maxOwnerPatience    = time.Second
+	// maxNoOwnerPause bounds the pause before the owner and the inbox of a cell are asked again, and is the pause before an
+	// inbox is asked again while the owner does not answer. The inbox opens once a host has claimed the cell of a lost owner.
+	maxNoOwnerPause = 400 * time.Millisecond
 )
 
 // ownerPatience returns how long a host waits for the answer of an owner before it uses the inbox.
@@ -32,7 +35,8 @@
 }
 
 // submitNumbered places a job with its owner or, if the owner does not take it in time, in the inbox of its cell. While the
-// cell has no owner and the inbox cannot be used, it tries again until submitTimeout.
+// owner is lost, or the store answers and the inbox is closed, it tries again for as long as it would wait for an owner that
+// does not answer: the inbox usually opens 1.3 to 2 s after the death of an owner, when its lease has lapsed.
 func (r *Router) submitNumbered(ctx context.Context, cell ident.CellID, spec lifecycle.JobSpec) (ident.JobID, error) {
 	if err := spec.Validate(); err != nil {
 		return ident.JobID{}, err
@@ -40,15 +44,13 @@
 	id := ident.CallerAssignedJobID(cell, spec.ClientNumber)
 	limitCtx, cancel := context.WithTimeout(ctx, r.submitTimeout+withdrawTimeout)
 	defer cancel()
-	waitCtx, stopWaiting := context.WithTimeout(ctx, r.submitTimeout)
-	defer stopWaiting()
-	for pause := noOwnerRetryInterval; ; pause *= 2 {
+	for pause := noOwnerRetryInterval; ; pause = min(2*pause, maxNoOwnerPause) {
 		a := &submission{router: r, id: id, spec: spec}
 		err := a.run(limitCtx)
 		if err == nil {
 			return id, nil
 		}
-		if isFinalRefusal(verdict.FromError(err)) || !a.ownerAbsent || sleep.For(waitCtx, pause) != nil {
+		if !a.mayHelpToRepeat() || sleep.For(limitCtx, pause) != nil {
 			return ident.JobID{}, r.withRetryAfter(cell, spec, err)
 		}
 	}
@@ -62,11 +64,12 @@
 	// ownerErr and inboxErr are the answers so far; ownerAnswered and inboxAnswered say whether they are known.
 	ownerErr, inboxErr           error
 	ownerAnswered, inboxAnswered bool
-	// ownerAbsent is set if no owner has taken the call.
-	ownerAbsent bool
+	// ownerLost is set if no owner has taken the call, or its answer was lost with the connection.
+	ownerLost bool
 }
 
-// run returns nil once either path has made the job durable.
+// run returns nil once either path has made the job durable. While the owner does not answer and the inbox is closed, it
+// asks the inbox again.
 func (a *submission) run(ctx context.Context) error {
 	owner, leave := a.askOwner(ctx)
 	patience := time.NewTimer(a.router.ownerPatience())
@@ -82,18 +85,27 @@
 		leave()
 		return a.errNoAnswer(ctx)
 	}
-	inbox := a.putInInbox(ctx)
+	inboxCtx, leaveInbox := context.WithCancel(ctx)
+	defer leaveInbox()
+	inbox := a.putInInbox(inboxCtx, 0)
 	for !a.ownerAnswered || !a.inboxAnswered {
 		select {
 		case a.ownerErr = <-owner:
-			if a.noteOwnerAnswer(); a.ownerDecided() {
+			a.noteOwnerAnswer()
+			switch {
+			case a.ownerErr == nil || isFinalRefusal(verdict.FromError(a.ownerErr)):
 				return a.ownerErr
+			case a.ownerDecided():
+				// A write into the inbox must not follow the refusal.
+				leaveInbox()
 			}
 		case a.inboxErr = <-inbox:
-			a.inboxAnswered = true
 			if a.inboxErr == nil || isFinalRefusal(verdict.FromError(a.inboxErr)) {
 				return a.inboxErr
 			}
+			if a.inboxAnswered = a.ownerAnswered || !isUnavailable(a.inboxErr); !a.inboxAnswered {
+				inbox = a.putInInbox(inboxCtx, maxNoOwnerPause)
+			}
 		case <-ctx.Done():
 			leave()
 			return a.errNoAnswer(ctx)
@@ -127,7 +139,8 @@
 	return answers, cancel
 }
 
-func (a *submission) putInInbox(ctx context.Context) <-chan error {
+// putInInbox writes the job into the inbox after a pause. The channel receives the answer.
+func (a *submission) putInInbox(ctx context.Context, pause time.Duration) <-chan error {
 	r := a.router
 	answers := make(chan error, 1)
 	reason := "the owner has not answered in time"
@@ -138,15 +151,17 @@
 		defer contain.Recover(r.local.cfg.Logger, "a write into an inbox", func() {
 			answers <- verdict.New(verdict.MayHaveRun, verdict.CodeUnknown, "unexpected error in the write into the inbox")
 		})
+		_ = sleep.For(ctx, pause)
 		begun := time.Now()
 		err := r.inbox.put(ctx, a.id, a.spec)
-		if err == nil {
+		switch {
+		case err == nil:
 			r.local.stats.InboxWritten.Add(1)
 			r.local.cfg.DecisionLog.Record(EventJobInInbox, Fields{
 				FieldCell: a.id.Cell, FieldJob: jobField(a.id), FieldClass: a.spec.Class, FieldReason: reason,
 				FieldDurableMs: time.Since(begun).Milliseconds(),
 			})
-		} else {
+		case !errors.Is(err, errInboxClosed):
 			r.local.stats.InboxRefused.Add(1)
 		}
 		answers <- err
@@ -157,25 +172,33 @@
 // noteOwnerAnswer records what the answer of the owner says about the owner.
 func (a *submission) noteOwnerAnswer() {
 	a.ownerAnswered = true
-	a.ownerAbsent = a.ownerErr != nil && isUnavailable(a.ownerErr)
-	lost := a.ownerErr != nil && verdict.FromError(a.ownerErr).Code == verdict.CodeUnknown
-	a.router.outages.note(a.id.Cell, !a.ownerAbsent && !lost)
+	a.ownerLost = a.ownerErr != nil && (isUnavailable(a.ownerErr) || verdict.FromError(a.ownerErr).Code == verdict.CodeUnknown)
+	a.router.outages.note(a.id.Cell, !a.ownerLost)
 }
 
-// ownerDecided reports whether the answer of the owner holds without the inbox.
+// ownerDecided reports whether the answer of the owner holds without the inbox. A refusal with another code than Unavailable
+// comes from an owner that keeps the inbox closed and knows every job of the cell.
 func (a *submission) ownerDecided() bool {
-	return a.ownerErr == nil || isFinalRefusal(verdict.FromError(a.ownerErr))
+	e := verdict.FromError(a.ownerErr)
+	return a.ownerErr == nil || e.Verdict == verdict.NotRun && e.Code != verdict.CodeUnavailable
 }
 
 // combinedError returns the error of a job that neither the owner nor the inbox has taken. It proves that the job was not
-// accepted only if an owner with the log says so and the inbox was read.
+// accepted only if the owner says so and this call has not written the job.
 func (a *submission) combinedError() error {
-	owner, inbox := verdict.FromError(a.ownerErr), verdict.FromError(a.inboxErr)
-	if owner.Verdict == verdict.NotRun && owner.Code != verdict.CodeUnavailable && inbox.Verdict == verdict.NotRun {
+	if a.ownerDecided() && verdict.FromError(a.inboxErr).Verdict == verdict.NotRun {
 		return a.ownerErr
 	}
 	return verdict.Wrap(errors.Join(a.ownerErr, a.inboxErr), verdict.MayHaveRun, verdict.CodeUnavailable,
-		"job number %x may have been accepted", a.spec.ClientNumber).WithRetryAfter(owner.RetryAfter)
+		"job number %x may have been accepted", a.spec.ClientNumber).WithRetryAfter(verdict.FromError(a.ownerErr).RetryAfter)
+}
+
+// mayHelpToRepeat reports whether an attempt without success may succeed a moment later: a successor may claim the cell.
+func (a *submission) mayHelpToRepeat() bool {
+	if a.inboxAnswered && isFinalRefusal(verdict.FromError(a.inboxErr)) {
+		return false
+	}
+	return a.ownerLost || !a.ownerDecided() && errors.Is(a.inboxErr, errInboxClosed)
 }
 
 func (a *submission) errNoAnswer(ctx context.Context) error {
