--- a/explore/inbox_test.go
+++ b/explore/inbox_test.go
@@ -17,6 +17,7 @@
 	"github.com/bulrushrelay/bulrushrelay/daemon"
 	"github.com/bulrushrelay/bulrushrelay/internal/check"
 	"github.com/bulrushrelay/bulrushrelay/internal/sleep"
+	"github.com/bulrushrelay/bulrushrelay/standin/kv"
 )
 
 const (
@@ -73,6 +74,11 @@
 	c.refused[verdictOfAll]++
 }
 
+func (c *calls) log(t *testing.T) {
+	t.Logf("%d accepted, %d by the first call, others %v, other answers %v, the longest call took %s",
+		len(c.accepted), c.firstTry, c.refused, c.tries, c.longest)
+}
+
 func submitOnce(p *jobProcess, number uint64) (ident.JobID, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTime)
 	defer cancel()
@@ -88,9 +94,9 @@
 	return l.claims > 0
 }
 
-// playLostOwner submits 20 jobs a second through hosts that do not own the cell, while its owner is lost, and checks that the
-// accepted ones run once. It returns the outcomes of the calls.
-func playLostOwner(t *testing.T, inboxWriteShare float64) *calls {
+// playFailure submits 20 jobs a second through hosts that do not own the cell, while fail makes something fail, and checks that
+// the accepted ones run once. It returns the outcomes of the calls.
+func playFailure(t *testing.T, inboxWriteShare float64, fail func(c *jobCell, owner *jobProcess)) *calls {
 	const jobsInAll = 300
 	c := newJobCell(t)
 	c.inboxWriteShare = inboxWriteShare
@@ -108,16 +114,16 @@
 	require.NotEqual(t, -1, owner)
 	others := slices.Delete(slices.Clone(hosts), owner, owner+1)
 	result := &calls{refused: make(map[verdict.Verdict]int), tries: make(map[verdict.Verdict]int)}
-	var clients, killed sync.WaitGroup
+	var clients, failed sync.WaitGroup
 	for i := range jobsInAll {
 		if i == jobsInAll/4 {
-			killed.Go(hosts[owner].kill)
+			failed.Go(func() { fail(c, hosts[owner]) })
 		}
 		clients.Go(func() { result.submit(others, uint64(i+1)) })
 		require.NoError(t, sleep.For(t.Context(), 50*time.Millisecond))
 	}
 	clients.Wait()
-	killed.Wait()
+	failed.Wait()
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
 	for _, id := range result.accepted {
@@ -128,6 +134,9 @@
 	require.GreaterOrEqual(t, executions, len(result.accepted))
 	require.LessOrEqual(t, executions, len(result.accepted)+result.refused[verdict.MayHaveRun], "a job ran that was refused with proof")
 	others[1].kill()
+	if !hosts[owner].killed {
+		hosts[owner].kill()
+	}
 	c.close(others[0])
 	return result
 }
@@ -137,9 +146,8 @@
 	for name, share := range map[string]float64{"without inboxes": 0, "with inboxes": daemon.DefaultInboxWriteShare} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				r := playLostOwner(t, share)
-				t.Logf("%d accepted, %d by the first call, others %v, other answers %v, the longest call took %s",
-					len(r.accepted), r.firstTry, r.refused, r.tries, r.longest)
+				r := playFailure(t, share, func(_ *jobCell, owner *jobProcess) { owner.kill() })
+				r.log(t)
 				if share > 0 {
 					require.Empty(t, r.refused)
 				}
@@ -147,3 +155,27 @@
 		})
 	}
 }
+
+// Guards against answers that leave the outcome open in an outage of the store for all hosts: nothing durable was tried, and the
+// owner knows every job.
+func TestJobsAreRefusedWithProofInAStoreOutage(t *testing.T) {
+	for name, fault := range map[string]kv.Fault{"refuses calls": {Down: true}, "does not answer": {Hang: true}} {
+		for inboxes, share := range map[string]float64{"without inboxes": 0, "with inboxes": daemon.DefaultInboxWriteShare} {
+			t.Run(name+" "+inboxes, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					r := playFailure(t, share, func(c *jobCell, _ *jobProcess) {
+						c.store.SetFault(fault)
+						time.Sleep(4200 * time.Millisecond)
+						c.store.SetFault(kv.Fault{})
+					})
+					r.log(t)
+					if share > 0 {
+						// The write in progress when the store stops answering may take effect.
+						require.LessOrEqual(t, r.tries[verdict.MayHaveRun], 2)
+						require.Positive(t, r.tries[verdict.NotRun])
+					}
+				})
+			})
+		}
+	}
+}
--- a/explore/jobhost_test.go
+++ b/explore/jobhost_test.go
@@ -64,6 +64,7 @@
 	router *jobs.Router
 	cancel context.CancelFunc
 	runErr chan error
+	killed bool
 }
 
 func newJobCell(t *testing.T) *jobCell {
@@ -140,6 +141,7 @@
 
 // kill cuts the process off from the store and the workers for good, so that nothing that its end causes has an effect.
 func (p *jobProcess) kill() {
+	p.killed = true
 	p.store.SetFault(kv.Fault{Down: true})
 	for id := range p.cell.fleet {
 		p.link.SetCut(id, true)
