--- a/relay/jobs/inboxgate_test.go
+++ b/relay/jobs/inboxgate_test.go
@@ -40,11 +40,12 @@
 			time.Sleep(time.Second)
 			fx.kill(owner)
 			entry.setOwner(owner, l)
-			var next *host
-			time.AfterFunc(time.Second, func() { next = fx.claimCell() })
+			claimed := make(chan *host, 1)
+			time.AfterFunc(time.Second, func() { claimed <- fx.claimCell() })
 			begun := time.Now()
 			id := entry.place(numberedSpec(1))
 			require.Less(t, time.Since(begun), 1600*time.Millisecond)
+			next := <-claimed
 			fx.takeOver(next)
 			fx.requireRanOnce(next, id)
 		})
