--- a/relay/jobs/inboxgate_test.go
+++ b/relay/jobs/inboxgate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/ownership"
+	"github.com/bulrushrelay/bulrushrelay/core/store"
 	"github.com/bulrushrelay/bulrushrelay/core/verdict"
 	"github.com/bulrushrelay/bulrushrelay/relay/jobs"
 	"github.com/bulrushrelay/bulrushrelay/standin/kv"
@@ -32,6 +34,25 @@
 	}
 }
 
+// Guards against an inbox that opens when the lease of its owner lapses: in an outage of the store the owner may keep full
+// authority after that, until another host claims the cell.
+func TestInboxStaysClosedUntilTheCellIsClaimed(t *testing.T) {
+	inboxScenario(t, 2, func(fx *fixture, entry *entryHost) {
+		owner := fx.ownerHost(entry)
+		time.Sleep(time.Second)
+		entry.setOwner(owner, linkRefused)
+		_, err := fx.engine.Txn(bg, nil, []store.Op{{Key: fmt.Sprintf("/own/%d", cell), Delete: true}})
+		require.NoError(t, err)
+		_, err = entry.tryPlace(numberedSpec(1))
+		requireVerdict(t, verdict.MayHaveRun, err)
+		require.False(t, fx.inInbox(1))
+		next := fx.claimCell()
+		id := entry.place(numberedSpec(1))
+		fx.takeOver(next)
+		fx.requireRanOnce(next, id)
+	})
+}
+
 // Guards against calls that miss the inbox because it opens while they wait for the lost owner.
 func TestInboxOpensWhenTheCellIsClaimed(t *testing.T) {
 	for _, l := range []link{linkCut, linkRefused} {
