core/ownership: a grant says up to when no other host had claimed the cell

Full authority by reports lasts up to ReportMaxAge after the oldest report, and the member that gave it may claim the cell in that time. A successor settles before it accepts jobs, but its claim opens the inbox at once, so that an owner needs to know of which time its authority is proof.

Grant.ReportedAt is when the oldest report was asked for; Grant.WasExclusiveAt compares it with the arrival of a call.

--- a/core/ownership/grant.go
+++ b/core/ownership/grant.go
@@ -42,11 +42,20 @@
 	SlotsFrom time.Time
 	// DoubtSince is when the authority became InDoubt; zero if it is not InDoubt or if the host has lost its lease.
 	DoubtSince time.Time
+	// ReportedAt is set if the authority is Full although the lease may have lapsed: when the oldest of the reports was asked
+	// for that prove it. No other host had claimed the cell by then. Zero if the authority rests on the lease.
+	ReportedAt time.Time
 }
 
-// Equivalent reports whether two grants give the same rights. DoubtSince makes no difference.
+// WasExclusiveAt reports whether no other host had claimed the cell by a time that is not in the future. A host whose report is
+// still valid may have claimed it since.
+func (g Grant) WasExclusiveAt(t time.Time) bool {
+	return g.Authority == Full && (g.ReportedAt.IsZero() || !g.ReportedAt.Before(t))
+}
+
+// Equivalent reports whether two grants give the same rights. DoubtSince and ReportedAt make no difference.
 func (g Grant) Equivalent(other Grant) bool {
-	g.DoubtSince = other.DoubtSince
+	g.DoubtSince, g.ReportedAt = other.DoubtSince, other.ReportedAt
 	return g == other
 }
 
--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -306,6 +306,9 @@
 	SlotsFrom time.Time
 	// FullUntil is when the authority changes from Full to InDoubt.
 	FullUntil time.Time
+	// LeaseUntil is until when the lease alone gives Full authority, and ReportedAt when the oldest of the reports was asked
+	// for that give it after that.
+	LeaseUntil, ReportedAt time.Time
 }
 
 // Grant returns the rights of this host at now.
@@ -318,6 +321,8 @@
 		g.Authority = InDoubt
 		g.DoubtSince = h.FullUntil
 		g.ShareShift = halved(h.ShareShift)
+	} else if !now.Before(h.LeaseUntil) {
+		g.ReportedAt = h.ReportedAt
 	}
 	return g
 }
@@ -330,6 +335,7 @@
 	}
 	return Holding{
 		Cell: id, Epoch: h.epoch, ShareShift: h.record.ShareShift, From: h.authorityFrom, SlotsFrom: h.slotsFrom, FullUntil: m.FullUntil(id),
+		LeaseUntil: m.fullUntil, ReportedAt: m.oldestReport(),
 	}
 }
 
--- a/core/ownership/peers.go
+++ b/core/ownership/peers.go
@@ -337,6 +337,17 @@
 	return m.StoppedInstances().Contains(i)
 }
 
+// oldestReport returns when the oldest of the latest reports of the other members was asked for; zero if there are no other
+// members.
+func (m *Machine) oldestReport() (sentAt time.Time) {
+	for _, p := range m.peers {
+		if sentAt.IsZero() || p.reportSentAt.Before(sentAt) {
+			sentAt = p.reportSentAt
+		}
+	}
+	return sentAt
+}
+
 // noTakeoverUntil returns until when the reports of all known members prove that no other host can have taken a cell of
 // this one; zero if they do not. A host that knows no other member needs no report, because no member can be
 // established without its acknowledgement.
--- a/core/ownership/rules_test.go
+++ b/core/ownership/rules_test.go
@@ -106,6 +106,23 @@
 	}
 }
 
+// Guards against an owner that denies a job which came through the inbox of its cell: its lease lapses at second 9, and a member
+// that was asked at second 8.5 reaches the store and claims the cell then, while its report is still valid.
+func TestReportsProveNothingAboutTheTimeAfterThem(t *testing.T) {
+	m := newOwner("a", "b", "c")
+	m.ReportReceived(reportWithContactAge(m, "b", 7*time.Second), at(7.5), at(7.5))
+	require.True(t, m.Grant(1, at(7.9)).WasExclusiveAt(at(7.9)), "the lease is proof")
+	m.ReportReceived(reportWithContactAge(m, "b", time.Second), at(8.5), at(8.6))
+	m.ReportReceived(reportWithContactAge(m, "c", time.Second), at(8.8), at(8.9))
+	g := m.Grant(1, at(9.2))
+	require.Equal(t, Full, g.Authority)
+	require.True(t, g.WasExclusiveAt(at(8.5)))
+	require.False(t, g.WasExclusiveAt(at(8.6)), "the oldest report counts")
+	require.False(t, m.Grant(1, at(9.6)).WasExclusiveAt(at(8.5)), "the authority is in doubt")
+	sole := newOwner("a")
+	require.True(t, sole.Grant(1, at(9.2)).WasExclusiveAt(at(9.2)), "no other member can claim the cell")
+}
+
 // Guards against clock drift that ends full authority in an outage of many hours.
 func TestReportsWithoutContactCountForHours(t *testing.T) {
 	m := newOwner("a", "b")
--- a/core/ownership/sim_test.go
+++ b/core/ownership/sim_test.go
@@ -63,6 +63,7 @@
 	lossy     int
 	killed    []*process
 	epochs    map[ident.CellID]ident.Epoch
+	claims    map[ident.CellID][]claim
 	violation string
 }
 
@@ -97,6 +98,7 @@
 	s := &sim{
 		rng: rand.New(rand.NewPCG(seed, 1)), start: time.Unix(1e9, 0), now: time.Unix(1e9, 0),
 		cutStore: map[ident.HostID]int{}, cutPeers: map[[2]ident.HostID]int{}, epochs: map[ident.CellID]ident.Epoch{},
+		claims: map[ident.CellID][]claim{},
 	}
 	s.store = kv.New(kv.Config{Now: func() time.Time { return s.now }, NoExpiryTimer: true, WritesPerSecond: -1, ReadsPerSecond: -1})
 	for i := range cells {
@@ -398,6 +400,7 @@
 				p.s.violation = fmt.Sprintf("epoch %d of cell %d follows epoch %d", epoch, a.Cell, p.s.epochs[a.Cell])
 			} else {
 				p.s.epochs[a.Cell] = epoch
+				p.s.claims[a.Cell] = append(p.s.claims[a.Cell], claim{epoch, p.s.now})
 			}
 		}
 		return func() { p.m.TransactionDone(a, r.Outcome, r.Revision, p.clock()) }
@@ -518,6 +521,7 @@
 			g := p.m.Grant(c.ID, p.clock())
 			if g.Authority == Full && !p.paused {
 				full++
+				s.checkExclusive(p, g)
 			}
 			sum += p.shareInUse(c.ID, g)
 		}
