relay/jobs: a refusal or denial in an outage waits for reports that were asked for after the call

Cause: an owner with full authority by reports could deny a job that had just come through the inbox, which the claim of a member opens after its report. The owner now waits up to 800 ms for newer reports; members are asked every 500 ms. While the lease is valid nothing waits.

TestInboxAnswersWaitForReports fails without the wait.

--- a/relay/jobs/api.go
+++ b/relay/jobs/api.go
@@ -21,10 +21,10 @@
 		s.stats.RefusedJobs.Add(1)
 		return ident.JobID{}, err
 	}
-	inboxKnown := o.inboxKnown.Load()
+	calledAt, inboxKnown := o.now(), o.inboxKnown.Load()
 	id, err := o.submit(ctx, spec)
 	if err != nil {
-		err = o.checkRefusal(spec, err, inboxKnown)
+		err = o.checkRefusal(ctx, calledAt, spec, err, inboxKnown)
 		e := verdict.FromError(err)
 		o.logDecision(EventJobRefused, Fields{
 			FieldJob: jobField(ident.CallerAssignedJobID(cell, spec.ClientNumber)), FieldClass: spec.Class, FieldVerdict: e.Verdict.String(),
@@ -188,6 +188,7 @@
 	if !ok || o.authority() == ownership.None {
 		return errNotOwned(id.Cell)
 	}
+	calledAt := o.now()
 	err := o.cancelJob(ctx, id)
 	if err == nil || verdict.FromError(err).Code != verdict.CodeNotFound {
 		return err
@@ -206,14 +207,14 @@
 			return err
 		}
 	}
-	return o.confirmNotFound(o.cancelJob(ctx, id))
+	return o.confirmNotFound(ctx, calledAt, o.cancelJob(ctx, id))
 }
 
-// confirmNotFound replaces the answer that a job is not known unless the owner has full authority: otherwise a
-// successor may have accepted the job. It is called with the answer, because the process may have been paused since the
+// confirmNotFound replaces the answer that a job is not known unless no successor can have accepted the job, or opened the
+// inbox for it, before the question was asked. It is called with the answer, because the process may have been paused since the
 // question.
-func (o *owner) confirmNotFound(err error) error {
-	if err == nil || verdict.FromError(err).Code != verdict.CodeNotFound || o.authority() == ownership.Full {
+func (o *owner) confirmNotFound(ctx context.Context, calledAt time.Time, err error) error {
+	if err == nil || verdict.FromError(err).Code != verdict.CodeNotFound || o.awaitExclusive(ctx, calledAt) {
 		return err
 	}
 	return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "the owner of cell %d may have a successor that knows more jobs", o.cellID).
@@ -258,9 +259,10 @@
 	if !ok {
 		return lifecycle.JobView{}, errNotOwned(id.Cell)
 	}
+	calledAt := o.now()
 	v, err := o.get(ctx, id, from, limit)
 	o.waits.explain(v.Tasks)
-	return v, o.confirmNotFound(err)
+	return v, o.confirmNotFound(ctx, calledAt, err)
 }
 
 // get returns a job of the cell, also if it is still in the inbox.
@@ -300,8 +302,9 @@
 	if !ok {
 		return nil, errNotOwned(id.Cell)
 	}
+	calledAt := o.now()
 	if _, err := o.get(ctx, id, 0, 0); err != nil {
-		return nil, o.confirmNotFound(err)
+		return nil, o.confirmNotFound(ctx, calledAt, err)
 	}
 	changed := o.watchers.add(id)
 	out := make(chan lifecycle.JobView)
--- a/relay/jobs/inboxgate_test.go
+++ b/relay/jobs/inboxgate_test.go
@@ -208,6 +208,36 @@
 	})
 }
 
+// Guards against a refusal or a denial that rests on reports from before the call: a host that has reported may have claimed the
+// cell since, which opens the inbox while the owner still has full authority.
+func TestInboxAnswersWaitForReports(t *testing.T) {
+	inboxScenario(t, 2, func(fx *fixture, entry *entryHost) {
+		owner := fx.ownerHost(entry)
+		time.Sleep(time.Second)
+		fx.engine.Client(owner.name).SetFault(kv.Fault{Down: true})
+		owner.submitAsync(numberedSpec(100))
+		time.Sleep(time.Second)
+		reported := func(at time.Time) { owner.setGrant(func(g *ownership.Grant) { g.ReportedAt = at }) }
+		calls := map[string]func() error{
+			"submission":   func() error { _, err := owner.svc.Submit(bg, cell, numberedSpec(1)); return err },
+			"query":        func() error { _, err := owner.svc.Get(bg, ident.CallerAssignedJobID(cell, 1), 0, 1); return err },
+			"cancellation": func() error { return owner.svc.Cancel(bg, ident.CallerAssignedJobID(cell, 1)) },
+		}
+		for name, call := range calls {
+			reported(time.Now().Add(-time.Millisecond))
+			err := call()
+			require.NotEqual(t, verdict.CodeNotFound, verdict.FromError(err).Code, name)
+			require.False(t, name == "submission" && verdict.FromError(err).Verdict == verdict.NotRun)
+			time.AfterFunc(300*time.Millisecond, func() { reported(time.Now()) })
+			begun := time.Now()
+			err = call()
+			requireVerdict(t, verdict.NotRun, err)
+			require.True(t, name == "submission" || verdict.FromError(err).Code == verdict.CodeNotFound, name)
+			require.LessOrEqual(t, time.Since(begun), 350*time.Millisecond)
+		}
+	})
+}
+
 // Guards against an inbox that opens during the reign of an owner that has claimed its own cell anew, when the write with which
 // the same host opened it before takes effect late.
 func TestInboxIsNotOpenedByALateWrite(t *testing.T) {
--- a/relay/jobs/inboxowner.go
+++ b/relay/jobs/inboxowner.go
@@ -13,10 +13,14 @@
 	"github.com/bulrushrelay/bulrushrelay/internal/sleep"
 )
 
-// The pause after a failed read of the inbox doubles from minInboxBackoff to maxInboxBackoff.
 const (
+	// The pause after a failed read of the inbox doubles from minInboxBackoff to maxInboxBackoff.
 	minInboxBackoff = 50 * time.Millisecond
 	maxInboxBackoff = time.Second
+	// maxReportWait bounds the wait for reports of the other hosts, which are asked every 500 ms, after the arrival of a call.
+	// Queries end after maxOwnerPatience.
+	maxReportWait      = 800 * time.Millisecond
+	reportPollInterval = 50 * time.Millisecond
 )
 
 // takenEntry is an inbox entry of which the owner has queued the removal.
@@ -214,20 +218,38 @@
 }
 
 // checkRefusal replaces the verdict NotRun of a refusal unless the job certainly does not exist: an earlier call may have left
-// it in the inbox. inboxKnown says whether the cell knew the jobs of all entries before it refused this one, and full authority
-// that the inbox is still closed. A refusal with CodeUnavailable proves nothing in any case; see withUnknownOutcome.
-func (o *owner) checkRefusal(spec lifecycle.JobSpec, refusal error, inboxKnown bool) error {
+// it in the inbox. inboxKnown says whether the cell knew the jobs of all entries before it refused this one. No other host has
+// opened the inbox before the call if none had claimed the cell. A refusal with CodeUnavailable proves nothing in any case; see
+// withUnknownOutcome.
+func (o *owner) checkRefusal(ctx context.Context, calledAt time.Time, spec lifecycle.JobSpec, refusal error, inboxKnown bool) error {
 	e := verdict.FromError(refusal)
 	if !o.cfg.Inbox.enabled() || spec.ClientNumber == 0 || e.Verdict != verdict.NotRun || isFinalRefusal(e) || isUnavailable(e) {
 		return refusal
 	}
-	if inboxKnown && o.inboxKnown.Load() && o.authority() == ownership.Full {
+	if inboxKnown && o.awaitExclusive(ctx, calledAt) && o.inboxKnown.Load() {
 		return refusal
 	}
 	return verdict.Wrap(refusal, verdict.MayHaveRun, e.Code, "an earlier call may have left the job in the inbox of cell %d", o.cellID).
 		WithRetryAfter(e.RetryAfter)
 }
 
+// awaitExclusive waits until it is known that no other host had claimed the cell at a time. It returns false if that does not
+// become known. While the authority rests on reports of the other hosts, one of them may have claimed the cell since its report,
+// and the claim opens the inbox at once. Without inboxes full authority is enough: a successor settles before it accepts jobs.
+func (o *owner) awaitExclusive(ctx context.Context, at time.Time) bool {
+	for {
+		g := o.grant()
+		switch {
+		case g.Authority != ownership.Full:
+			return false
+		case !o.cfg.Inbox.enabled() || g.WasExclusiveAt(at):
+			return true
+		case o.now().Sub(at) > maxReportWait || sleep.For(ctx, reportPollInterval) != nil:
+			return false
+		}
+	}
+}
+
 // retention returns which finished jobs the next snapshot may forget: those that no entry can name any more. No host can write
 // an entry while the inbox is closed. One that is written after that belongs to a call that came after the snapshot, and
 // clients do not repeat a call later than repeatWindow. It runs in the loop.
