--- a/cmd/relayd/platform.go
+++ b/cmd/relayd/platform.go
@@ -22,6 +22,7 @@
 	"github.com/bulrushrelay/bulrushrelay/core/table"
 	"github.com/bulrushrelay/bulrushrelay/daemon"
 	"github.com/bulrushrelay/bulrushrelay/platform"
+	"github.com/bulrushrelay/bulrushrelay/relay/evacuations"
 	"github.com/bulrushrelay/bulrushrelay/relay/jobs"
 )
 
@@ -33,9 +34,10 @@
 // exitSettings.
 func platformCommand(code *int) *cli.Command {
 	var (
-		path       string
-		cells      int
-		inboxShare float64
+		path        string
+		cells       int
+		inboxShare  float64
+		noLookAhead bool
 	)
 	return &cli.Command{
 		Name:  "platform",
@@ -55,6 +57,10 @@
 					"does not take in time; 0 turns this off; the same on every host",
 				Sources: cli.EnvVars(daemon.EnvName("inbox-write-share")),
 			},
+			&cli.BoolFlag{
+				Name: daemon.NoLookAheadFlag, Usage: daemon.NoLookAheadUsage,
+				Destination: &noLookAhead, Sources: cli.EnvVars(daemon.EnvName(daemon.NoLookAheadFlag)),
+			},
 		},
 		Action: func(ctx context.Context, _ *cli.Command) error {
 			s, err := platform.ReadSettings(path)
@@ -64,6 +70,7 @@
 			}
 			settings := jobSettings(s, cells)
 			settings.InboxWriteShare = inboxShare
+			settings.NoLookAhead = noLookAhead
 			return runPlatform(ctx, path, s, settings)
 		},
 	}
@@ -94,12 +101,17 @@
 	}
 	manifests := platform.NewManifestWatcher(store, log)
 	var handler *platform.JobHandler
+	var requests evacuations.Source
+	if settings.EvacuationBound > 0 {
+		requests = platform.NewEvacuations(store)
+	}
 	h, err := daemon.NewJobHost(settings, daemon.JobPorts{
 		Metrics:       metrics,
 		DecisionLog:   decisions,
 		Store:         store,
 		Workers:       platform.NewWorkers(client, s.WorkerLease, jobIDOf, log),
 		FollowWorkers: platform.NewWorkerWatcher(store, log).Run,
+		Evacuations:   requests,
 		FollowTable: func(ctx context.Context, changed func(*table.Table)) {
 			manifests.Run(ctx, func(m *platform.Manifest) {
 				changed(m.Table)
@@ -137,7 +149,7 @@
 		HostID: s.Host, DataCentre: s.DataCentre, Regions: s.Regions, Cells: cells,
 		CallerAddress: s.CallerAddress, StatusAddress: s.ReadyAddress, PeerAddress: s.PeerAddress, MetricsAddress: s.MetricsAddress,
 		WorkerLease: s.WorkerLease, StopTime: s.StopTime, SmallestLease: s.SmallestLease, StoreWrites: s.StoreWrites, Grace: s.Grace,
-		MilliCPU: s.MilliCPU,
+		MilliCPU: s.MilliCPU, EvacuationBound: s.EvacuationBound,
 	}
 }
 
--- a/core/placement/explain.go
+++ b/core/placement/explain.go
@@ -29,6 +29,7 @@
 	WaitImpossible WaitReason = "impossible"
 
 	WaitLeaving    WaitReason = "leaving"
+	WaitEvacuated  WaitReason = "evacuated"
 	WaitQuarantine WaitReason = "quarantine"
 	WaitAvoid      WaitReason = "avoid"
 	WaitPool       WaitReason = "pool"
@@ -56,6 +57,8 @@
 	// included. They decide whether a job of fillers gets a task started beside others.
 	JobRunning int
 	PoolUse    float64
+	// Room says when room is expected, if the task waits for room.
+	Room RoomForecast
 }
 
 // RuledOutCounts counts, by reason, the workers with room that do not take a task.
@@ -84,6 +87,7 @@
 	WaitClaim:      "the room that is kept for it on one worker does not suffice yet",
 	WaitImpossible: "it exceeds every worker or the limit of its class",
 	WaitLeaving:    "the workers with room are shutting down",
+	WaitEvacuated:  "the workers with room are in a data centre under evacuation",
 	WaitQuarantine: "the workers with room are in quarantine",
 	WaitAvoid:      "it has failed on the workers with room",
 	WaitPool:       "the workers with room are in other pools",
@@ -129,6 +133,7 @@
 		return w
 	case claimed:
 		w.Reason = WaitClaim
+		w.Room = c.forecastRoom(t, nil, now)
 		return w
 	default:
 	}
@@ -140,6 +145,7 @@
 		w.Reason = WaitLimit
 	case w.WorkersWithRoom == 0:
 		w.Reason = WaitRoom
+		w.Room = c.forecastRoom(t, &req, now)
 	case admitting == 0:
 		w.Reason = w.RuledOut[0].Reason
 	case c.missedRecently(t, c.signatureOf(t)):
@@ -195,6 +201,8 @@
 	switch f.(type) {
 	case leavingFilter:
 		return WaitLeaving
+	case evacuatedFilter:
+		return WaitEvacuated
 	case quarantineFilter:
 		return WaitQuarantine
 	case avoidFilter:
--- a/daemon/flags.go
+++ b/daemon/flags.go
@@ -18,6 +18,12 @@
 	return envPrefix + strings.ToUpper(strings.ReplaceAll(flag, "-", "_"))
 }
 
+// NoLookAheadFlag turns look-ahead placement off, on hosts that run requests and jobs and on those that run only jobs.
+const (
+	NoLookAheadFlag  = "no-look-ahead"
+	NoLookAheadUsage = "place tasks without regard to what waits and what will end soon, to compare both orders (docs/design/look-ahead.md)"
+)
+
 // Categories of the flags, each a section of the settings page.
 const (
 	groupIdentity  = "identity"
@@ -58,12 +64,14 @@
 
 		durationFlag(&s.DrainTimeout, "drain-timeout", groupLimits, 30*time.Second, "maximum time that a graceful shutdown waits for requests in progress"),
 		durationFlag(&s.LongestRequest, "longest-request", groupLimits, DefaultLongestRequest, "maximum time for which a request may hold a slot of a target"),
+		durationFlag(&s.EvacuationBound, "evacuation-bound", groupLimits, 0, "time from a request for the evacuation of a data centre until nothing more may start there; 0 turns evacuations off; the same on all hosts"),
 		intFlag(&s.MaxCallerConnections, "max-caller-connections", groupLimits, 4096, "maximum number of open connections of callers"),
 		intFlag(&s.MaxPeerConnections, "max-peer-connections", groupLimits, DefaultMaxPeerConnections, "maximum number of open connections of other relay hosts"),
 		durationFlag(&s.KeyRetention, "key-retention", groupLimits, ledger.DefaultRetention, "how long after its issue an idempotency key may be used; the same on all hosts, fixed by the first host that starts"),
 		intFlag(&s.LedgerRecords, "ledger-records", groupLimits, 500_000, "maximum number of idempotency records held at once"),
 		intFlag(&s.LedgerMB, "ledger-mb", groupLimits, 256, "maximum memory for idempotency records, in MB"),
 		intFlag(&s.MilliCPU, "milli-cpu", groupLimits, 0, "CPU capacity of this host in thousandths of a core, used in the choice of cell owners; 0 if not known"),
+		boolFlag(&s.NoLookAhead, NoLookAheadFlag, groupLimits, NoLookAheadUsage),
 	}
 }
 
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -20,6 +20,7 @@
 	exportCluster(h.metrics, h.cluster, h.settings.Cells)
 	exportJobs(h.metrics, h.jobs.Stats())
 	exportOwnerLoad(h.metrics, h.jobs.Load())
+	exportEvacuated(h.metrics, h.jobs)
 	h.exportTable()
 	records, bytes := h.ledgers.Own().Usage()
 	h.metrics.Gauge("ledger_records").Update(records)
@@ -86,6 +87,18 @@
 	for cause := range retry.Causes {
 		raiseCounter(m, "job_retries_advised_total", s.Refusals(cause), telemetry.Label{Name: "cause", Value: cause.String()})
 	}
+	exportLookAhead(m, &s.LookAhead)
+}
+
+func exportLookAhead(m *telemetry.Registry, s *jobs.LookAheadStats) {
+	raiseCounter(m, "reservations_made_total", s.Reserved.Load())
+	raiseCounter(m, "reservations_kept_total", s.Kept.Load())
+	raiseCounter(m, "reservations_elsewhere_total", s.Elsewhere.Load())
+	raiseCounter(m, "reservations_expired_total", s.Expired.Load())
+	raiseCounter(m, "reserved_room_lent_total", s.Backfilled.Load())
+	raiseCounter(m, "reserved_room_yielded_total", s.Yielded.Load())
+	raiseCounter(m, "forecasts_total", s.Forecasts.Load())
+	raiseCounter(m, "forecast_error_ms_total", time.Duration(s.ForecastError.Load()).Milliseconds())
 }
 
 func exportOwnerLoad(m *telemetry.Registry, l jobs.Load) {
--- a/relay/jobs/service.go
+++ b/relay/jobs/service.go
@@ -8,12 +8,12 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/bulrushrelay/bulrushrelay/core/evacuation"
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
 	"github.com/bulrushrelay/bulrushrelay/core/ownership"
 	"github.com/bulrushrelay/bulrushrelay/core/retry"
 	"github.com/bulrushrelay/bulrushrelay/core/shard"
-	"github.com/bulrushrelay/bulrushrelay/core/store"
 	"github.com/bulrushrelay/bulrushrelay/core/table"
 	"github.com/bulrushrelay/bulrushrelay/core/verdict"
 )
@@ -52,6 +52,9 @@
 	// StallLimit is how long commits may fail before new jobs are refused at once instead of waiting for the store; 0
 	// means that they always wait.
 	StallLimit time.Duration
+	// RefreshEvacuations asks for the requests for evacuations to be read again and passed to SetEvacuations. It must not
+	// block. Owners start nothing by a set that was read before they took over. Nil means that the deployment has none.
+	RefreshEvacuations func()
 	// Cells is the number of cells that share the limits of the table.
 	Cells  int
 	Logger *logrus.Logger
@@ -83,6 +86,7 @@
 	refusals [retry.Causes]atomic.Int64
 	// TableWait is the time that owners have waited for their first table, in nanoseconds.
 	TableWait atomic.Int64
+	LookAhead LookAheadStats
 }
 
 // Service runs the jobs of the cells that this host owns. It is safe for concurrent use.
@@ -91,7 +95,9 @@
 	owners *shard.Map[ident.CellID, *owner]
 	// table is nil until the first one is known.
 	table atomic.Pointer[table.Table]
-	stats Stats
+	// evacuations is nil until the requests have been read.
+	evacuations atomic.Pointer[evacuation.Set]
+	stats       Stats
 }
 
 // New returns a service that owns no cell and starts with table t, or without one if t is nil.
@@ -111,6 +117,7 @@
 	if r, ok := cfg.Workers.(AllLeaseRenewer); ok {
 		cfg.Policy.SyncRenewsAll = r.RenewsAllLeases()
 	}
+	cfg.Policy.AwaitEvacuations = cfg.RefreshEvacuations != nil
 	if cfg.DecisionLog == nil {
 		cfg.DecisionLog = discardDecisions{}
 	}
@@ -162,11 +169,16 @@
 // left to the acquisition under the next one.
 func (s *Service) Acquire(ctx context.Context, g ownership.Grant, members []lifecycle.Member) error {
 	s.stopOwner(g.Cell, g.Epoch)
+	startedAt := s.cfg.Clock.Now()
+	if s.cfg.RefreshEvacuations != nil {
+		s.cfg.RefreshEvacuations()
+	}
 	state, err := s.loadState(ctx, g)
 	if err != nil {
 		return verdict.Wrap(err, verdict.NotRun, verdict.CodeUnavailable, "acquire cell %d", g.Cell)
 	}
 	o := s.newOwner(g, state)
+	o.acquiredAt = startedAt
 	o.restoreEstimates(ctx)
 	o.cell.RestoreSnapshot(state.snapshot)
 	for _, r := range state.records {
@@ -210,6 +222,7 @@
 	}
 	// SetTable passes over an owner that is not installed yet.
 	o.post(func() { o.useTable(s.table.Load()) })
+	s.passEvacuations(o)
 	return nil
 }
 
@@ -227,6 +240,7 @@
 		priorityMailbox:      make(chan event),
 		loopDone:             make(chan struct{}),
 		callsDone:            make(chan struct{}),
+		evacuationsNoted:     make(chan struct{}, 1),
 		conns:                make(map[ident.WorkerID]*workerConn),
 		pendingSubmissions:   make(map[ident.JobID]*pendingRecord),
 		pendingCancellations: make(map[ident.JobID]*pendingRecord),
@@ -291,94 +305,6 @@
 	return ok && o.cell.Recovering()
 }
 
-// Drain hands a cell over: it stops placing tasks, makes all records durable, writes a snapshot that includes all
-// commands sent to workers, and stops the cell. After an error the next owner treats this one as lost.
-func (s *Service) Drain(ctx context.Context, cell ident.CellID) error {
-	return s.DrainCutOff(ctx, ctx, cell)
-}
-
-// DrainCutOff is Drain for an owner that does not reach its workers: it waits for calls to them until callsCtx ends only.
-// The snapshot says on which worker each attempt may run whose call has no answer. A start that is carried out later is
-// refused by its fence, or found when the next owner claims the worker.
-func (s *Service) DrainCutOff(ctx, callsCtx context.Context, cell ident.CellID) error {
-	o, ok := s.owners.Get(cell)
-	if !ok {
-		return nil
-	}
-	defer s.stopOwner(cell, o.epoch)
-	o.draining.Store(true)
-	var gate store.Revision
-	if !o.call(ctx, func() {
-		o.apply(o.cell.SetAuthority(o.now(), false, o.predecessorConfirmed))
-		gate = o.leaveInbox()
-	}) {
-		return o.errNotRun(ctx)
-	}
-	o.reopenInbox(ctx, gate)
-	select {
-	case <-o.callsDone:
-	case <-o.ctx.Done():
-		return errNotOwned(cell)
-	case <-callsCtx.Done():
-		if ctx.Err() != nil {
-			return verdict.Wrap(ctx.Err(), verdict.MayHaveRun, verdict.CodeDeadline, "drain cell %d: wait for calls to workers", cell)
-		}
-	}
-	snapshot, err := o.finish(ctx)
-	if err != nil {
-		return err
-	}
-	if !snapshot.Clean {
-		// The log already holds all that this owner knows, and a further snapshot could get the id of the present one.
-		return nil
-	}
-	if err := o.log.putSnapshot(ctx, snapshot); err != nil {
-		return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeUnavailable, "drain cell %d: write the snapshot", cell)
-	}
-	return nil
-}
-
-// finish stops the loop and the log writer at a moment when every record is durable, and returns the state at that
-// moment. Reports of workers are no longer accepted once the records queued at the start are durable: each report of
-// ended attempts would add records, so that a busy cell would never become idle. The workers keep these ends for the
-// next owner.
-func (o *owner) finish(ctx context.Context) (lifecycle.Snapshot, error) {
-	var (
-		snapshot      lifecycle.Snapshot
-		snapshotTaken bool
-	)
-	if err := o.log.awaitQueued(ctx); err != nil {
-		return snapshot, verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeDeadline, "drain cell %d: write the queued records", o.cellID)
-	}
-	if !o.call(ctx, o.stopConns) {
-		return snapshot, o.errNotRun(ctx)
-	}
-	for !snapshotTaken {
-		if err := o.log.flush(ctx); err != nil {
-			return snapshot, verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeDeadline, "drain cell %d: flush the log", o.cellID)
-		}
-		ran := o.call(ctx, func() {
-			if o.log.allDurable() {
-				snapshot = o.snapshot(true)
-				snapshotTaken = true
-				o.cancel()
-			}
-		})
-		if ran {
-			continue
-		}
-		// The snapshot was taken, the owner was stopped, or the caller gave up.
-		err := o.errNotRun(ctx)
-		o.cancel()
-		o.wg.Wait()
-		if !snapshotTaken {
-			return snapshot, err
-		}
-	}
-	o.wg.Wait()
-	return snapshot, nil
-}
-
 // errNotRun returns the error of a call that the loop has not run: the caller's context ended before the loop had time
 // for it, or the owner has stopped. After a crash of the owner the call may have run.
 func (o *owner) errNotRun(ctx context.Context) error {
