--- a/cmd/relayd/platform.go
+++ b/cmd/relayd/platform.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"net/http"
 	"os"
 	"os/signal"
@@ -35,6 +37,7 @@
 		path        string
 		cells       int
 		noCopies    bool
+		inboxShare  float64
 		noLookAhead bool
 	)
 	return &cli.Command{
@@ -49,6 +52,12 @@
 				Name: "cells", Usage: "cells of the deployment, the same on every host; 0 means one for each region",
 				Destination: &cells,
 			},
+			&cli.FloatFlag{
+				Name: "inbox-write-share", Value: daemon.DefaultInboxWriteShare, Destination: &inboxShare,
+				Usage: "share of the store's writes with which all hosts together make jobs durable that the owner of their cell " +
+					"does not take in time; 0 turns this off; the same on every host",
+				Sources: cli.EnvVars(daemon.EnvName("inbox-write-share")),
+			},
 			&cli.BoolFlag{
 				Name: "no-speculative-copies", Usage: "start no second attempts of overdue tasks, also in groups that allow them",
 				Destination: &noCopies, Sources: cli.EnvVars(daemon.EnvName("no-speculative-copies")),
@@ -60,18 +69,27 @@
 		},
 		Action: func(ctx context.Context, _ *cli.Command) error {
 			s, err := platform.ReadSettings(path)
-			if err != nil {
+			if err = errors.Join(err, checkInboxShare(inboxShare)); err != nil {
 				*code = exitSettings
 				return err
 			}
 			settings := jobSettings(s, cells)
 			settings.NoSpeculativeCopies = noCopies
+			settings.InboxWriteShare = inboxShare
 			settings.NoLookAhead = noLookAhead
 			return runPlatform(ctx, path, s, settings)
 		},
 	}
 }
 
+// checkInboxShare checks a share of the store's writes.
+func checkInboxShare(share float64) error {
+	if !(share >= 0 && share <= 1) {
+		return fmt.Errorf("inbox-write-share: %g: want 0 to 1", share)
+	}
+	return nil
+}
+
 func runPlatform(ctx context.Context, path string, s platform.Settings, settings daemon.JobSettings) error {
 	sink := decisionlog.NewSink(os.Stdout)
 	defer sink.Close()
--- a/explore/jobhost_test.go
+++ b/explore/jobhost_test.go
@@ -55,6 +55,8 @@
 	started  int
 	// workerLease is the setting of the processes. The workers themselves end their leases after lifecycle.LeaseDuration.
 	workerLease time.Duration
+	// inboxWriteShare is the setting of the processes; 0 means no inboxes.
+	inboxWriteShare float64
 	// inPicton holds the workers that are in the data centre picton instead of nelson. The processes follow the requests
 	// for evacuations if there are any.
 	inPicton map[ident.WorkerID]bool
@@ -68,6 +70,7 @@
 	router *jobs.Router
 	cancel context.CancelFunc
 	runErr chan error
+	killed bool
 }
 
 func newJobCell(t *testing.T) *jobCell {
@@ -104,6 +107,7 @@
 		CallerAddress:   addressOf(firstAddress), StatusAddress: addressOf(firstAddress + 1), PeerAddress: addressOf(firstAddress + 2),
 		MetricsAddress: addressOf(firstAddress + 3),
 		WorkerLease:    c.workerLease, StopTime: 2 * time.Second, SmallestLease: 2 * time.Second, StoreWrites: 1000, Grace: jobHostGrace,
+		InboxWriteShare: c.inboxWriteShare,
 	}, daemon.JobPorts{
 		Metrics: telemetry.NewRegistry(), Store: p.store, Workers: p.link, FollowWorkers: c.followWorkers, FollowTable: c.followTable,
 		Evacuations:     requests,
@@ -152,6 +156,7 @@
 
 // kill cuts the process off from the store and the workers for good, so that nothing that its end causes has an effect.
 func (p *jobProcess) kill() {
+	p.killed = true
 	p.store.SetFault(kv.Fault{Down: true})
 	for id := range p.cell.fleet {
 		p.link.SetCut(id, true)
--- a/relay/jobs/api.go
+++ b/relay/jobs/api.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -8,19 +9,22 @@
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
 	"github.com/bulrushrelay/bulrushrelay/core/ownership"
+	"github.com/bulrushrelay/bulrushrelay/core/retry"
 	"github.com/bulrushrelay/bulrushrelay/core/verdict"
 )
 
 // Submit accepts a job in a cell and returns its id once the job is durable. An error with verdict NotRun proves that
 // the job does not exist; after MayHaveRun the caller can safely repeat the call with the same client token.
 func (s *Service) Submit(ctx context.Context, cell ident.CellID, spec lifecycle.JobSpec) (ident.JobID, error) {
-	o, err := s.ownerForSubmission(cell)
+	o, err := s.ownerForSubmission(cell, spec.Class)
 	if err != nil {
 		s.stats.RefusedJobs.Add(1)
 		return ident.JobID{}, err
 	}
+	calledAt, inboxKnown := o.now(), o.inboxKnown.Load()
 	id, err := o.submit(ctx, spec)
 	if err != nil {
+		err = o.checkRefusal(ctx, calledAt, spec, err, inboxKnown)
 		e := verdict.FromError(err)
 		o.logDecision(EventJobRefused, Fields{
 			FieldJob: jobField(ident.CallerAssignedJobID(cell, spec.ClientNumber)), FieldClass: spec.Class, FieldVerdict: e.Verdict.String(),
@@ -38,21 +42,18 @@
 	return id, err
 }
 
-func (s *Service) ownerForSubmission(cell ident.CellID) (*owner, error) {
+func (s *Service) ownerForSubmission(cell ident.CellID, class ident.ClassName) (*owner, error) {
 	o, ok := s.owners.Get(cell)
 	if !ok || o.stopped.Load() {
 		return nil, errNotOwned(cell)
 	}
 	if o.draining.Load() {
-		return nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "cell %d is being handed over", cell).WithRetryAfter(time.Second)
+		return nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "cell %d is being handed over", cell).
+			WithRetryAfter(s.retryAfter(retry.OwnerMissing, 0, class))
 	}
 	if o.authority() == ownership.None {
 		return nil, errNotOwned(cell)
 	}
-	if o.log.queueFull() {
-		return nil, verdict.New(verdict.NotRun, verdict.CodeLimited, "too many records of cell %d are queued for the store", cell).
-			WithRetryAfter(s.cfg.DurableWait)
-	}
 	return o, nil
 }
 
@@ -62,6 +63,10 @@
 		rec *pendingRecord
 		err error
 	)
+	if o.log.queueFull() && !o.cell.IsRepeat(spec) {
+		return id, verdict.New(verdict.NotRun, verdict.CodeLimited, "too many records of cell %d are queued for the store", o.cellID).
+			WithRetryAfter(o.retryAfter(retry.CellFull, o.log.failingFor(), spec.Class))
+	}
 	storeFailingFor := o.log.failingFor()
 	ok := o.call(ctx, func() { id, rec, err = o.queueSubmission(spec, storeFailingFor) })
 	if !ok {
@@ -75,13 +80,14 @@
 	}
 	if o.withdraw(id, spec, rec) {
 		return ident.JobID{}, verdict.New(verdict.NotRun, verdict.CodeDeadline,
-			"the job could not be made durable: the store does not answer").WithRetryAfter(o.cfg.DurableWait)
+			"the job could not be made durable: the store does not answer").WithRetryAfter(o.retryAfterStore(spec.Class))
 	}
 	if isDurable(rec) {
 		return id, nil
 	}
 	return id, verdict.New(verdict.MayHaveRun, verdict.CodeUnavailable,
-		"job %s may have been accepted: the store did not answer; a repeat with the same client token is safe", id)
+		"job %s may have been accepted: the store did not answer; a repeat with the same client token is safe", id).
+		WithRetryAfter(o.retryAfterStore(spec.Class))
 }
 
 // queueSubmission returns the record for which a submission waits: a new one, or that of an earlier attempt with the
@@ -92,7 +98,8 @@
 			// A new record would only wait behind those that the store does not accept. Refusing at once lets the caller
 			// try another cell or come back later.
 			return ident.JobID{}, nil, verdict.New(verdict.NotRun, verdict.CodeLimited,
-				"the store has not answered for %s", storeFailingFor.Round(time.Millisecond)).WithRetryAfter(stalledStoreRetryAfter)
+				"the store has not answered for %s", storeFailingFor.Round(time.Millisecond)).
+				WithRetryAfter(o.retryAfter(retry.StoreUnavailable, storeFailingFor, spec.Class))
 		}
 		id, eff, err := o.cell.Accept(o.now(), spec)
 		if err != nil {
@@ -128,10 +135,6 @@
 	return err
 }
 
-// stalledStoreRetryAfter is the delay after which a caller should repeat a job that was refused because the store
-// does not answer. It is about the time in which a successor takes the cell over.
-const stalledStoreRetryAfter = 2 * time.Second
-
 // awaitDurable waits until the record is durable. It returns false after Config.DurableWait, or when the caller's or
 // the owner's context ends first.
 func (o *owner) awaitDurable(ctx context.Context, rec *pendingRecord) bool {
@@ -185,6 +188,7 @@
 	if !ok || o.authority() == ownership.None {
 		return errNotOwned(id.Cell)
 	}
+	calledAt := o.now()
 	err := o.cancelJob(ctx, id)
 	if err == nil || verdict.FromError(err).Code != verdict.CodeNotFound {
 		return err
@@ -198,18 +202,23 @@
 	if submission != nil && !o.awaitDurable(ctx, submission) {
 		return errSubmissionPending(id)
 	}
-	return o.confirmNotFound(o.cancelJob(ctx, id))
+	if submission == nil {
+		if _, err := o.awaitAccepted(ctx, id); err != nil {
+			return err
+		}
+	}
+	return o.confirmNotFound(ctx, calledAt, o.cancelJob(ctx, id))
 }
 
-// confirmNotFound replaces the answer that a job is not known unless the owner has full authority: otherwise a
-// successor may have accepted the job. It is called with the answer, because the process may have been paused since the
+// confirmNotFound replaces the answer that a job is not known unless no successor can have accepted the job, or opened the
+// inbox for it, before the question was asked. It is called with the answer, because the process may have been paused since the
 // question.
-func (o *owner) confirmNotFound(err error) error {
-	if err == nil || verdict.FromError(err).Code != verdict.CodeNotFound || o.authority() == ownership.Full {
+func (o *owner) confirmNotFound(ctx context.Context, calledAt time.Time, err error) error {
+	if err == nil || verdict.FromError(err).Code != verdict.CodeNotFound || o.awaitExclusive(ctx, calledAt) {
 		return err
 	}
 	return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "the owner of cell %d may have a successor that knows more jobs", o.cellID).
-		WithRetryAfter(time.Second)
+		WithRetryAfter(o.retryAfter(retry.OwnerMissing, 0, ""))
 }
 
 // errSubmissionPending returns the error for a cancellation whose job is still being submitted: the job may yet be
@@ -245,14 +254,27 @@
 }
 
 // Get returns a job with at most limit of its tasks, starting at index from.
-func (s *Service) Get(_ context.Context, id ident.JobID, from, limit int) (lifecycle.JobView, error) {
+func (s *Service) Get(ctx context.Context, id ident.JobID, from, limit int) (lifecycle.JobView, error) {
 	o, ok := s.owners.Get(id.Cell)
 	if !ok {
 		return lifecycle.JobView{}, errNotOwned(id.Cell)
 	}
-	v, err := o.cell.Get(id, from, limit)
+	calledAt := o.now()
+	v, err := o.get(ctx, id, from, limit)
 	o.waits.explain(v.Tasks)
-	return v, o.confirmNotFound(err)
+	return v, o.confirmNotFound(ctx, calledAt, err)
+}
+
+// get returns a job of the cell, also if it is still in the inbox.
+func (o *owner) get(ctx context.Context, id ident.JobID, from, limit int) (lifecycle.JobView, error) {
+	v, err := o.cell.Get(id, from, limit)
+	if err == nil {
+		return v, nil
+	}
+	if found, findErr := o.awaitAccepted(ctx, id); findErr != nil || !found {
+		return v, cmp.Or(findErr, err)
+	}
+	return o.cell.Get(id, from, limit)
 }
 
 // WaitingJobs returns the number of jobs of a cell that have not run any task yet, by class.
@@ -280,8 +302,9 @@
 	if !ok {
 		return nil, errNotOwned(id.Cell)
 	}
-	if _, err := o.cell.Get(id, 0, 0); err != nil {
-		return nil, o.confirmNotFound(err)
+	calledAt := o.now()
+	if _, err := o.get(ctx, id, 0, 0); err != nil {
+		return nil, o.confirmNotFound(ctx, calledAt, err)
 	}
 	changed := o.watchers.add(id)
 	out := make(chan lifecycle.JobView)
--- a/relay/jobs/owner.go
+++ b/relay/jobs/owner.go
@@ -13,6 +13,7 @@
 	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
 	"github.com/bulrushrelay/bulrushrelay/core/ownership"
 	"github.com/bulrushrelay/bulrushrelay/core/placement"
+	"github.com/bulrushrelay/bulrushrelay/core/retry"
 	"github.com/bulrushrelay/bulrushrelay/core/store"
 	"github.com/bulrushrelay/bulrushrelay/core/table"
 )
@@ -52,6 +53,9 @@
 	// crashed is set once a panic has ended the owner.
 	crashed  atomic.Bool
 	draining atomic.Bool
+	// inboxKnown is set while the inbox is closed and the cell knows the jobs of all its entries. It holds only with full
+	// authority: a host that claims the cell opens the inbox.
+	inboxKnown atomic.Bool
 	// loopDone is closed when the loop has run its last event.
 	loopDone chan struct{}
 	// callsDone is closed once a draining owner has no call to a worker queued or in flight.
@@ -65,6 +69,9 @@
 	// answerTimes are the times that workers take to answer starts and claims.
 	answerTimes movingAverage
 
+	// retryAfter returns when a caller should repeat a refused call.
+	retryAfter func(cause retry.Cause, lasted time.Duration, class ident.ClassName) time.Duration
+
 	// queuedEvents counts the events in the mailboxes, queuedCalls the calls in the outboxes, and syncsInProgress the
 	// syncs in progress. late says whether the owner has fallen behind.
 	queuedEvents, queuedCalls, syncsInProgress atomic.Int64
@@ -83,7 +90,12 @@
 	pendingSubmissions map[ident.JobID]*pendingRecord
 	// pendingCancellations holds the cancellations that are not durable yet.
 	pendingCancellations map[ident.JobID]*pendingRecord
-	planNeeded           bool
+	// takenEntries holds the inbox entries whose removal is not durable yet, waitingEntries those that cannot be taken yet.
+	takenEntries   map[ident.JobID]takenEntry
+	waitingEntries map[ident.JobID]inboxEntry
+	// closedGate is the revision with which this owner closed the inbox, once it has read all entries; 0 before.
+	closedGate store.Revision
+	planNeeded bool
 	// planUnfinished is set while the planner has work left to do between other events.
 	planUnfinished bool
 	lastPlanAt     time.Time
@@ -299,7 +311,7 @@
 }
 
 // onCommitted is called by the log writer after each durable batch.
-func (o *owner) onCommitted(records []lifecycle.Record) {
+func (o *owner) onCommitted(batch []*pendingRecord, records []lifecycle.Record) {
 	o.stats.Commits.Add(1)
 	o.stats.Records.Add(int64(len(records)))
 	// The log writer waits for this event, so that a caller that learns of the commit also sees its effect.
@@ -315,17 +327,24 @@
 				delete(o.pendingCancellations, typed.Job)
 			}
 		}
+		o.noteEntriesTaken(batch)
 		o.wakeSyncs(o.cell.TakeAckedWorkers())
 	})
 }
 
 // takeSnapshot returns the state after all commits reported so far. It returns false if the owner has stopped.
-func (o *owner) takeSnapshot(clean bool) (lifecycle.Snapshot, bool) {
+func (o *owner) takeSnapshot() (lifecycle.Snapshot, bool) {
 	var s lifecycle.Snapshot
-	ok := o.callPriority(o.ctx, func() { s = o.cell.Snapshot(o.now(), clean) })
+	ok := o.callPriority(o.ctx, func() { s = o.snapshot(false) })
 	return s, ok
 }
 
+// snapshot returns the state of the cell and forgets old finished jobs. It runs in the loop.
+func (o *owner) snapshot(isClean bool) lifecycle.Snapshot {
+	o.cell.SetRetention(o.retention())
+	return o.cell.Snapshot(o.now(), isClean)
+}
+
 // useTable puts a table in force in the cell and its planner.
 func (o *owner) useTable(t *table.Table) {
 	if t == o.table {
@@ -334,6 +353,7 @@
 	o.table = t
 	o.planner.SetTable(t)
 	o.apply(o.cell.SetTable(o.now(), t))
+	o.retryEntries()
 	o.planNeeded = true
 	if waited, ok := o.endTableWait(); ok {
 		o.logDecision(EventTableReceived, Fields{FieldTable: o.tableRevision(), FieldWaitedMs: waited.Milliseconds()})
--- a/relay/jobs/router.go
+++ b/relay/jobs/router.go
@@ -9,6 +9,7 @@
 
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
+	"github.com/bulrushrelay/bulrushrelay/core/retry"
 	"github.com/bulrushrelay/bulrushrelay/core/verdict"
 	"github.com/bulrushrelay/bulrushrelay/internal/sleep"
 )
@@ -50,13 +51,22 @@
 	peer      Peer
 	// submitTimeout is how long a submission waits for an owner that accepts it.
 	submitTimeout time.Duration
+	// inbox is nil if the deployment uses no inboxes.
+	inbox *inboxWriter
+	// answerTimes are the times that owners take to accept a job.
+	answerTimes movingAverage
+
+	outages outages
 }
 
 // NewRouter returns a router for calls that arrive at this host. local may be nil if this host owns no cells.
 func NewRouter(local *Service, d Directory, p Peer) *Router {
-	r := &Router{local: local, directory: d, peer: p, submitTimeout: DefaultDurableWait}
+	r := &Router{local: local, directory: d, peer: p, submitTimeout: DefaultDurableWait, outages: newOutages()}
 	if local != nil {
 		r.submitTimeout = local.cfg.DurableWait
+		if local.cfg.Inbox.enabled() {
+			r.inbox = newInboxWriter(local.cfg.Inbox, local.cfg.Codec)
+		}
 	}
 	return r
 }
@@ -65,8 +75,9 @@
 func (r *Router) owner(cell ident.CellID) (address string, local bool, err error) {
 	address, local, ok := r.directory.Owner(cell)
 	if !ok {
-		return "", false, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "cell %d has no owner at present", cell).
-			WithRetryAfter(time.Second)
+		r.outages.note(cell, false)
+		err := verdict.New(verdict.NotRun, verdict.CodeUnavailable, "cell %d has no owner at present", cell)
+		return "", false, r.withRetryAfter(cell, lifecycle.JobSpec{}, err)
 	}
 	return address, local, nil
 }
@@ -77,6 +88,9 @@
 // all as long as it would for the store. After an outage the owners first have to claim their cells again, and
 // refusing jobs during that time would serve no purpose.
 func (r *Router) Submit(ctx context.Context, spec lifecycle.JobSpec) (ident.JobID, error) {
+	if cells := r.directory.Cells(); len(cells) > 0 && r.usesInbox(spec) {
+		return r.submitNumbered(ctx, CellOfNumber(cells, spec.ClientNumber), spec)
+	}
 	waitCtx, cancel := context.WithTimeout(ctx, r.submitTimeout)
 	defer cancel()
 	for {
@@ -94,7 +108,8 @@
 		return err
 	}
 	return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeUnavailable,
-		"job number %x: an earlier submission may have been accepted", spec.ClientNumber)
+		"job number %x: an earlier submission may have been accepted", spec.ClientNumber).
+		WithRetryAfter(verdict.FromError(err).RetryAfter)
 }
 
 // isUnavailable reports whether a job was certainly not accepted by a cell that may be able to accept it soon.
@@ -107,7 +122,7 @@
 func (r *Router) tryCells(ctx, waitCtx context.Context, spec lifecycle.JobSpec) (ident.JobID, error) {
 	cells := r.directory.Cells()
 	if len(cells) == 0 {
-		return ident.JobID{}, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "no cell is known yet").WithRetryAfter(time.Second)
+		return ident.JobID{}, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "no cell is known yet").WithRetryAfter(retry.MinDelay)
 	}
 	switch {
 	case spec.ClientNumber != 0:
@@ -194,10 +209,21 @@
 	if err != nil {
 		return ident.JobID{}, err
 	}
+	var id ident.JobID
 	if local {
-		return r.local.Submit(ctx, cell, spec)
+		id, err = r.local.Submit(ctx, cell, spec)
+	} else {
+		id, err = r.peer.Submit(ctx, address, cell, spec)
 	}
-	return r.peer.Submit(ctx, address, cell, spec)
+	if err == nil {
+		r.outages.note(cell, true)
+	}
+	return id, err
+}
+
+// queryTimeout bounds a query, which an owner answers from its memory, or after one read of the inbox.
+func (r *Router) queryTimeout() time.Duration {
+	return min(maxOwnerPatience, r.submitTimeout)
 }
 
 // Get returns a job with at most limit of its tasks, starting at index from.
@@ -206,10 +232,15 @@
 	if err != nil {
 		return lifecycle.JobView{}, err
 	}
+	callCtx, cancel := context.WithTimeout(ctx, r.queryTimeout())
+	defer cancel()
+	var v lifecycle.JobView
 	if local {
-		return r.local.Get(ctx, id, from, limit)
+		v, err = r.local.Get(callCtx, id, from, limit)
+	} else {
+		v, err = r.peer.Get(callCtx, address, id, from, limit, 0, 0)
 	}
-	return r.peer.Get(ctx, address, id, from, limit, 0, 0)
+	return v, r.withRetryAfterUnknown(id.Cell, err)
 }
 
 // List returns at most limit jobs of a cell, beginning with the one that follows the job after.
@@ -235,10 +266,14 @@
 	if err != nil {
 		return err
 	}
+	callCtx, cancel := context.WithTimeout(ctx, r.submitTimeout+withdrawTimeout)
+	defer cancel()
 	if local {
-		return r.local.Cancel(ctx, id)
+		err = r.local.Cancel(callCtx, id)
+	} else {
+		err = r.peer.Cancel(callCtx, address, id)
 	}
-	return r.peer.Cancel(ctx, address, id)
+	return r.withRetryAfterUnknown(id.Cell, err)
 }
 
 // Watch delivers a job now and after each change, until its state is final or ctx ends. It continues when the cell
--- a/relay/jobs/service.go
+++ b/relay/jobs/service.go
@@ -12,6 +12,7 @@
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
 	"github.com/bulrushrelay/bulrushrelay/core/ownership"
+	"github.com/bulrushrelay/bulrushrelay/core/retry"
 	"github.com/bulrushrelay/bulrushrelay/core/shard"
 	"github.com/bulrushrelay/bulrushrelay/core/table"
 	"github.com/bulrushrelay/bulrushrelay/core/verdict"
@@ -61,6 +62,8 @@
 	// them.
 	DecisionLog   DecisionLog
 	RecordLatency func(class ident.ClassName, took time.Duration)
+	// Inbox holds the settings of the inboxes; the zero value uses none.
+	Inbox InboxConfig
 	// Meter receives the delays that owners measure; nil drops them.
 	Meter Meter
 	// OnReplaced is called when an owner has stopped although this host may still hold the grant: the store or a worker has
@@ -79,6 +82,12 @@
 	// ended in any other way. WastedCopyTime is the processor time, in nanoseconds, booked by attempts that ended because
 	// another attempt completed their task.
 	CopiesStarted, CopiesWon, CopiesLost, WastedCopyTime atomic.Int64
+	// InboxWritten and InboxRefused count the attempts of this host to write an entry, by their result. InboxTaken counts
+	// the entries that its owners have removed: among them InboxLeftovers of jobs that the log had already, and
+	// InboxFailed of jobs that cannot run.
+	InboxWritten, InboxRefused, InboxTaken, InboxLeftovers, InboxFailed atomic.Int64
+	// refusals counts the answers with a time for a repeat, by cause.
+	refusals [retry.Causes]atomic.Int64
 	// TableWait is the time that owners have waited for their first table, in nanoseconds.
 	TableWait atomic.Int64
 	LookAhead LookAheadStats
@@ -192,6 +201,9 @@
 	o.run("the loop of the owner", o.loop, o.endLoop)
 	o.run("saving estimates", func() { o.saveEstimatesPeriodically(o.ctx) }, nil)
 	o.run("the log writer", func() { o.log.run(o.ctx) }, nil)
+	if s.cfg.Inbox.enabled() {
+		o.run("taking the inbox", func() { o.takeInbox(o.ctx) }, nil)
+	}
 	return s.install(o)
 }
 
@@ -223,7 +235,7 @@
 	//nolint:gosec // The context lives as long as the ownership, not as long as the call.
 	ctx, cancel := context.WithCancel(context.Background())
 	o := &owner{
-		cfg: &s.cfg, cellID: g.Cell, epoch: g.Epoch, stats: &s.stats, table: t,
+		cfg: &s.cfg, cellID: g.Cell, epoch: g.Epoch, stats: &s.stats, table: t, retryAfter: s.retryAfter,
 		cell:    lifecycle.NewCell(g.Cell, g.Epoch, t),
 		planner: s.cfg.NewPlanner(g.Cell, t),
 		logger:  s.cfg.Logger.WithFields(logrus.Fields{"cell": g.Cell, "epoch": g.Epoch}),
@@ -236,16 +248,19 @@
 		conns:                make(map[ident.WorkerID]*workerConn),
 		pendingSubmissions:   make(map[ident.JobID]*pendingRecord),
 		pendingCancellations: make(map[ident.JobID]*pendingRecord),
+		takenEntries:         make(map[ident.JobID]takenEntry),
+		waitingEntries:       make(map[ident.JobID]inboxEntry),
 		watchers:             watchers{byJob: make(map[ident.JobID]map[chan struct{}]struct{})},
 	}
 	o.cell.SetPolicy(s.cfg.Policy)
+	o.cell.SetRetention(lifecycle.Retention{Limited: s.cfg.Inbox.enabled()})
 	o.planner.SetTable(t)
 	o.log = &cellLog{
 		store: s.cfg.Store, codec: s.cfg.Codec, cell: g.Cell, epoch: g.Epoch,
 		interval:     s.cfg.CommitInterval,
 		onCommitted:  o.onCommitted,
 		meter:        s.cfg.Meter,
-		takeSnapshot: func() (lifecycle.Snapshot, bool) { return o.takeSnapshot(false) },
+		takeSnapshot: o.takeSnapshot,
 		onReplaced:   o.replaced,
 		wake:         make(chan struct{}, 1),
 		writerDone:   make(chan struct{}),
@@ -294,89 +309,6 @@
 	return ok && o.cell.Recovering()
 }
 
-// Drain hands a cell over: it stops placing tasks, makes all records durable, writes a snapshot that includes all
-// commands sent to workers, and stops the cell. After an error the next owner treats this one as lost.
-func (s *Service) Drain(ctx context.Context, cell ident.CellID) error {
-	return s.DrainCutOff(ctx, ctx, cell)
-}
-
-// DrainCutOff is Drain for an owner that does not reach its workers: it waits for calls to them until callsCtx ends only.
-// The snapshot says on which worker each attempt may run whose call has no answer. A start that is carried out later is
-// refused by its fence, or found when the next owner claims the worker.
-func (s *Service) DrainCutOff(ctx, callsCtx context.Context, cell ident.CellID) error {
-	o, ok := s.owners.Get(cell)
-	if !ok {
-		return nil
-	}
-	defer s.stopOwner(cell, o.epoch)
-	o.draining.Store(true)
-	if !o.call(ctx, func() { o.apply(o.cell.SetAuthority(o.now(), false, o.predecessorConfirmed)) }) {
-		return o.errNotRun(ctx)
-	}
-	select {
-	case <-o.callsDone:
-	case <-o.ctx.Done():
-		return errNotOwned(cell)
-	case <-callsCtx.Done():
-		if ctx.Err() != nil {
-			return verdict.Wrap(ctx.Err(), verdict.MayHaveRun, verdict.CodeDeadline, "drain cell %d: wait for calls to workers", cell)
-		}
-	}
-	snapshot, err := o.finish(ctx)
-	if err != nil {
-		return err
-	}
-	if !snapshot.Clean {
-		// The log already holds all that this owner knows, and a further snapshot could get the id of the present one.
-		return nil
-	}
-	if err := o.log.putSnapshot(ctx, snapshot); err != nil {
-		return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeUnavailable, "drain cell %d: write the snapshot", cell)
-	}
-	return nil
-}
-
-// finish stops the loop and the log writer at a moment when every record is durable, and returns the state at that
-// moment. Reports of workers are no longer accepted once the records queued at the start are durable: each report of
-// ended attempts would add records, so that a busy cell would never become idle. The workers keep these ends for the
-// next owner.
-func (o *owner) finish(ctx context.Context) (lifecycle.Snapshot, error) {
-	var (
-		snapshot      lifecycle.Snapshot
-		snapshotTaken bool
-	)
-	if err := o.log.awaitQueued(ctx); err != nil {
-		return snapshot, verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeDeadline, "drain cell %d: write the queued records", o.cellID)
-	}
-	if !o.call(ctx, o.stopConns) {
-		return snapshot, o.errNotRun(ctx)
-	}
-	for !snapshotTaken {
-		if err := o.log.flush(ctx); err != nil {
-			return snapshot, verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeDeadline, "drain cell %d: flush the log", o.cellID)
-		}
-		ran := o.call(ctx, func() {
-			if o.log.allDurable() {
-				snapshot = o.cell.Snapshot(o.now(), true)
-				snapshotTaken = true
-				o.cancel()
-			}
-		})
-		if ran {
-			continue
-		}
-		// The snapshot was taken, the owner was stopped, or the caller gave up.
-		err := o.errNotRun(ctx)
-		o.cancel()
-		o.wg.Wait()
-		if !snapshotTaken {
-			return snapshot, err
-		}
-	}
-	o.wg.Wait()
-	return snapshot, nil
-}
-
 // errNotRun returns the error of a call that the loop has not run: the caller's context ended before the loop had time
 // for it, or the owner has stopped. After a crash of the owner the call may have run.
 func (o *owner) errNotRun(ctx context.Context) error {
