standin/platformstore: make the store stand-in of the second review importable

The tests of clients outside our control start relayd platform, which needs the platform's store. The stand-in was part of the program review/standins-2, which tests cannot import. It moves to a package; the review uses it from there. Its behaviour is unchanged, apart from Value, which replaces a read of its fields.

--- a/review/standins-2/cases.go
+++ b/review/standins-2/cases.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"github.com/bulrushrelay/bulrushrelay/standin/platformstore"
 )
 
 const (
@@ -66,7 +68,7 @@
 	if err := w.setUp(3, "a", "b"); err != nil {
 		return false, err
 	}
-	w.store.onDrop = func(call string) { w.rec.note("the store drops %s", call) }
+	w.store.OnDrop = func(call string) { w.rec.note("the store drops %s", call) }
 	id := ""
 	// The jobs of some seconds make the owner write a snapshot, as it does in service.
 	for n := range earlierJobs {
@@ -78,19 +80,19 @@
 	time.Sleep(2 * time.Second)
 	if w.trouble {
 		w.rec.note("the store is down")
-		w.store.setMood(moodBusy)
+		w.store.SetMood(platformstore.MoodBusy)
 		time.Sleep(outage)
 		w.rec.note("the store is back, and slow")
-		w.store.setMood(moodSlow)
+		w.store.SetMood(platformstore.MoodSlow)
 		time.Sleep(silentFrom)
 		w.rec.note("the store does not answer")
-		w.store.setMood(moodSilent)
+		w.store.SetMood(platformstore.MoodSilent)
 		time.Sleep(silentTime)
 		w.rec.note("the store is slow")
-		w.store.setMood(moodSlow)
+		w.store.SetMood(platformstore.MoodSlow)
 		time.Sleep(slowTime - silentFrom - silentTime)
 		w.rec.note("the store is well")
-		w.store.setMood(moodWell)
+		w.store.SetMood(platformstore.MoodWell)
 	}
 	time.Sleep(askAfter)
 	for deadline := time.Now().Add(askFor); time.Now().Before(deadline); time.Sleep(500 * time.Millisecond) {
@@ -132,7 +134,7 @@
 	time.Sleep(500 * time.Millisecond)
 	if w.trouble {
 		w.rec.note("the store is down")
-		w.store.setMood(moodBusy)
+		w.store.SetMood(platformstore.MoodBusy)
 	}
 	// The first task fails 2 s after its start.
 	time.Sleep(1800 * time.Millisecond)
@@ -157,7 +159,7 @@
 		}
 		time.Sleep(outage - 3300*time.Millisecond)
 		w.rec.note("the store is well")
-		w.store.setMood(moodWell)
+		w.store.SetMood(platformstore.MoodWell)
 	}
 	time.Sleep(25 * time.Second)
 	call(w.rec, w.relays[0], http.MethodGet, id, nil)
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -4,7 +4,6 @@
 
 import (
 	"bytes"
-	"encoding/base64"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -14,6 +13,8 @@
 	"path/filepath"
 	"syscall"
 	"time"
+
+	"github.com/bulrushrelay/bulrushrelay/standin/platformstore"
 )
 
 // The exit codes of a case.
@@ -26,7 +27,7 @@
 // world is a small deployment with its stand-ins.
 type world struct {
 	rec     *recorder
-	store   *kvStore
+	store   *platformstore.Store
 	relays  []*relayProcess
 	runners []*runner
 	trouble bool
@@ -97,13 +98,13 @@
 		return err
 	}
 	w.folder = dir
-	w.store = newStore()
+	w.store = platformstore.New()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
 	go func() { _ = http.Serve(l, w.store) }() //nolint:gosec // A stand-in without limits.
-	w.store.put("op/config", []byte(manifest))
+	w.store.Put("op/config", []byte(manifest))
 	for i, label := range labels {
 		free, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -147,9 +148,7 @@
 
 // owner returns the machine that holds the cell, as its record in the store says; the first one if there is none.
 func (w *world) owner() *relayProcess {
-	w.store.mu.Lock()
-	record, _ := base64.StdEncoding.DecodeString(w.store.items["/own/0"].Value)
-	w.store.mu.Unlock()
+	record := w.store.Value("/own/0")
 	for _, p := range w.relays {
 		if bytes.Contains(record, []byte(p.name)) {
 			return p
--- a/review/standins-2/runner.go
+++ b/review/standins-2/runner.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/base64"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -12,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/bulrushrelay/bulrushrelay/standin/platformstore"
 )
 
 const (
@@ -20,8 +21,6 @@
 	pingInterval = 1500 * time.Millisecond
 )
 
-func encodeBase64(b []byte) string { return base64.StdEncoding.EncodeToString(b) }
-
 func reply(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
@@ -76,7 +75,7 @@
 type runner struct {
 	id, address, label string
 	capacity           int
-	store              *kvStore
+	store              *platformstore.Store
 	rec                *recorder
 	// fails is set if what runs there fails instead of being done.
 	fails bool
@@ -206,7 +205,7 @@
 			"Labels": []string{r.label, "r1-" + r.label}, "ClockMs": r.clock(), "Seq": r.seq, "born": r.born.UnixMilli(),
 		})
 		r.mu.Unlock()
-		r.store.put("servers/"+r.id, value)
+		r.store.Put("servers/"+r.id, value)
 		time.Sleep(pingInterval)
 	}
 }
--- a/review/standins-2/store.go
+++ b/standin/platformstore/store.go
@@ -1,6 +1,8 @@
-package main
+// Package platformstore is a stand-in of the users' platform's key-value store, served over HTTP.
+package platformstore
 
 import (
+	"encoding/base64"
 	"encoding/json"
 	"net/http"
 	"sort"
@@ -26,9 +28,9 @@
 	ends time.Time
 }
 
-// kvStore is a sound stand-in of the platform's store: linearizable, with leases and watches. It keeps its whole
+// Store is a sound stand-in of the platform's store: linearizable, with leases and watches. It keeps its whole
 // history.
-type kvStore struct {
+type Store struct {
 	mu      sync.Mutex
 	rev     int64
 	items   map[string]item
@@ -37,31 +39,32 @@
 	nextID  int64
 	changed chan struct{}
 	// mood is how the store answers calls.
-	mood mood
-	// onDrop is called with each call that gets no answer.
-	onDrop func(call string)
+	mood Mood
+	// OnDrop is called with each call that gets no answer. It is set before the first call.
+	OnDrop func(call string)
 	// moodSince is when the mood was set.
 	moodSince time.Time
 }
 
-// mood is how the store answers: well, with 503, late, or not at all.
-type mood int
+// Mood is how the store answers: well, with 503, late, or not at all.
+type Mood int
 
+// The ways in which the store answers.
 const (
-	moodWell mood = iota
-	moodBusy
-	moodSlow
-	moodSilent
+	MoodWell Mood = iota
+	MoodBusy
+	MoodSlow
+	MoodSilent
 )
 
 // slowAnswer is how long a slow store takes for an answer: 60 times the usual 4 ms.
 const slowAnswer = 240 * time.Millisecond
 
-// setMood changes how the store answers. Leases pause while it is silent.
-func (s *kvStore) setMood(m mood) {
+// SetMood changes how the store answers. Leases pause while it is silent.
+func (s *Store) SetMood(m Mood) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.mood == moodSilent {
+	if s.mood == MoodSilent {
 		for _, l := range s.leases {
 			l.ends = l.ends.Add(time.Since(s.moodSince))
 		}
@@ -70,24 +73,24 @@
 }
 
 // admit lets a call pass unless the store is down. A call that a silent store has taken gets no answer.
-func (s *kvStore) admit(w http.ResponseWriter, r *http.Request) bool {
+func (s *Store) admit(w http.ResponseWriter, r *http.Request) bool {
 	s.mu.Lock()
 	m := s.mood
 	s.mu.Unlock()
 	switch m {
-	case moodBusy:
+	case MoodBusy:
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return false
-	case moodSlow:
+	case MoodSlow:
 		time.Sleep(slowAnswer)
 		s.mu.Lock()
 		m = s.mood
 		s.mu.Unlock()
 	default:
 	}
-	if m == moodSilent {
-		if s.onDrop != nil {
-			s.onDrop(r.Method + " " + r.URL.String())
+	if m == MoodSilent {
+		if s.OnDrop != nil {
+			s.OnDrop(r.Method + " " + r.URL.String())
 		}
 		<-r.Context().Done()
 		return false
@@ -95,17 +98,18 @@
 	return true
 }
 
-func newStore() *kvStore {
-	s := &kvStore{rev: 100, items: map[string]item{}, leases: map[int64]*lease{}, nextID: 5000, changed: make(chan struct{})}
+// New returns an empty store.
+func New() *Store {
+	s := &Store{rev: 100, items: map[string]item{}, leases: map[int64]*lease{}, nextID: 5000, changed: make(chan struct{})}
 	go s.expireLeases()
 	return s
 }
 
-func (s *kvStore) expireLeases() {
+func (s *Store) expireLeases() {
 	for range time.Tick(20 * time.Millisecond) {
 		s.mu.Lock()
 		for id, l := range s.leases {
-			if s.mood != moodSilent && time.Now().After(l.ends) {
+			if s.mood != MoodSilent && time.Now().After(l.ends) {
 				s.endLease(id)
 			}
 		}
@@ -114,7 +118,7 @@
 }
 
 // endLease removes a lease and its keys. It requires mu.
-func (s *kvStore) endLease(id int64) {
+func (s *Store) endLease(id int64) {
 	delete(s.leases, id)
 	var keys []string
 	for k, i := range s.items {
@@ -134,14 +138,14 @@
 }
 
 // remove and write change a key under the current revision. They require mu.
-func (s *kvStore) remove(key string) {
+func (s *Store) remove(key string) {
 	if _, ok := s.items[key]; ok {
 		delete(s.items, key)
 		s.history = append(s.history, item{Key: key, Rev: s.rev, Deleted: true})
 	}
 }
 
-func (s *kvStore) write(key, value string, leaseID int64) {
+func (s *Store) write(key, value string, leaseID int64) {
 	created := s.rev
 	if old, ok := s.items[key]; ok {
 		created = old.Created
@@ -151,21 +155,30 @@
 	s.history = append(s.history, i)
 }
 
-func (s *kvStore) notify() {
+func (s *Store) notify() {
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
-// put writes a key as the operator or a runner does.
-func (s *kvStore) put(key string, value []byte) {
+// Put writes a key as the operator or a worker does.
+func (s *Store) Put(key string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.rev++
-	s.write(key, encodeBase64(value), 0)
+	s.write(key, base64.StdEncoding.EncodeToString(value), 0)
 	s.notify()
 }
 
-func (s *kvStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+// Value returns the value of a key, or nil if it does not exist.
+func (s *Store) Value(key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	value, _ := base64.StdEncoding.DecodeString(s.items[key].Value)
+	return value
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if !s.admit(w, r) {
 		return
 	}
@@ -192,7 +205,7 @@
 	}
 }
 
-func (s *kvStore) get(w http.ResponseWriter, key string) {
+func (s *Store) get(w http.ResponseWriter, key string) {
 	s.mu.Lock()
 	i, ok := s.items[key]
 	rev := s.rev
@@ -206,7 +219,7 @@
 	})
 }
 
-func (s *kvStore) list(w http.ResponseWriter, prefix, after string) {
+func (s *Store) list(w http.ResponseWriter, prefix, after string) {
 	const pageItems, pageBytes = 500, 1 << 20
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -229,7 +242,7 @@
 	reply(w, http.StatusOK, map[string]any{"items": page, "Truncated": truncated, "CurrentRev": s.rev})
 }
 
-func (s *kvStore) watch(w http.ResponseWriter, r *http.Request, prefix string, after int64, wait time.Duration) {
+func (s *Store) watch(w http.ResponseWriter, r *http.Request, prefix string, after int64, wait time.Duration) {
 	deadline := time.After(wait)
 	for {
 		s.mu.Lock()
@@ -256,7 +269,7 @@
 	}
 }
 
-func (s *kvStore) transact(w http.ResponseWriter, r *http.Request) {
+func (s *Store) transact(w http.ResponseWriter, r *http.Request) {
 	var body struct {
 		ExpectRev []struct {
 			Key string
@@ -303,7 +316,7 @@
 	reply(w, http.StatusOK, map[string]any{"Rev": s.rev})
 }
 
-func (s *kvStore) grant(w http.ResponseWriter, r *http.Request) {
+func (s *Store) grant(w http.ResponseWriter, r *http.Request) {
 	var body struct{ TtlMs int64 } //nolint:revive // The name on the wire.
 	if json.NewDecoder(r.Body).Decode(&body) != nil {
 		w.WriteHeader(http.StatusBadRequest)
@@ -317,7 +330,7 @@
 	reply(w, http.StatusOK, map[string]any{"Lease": s.nextID, "TtlMs": body.TtlMs})
 }
 
-func (s *kvStore) renew(w http.ResponseWriter, id string, end bool) {
+func (s *Store) renew(w http.ResponseWriter, id string, end bool) {
 	n, _ := strconv.ParseInt(id, 10, 64)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -333,3 +346,9 @@
 		reply(w, http.StatusOK, map[string]any{"TtlMs": l.ttl.Milliseconds()})
 	}
 }
+
+func reply(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
