internal/bodyread, internal/jsonlist: hold a body once while it is received and decoded

A body that the host gives up keeps its verdict: 503 with Retry-After, or may-have-run (502) for a request with a key, whose earlier attempt may have run.

--- a/adapter/callerhttp/callerhttp.go
+++ b/adapter/callerhttp/callerhttp.go
@@ -8,7 +8,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -20,6 +19,7 @@
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/request"
 	"github.com/bulrushrelay/bulrushrelay/core/verdict"
+	"github.com/bulrushrelay/bulrushrelay/internal/bodyread"
 	"github.com/bulrushrelay/bulrushrelay/relay/entry"
 )
 
@@ -96,13 +96,18 @@
 
 func parseCall(c echo.Context) (entry.Call, error) {
 	r := c.Request()
-	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), r.Body, request.MaxBodyBytes))
+	body, err := bodyread.Receive(http.MaxBytesReader(c.Response(), r.Body, request.MaxBodyBytes))
 	if err != nil {
 		var tooLarge *http.MaxBytesError
 		if errors.As(err, &tooLarge) {
 			return entry.Call{}, verdict.New(verdict.NotRun, verdict.CodeInvalid, "the body is larger than %d bytes", request.MaxBodyBytes)
 		}
-		return entry.Call{}, verdict.Wrap(err, verdict.NotRun, verdict.CodeInvalid, "reading the request body")
+		e := httpverdict.BodyError(err, "reading the request body")
+		if e.Code == verdict.CodeUnavailable && r.Header.Get(HeaderIdempotencyKey) != "" {
+			// The host gave the body up. An earlier attempt under the key may have run.
+			return entry.Call{}, verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeUnavailable, "this attempt did not run").WithRetryAfter(e.RetryAfter)
+		}
+		return entry.Call{}, e
 	}
 	timeout, err := parseTimeout(r.Header)
 	if err != nil {
@@ -121,7 +126,7 @@
 		Method:  r.Method,
 		Path:    path,
 		Headers: headers,
-		Body:    body,
+		Body:    body.Bytes(),
 		Timeout: timeout,
 		Key:     strings.Trim(r.Header.Get(HeaderIdempotencyKey), `"`),
 	}, nil
--- a/adapter/internal/httpverdict/httpverdict.go
+++ b/adapter/internal/httpverdict/httpverdict.go
@@ -3,6 +3,7 @@
 package httpverdict
 
 import (
+	"errors"
 	"math"
 	"net/http"
 	"strconv"
@@ -33,6 +34,16 @@
 	return c.JSON(Status(e), Problem{Verdict: e.Verdict.String(), Code: string(e.Code), Message: e.Error()})
 }
 
+// BodyError returns the error of a request whose body could not be read. A body that the host has given up keeps its
+// verdict; any other error is the client's.
+func BodyError(err error, doing string) *verdict.Error {
+	var givenUp *verdict.Error
+	if errors.As(err, &givenUp) {
+		return givenUp
+	}
+	return verdict.Wrap(err, verdict.NotRun, verdict.CodeInvalid, "%s", doing)
+}
+
 // Status returns the HTTP status for an error: 502 or 504 if the request may have run, 500 if it ran but its answer was
 // lost, and any other status if it did not run.
 func Status(e *verdict.Error) int {
--- a/adapter/jobhttp/handler.go
+++ b/adapter/jobhttp/handler.go
@@ -19,6 +19,7 @@
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
 	"github.com/bulrushrelay/bulrushrelay/core/verdict"
+	"github.com/bulrushrelay/bulrushrelay/internal/bodyread"
 )
 
 const (
@@ -97,14 +98,17 @@
 // decodeBody decodes the body, which must be a single JSON value of bounded size. Unknown fields are errors, so that a
 // misspelt field is not ignored.
 func decodeBody(c echo.Context, into any) error {
-	body := http.MaxBytesReader(c.Response(), c.Request().Body, maxBodyBytes)
+	body, err := bodyread.Receive(http.MaxBytesReader(c.Response(), c.Request().Body, maxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return invalid("body: want at most %d bytes", maxBodyBytes)
+	case err != nil:
+		return httpverdict.BodyError(err, "body")
+	}
 	d := json.NewDecoder(body)
 	d.DisallowUnknownFields()
 	if err := d.Decode(into); err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			return invalid("body: want at most %d bytes", maxBodyBytes)
-		}
 		return invalid("body: %v", err)
 	}
 	if _, err := d.Token(); !errors.Is(err, io.EOF) {
--- a/adapter/jobhttp/messages.go
+++ b/adapter/jobhttp/messages.go
@@ -10,6 +10,7 @@
 	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
 	"github.com/bulrushrelay/bulrushrelay/core/placement"
 	"github.com/bulrushrelay/bulrushrelay/core/resource"
+	"github.com/bulrushrelay/bulrushrelay/internal/jsonlist"
 )
 
 // Submission is the body of POST /v1/jobs.
@@ -27,7 +28,16 @@
 	// times, plus GraceMS.
 	Stretch float64 `json:"stretch,omitempty"`
 	GraceMS int64   `json:"grace_ms,omitempty"`
-	Groups  []Group `json:"groups"`
+	Groups  Groups  `json:"groups"`
+}
+
+// Groups are the task groups of a job, at most as many as a job may have.
+type Groups []Group
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (g *Groups) UnmarshalJSON(data []byte) (err error) {
+	*g, err = jsonlist.Decode[Group](data, lifecycle.MaxGroupsPerJob, true)
+	return err
 }
 
 // Group describes a group of identical tasks.
--- a/adapter/operatorhttp/problem.go
+++ b/adapter/operatorhttp/problem.go
@@ -51,6 +51,7 @@
 	var (
 		tooLarge    *http.MaxBytesError
 		notReceived *receiveError
+		givenUp     *verdict.Error
 	)
 	switch {
 	case errors.Is(err, errNoToken):
@@ -60,6 +61,8 @@
 	case errors.As(err, &tooLarge):
 		return http.StatusRequestEntityTooLarge, verdict.New(verdict.NotRun, verdict.CodeInvalid,
 			"the body is larger than %d bytes", tooLarge.Limit)
+	case errors.As(err, &notReceived) && errors.As(notReceived.cause, &givenUp):
+		return http.StatusServiceUnavailable, givenUp
 	case errors.As(err, &notReceived):
 		return http.StatusBadRequest, verdict.Wrap(err, verdict.NotRun, verdict.CodeInvalid, "the body was not received")
 	}
