daemon: limits against clients outside our control

The ports of callers, operators, readiness, metrics and peers share a budget of a tenth of the memory of the process (--memory-mb, Limits.MemoryMb, GOMEMLIMIT or the control group), at least 9 MB. The Go runtime gets three quarters of that memory less 16 MB for the program. Heads may have 256 lines; bodies must arrive at 4 KB a second after 5 s and not pause for 5 s. A quarter of the descriptors is reserved for other hosts, workers, targets and the store; half of it bounds the connections that other hosts open. relayd and relayd platform take the limits as flags and variables, with 0 or no flag for the default. New metrics: client_requests_refused_total by cause, client_request_bytes, client_request_limit_bytes.

--- a/cmd/relayd/platform.go
+++ b/cmd/relayd/platform.go
@@ -31,13 +31,14 @@
 // exitSettings.
 func platformCommand(code *int) *cli.Command {
 	var (
-		path  string
-		cells int
+		path   string
+		cells  int
+		limits daemon.ClientLimits
 	)
 	return &cli.Command{
 		Name:  "platform",
 		Usage: "run one relay host on a platform that lists its workers and queues in a store",
-		Flags: []cli.Flag{
+		Flags: append([]cli.Flag{
 			&cli.StringFlag{
 				Name: "settings", Usage: "settings file of the platform", Value: platform.DefaultSettingsPath,
 				Destination: &path, Sources: cli.EnvVars(platform.SettingsPathVariable),
@@ -46,19 +47,26 @@
 				Name: "cells", Usage: "cells of the deployment, the same on every host; 0 means one for each region",
 				Destination: &cells,
 			},
-		},
+		}, daemon.ClientLimitFlags(&limits)...),
 		Action: func(ctx context.Context, _ *cli.Command) error {
 			s, err := platform.ReadSettings(path)
 			if err != nil {
 				*code = exitSettings
 				return err
 			}
-			return runPlatform(ctx, path, s, cells)
+			if limits.MemoryMB == 0 {
+				limits.MemoryMB = max(s.MemoryMB, 0)
+			}
+			if err := limits.Validate(); err != nil {
+				*code = exitSettings
+				return err
+			}
+			return runPlatform(ctx, path, s, cells, limits.ApplyMemoryLimit())
 		},
 	}
 }
 
-func runPlatform(ctx context.Context, path string, s platform.Settings, cells int) error {
+func runPlatform(ctx context.Context, path string, s platform.Settings, cells int, limits daemon.ClientLimits) error {
 	sink := decisionlog.NewSink(os.Stdout)
 	defer sink.Close()
 	log := daemon.NewLogger(daemon.Settings{
@@ -70,6 +78,7 @@
 	metrics := telemetry.NewRegistry()
 	store := platform.NewStore(client, s.StoreAddress, observeStoreCalls(metrics, daemon.NewDependencyMonitor("store", log)))
 	settings := jobSettings(s, cells)
+	settings.ClientLimits = limits
 	ids := daemon.CellIDs(settings.CellCount())
 	jobIDOf := func(number uint64) ident.JobID {
 		return ident.CallerAssignedJobID(jobs.CellOfNumber(ids, number), number)
--- a/daemon/flags.go
+++ b/daemon/flags.go
@@ -30,7 +30,7 @@
 
 // Flags returns the command line flags that fill s. Each flag can also be set by its environment variable.
 func Flags(s *Settings) []cli.Flag {
-	return []cli.Flag{
+	return append([]cli.Flag{
 		stringFlag(&s.HostID, "host-id", groupIdentity, "", "name of this host, unique in the deployment"),
 		stringFlag(&s.DataCentre, "data-centre", groupIdentity, "", "data centre of this host"),
 		stringListFlag(&s.DataCentres, "data-centres", groupIdentity, "all data centres, in the same order on every host"),
@@ -64,7 +64,7 @@
 		intFlag(&s.LedgerRecords, "ledger-records", groupLimits, 500_000, "maximum number of idempotency records held at once"),
 		intFlag(&s.LedgerMB, "ledger-mb", groupLimits, 256, "maximum memory for idempotency records, in MB"),
 		intFlag(&s.MilliCPU, "milli-cpu", groupLimits, 0, "CPU capacity of this host in thousandths of a core, used in the choice of cell owners; 0 if not known"),
-	}
+	}, ClientLimitFlags(&s.ClientLimits)...)
 }
 
 func stringFlag(target *string, name, group, value, usage string) cli.Flag {
--- a/daemon/host.go
+++ b/daemon/host.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -16,6 +17,7 @@
 
 	"github.com/bulrushrelay/bulrushrelay/adapter/callerhttp"
 	"github.com/bulrushrelay/bulrushrelay/adapter/cellpb"
+	"github.com/bulrushrelay/bulrushrelay/adapter/clientconn"
 	"github.com/bulrushrelay/bulrushrelay/adapter/clusterrecord"
 	"github.com/bulrushrelay/bulrushrelay/adapter/hostlisthttp"
 	"github.com/bulrushrelay/bulrushrelay/adapter/jobhttp"
@@ -103,6 +105,7 @@
 	loanRouter   *loanRouter
 	health       health
 
+	guard          *clientconn.Guard
 	callerServer   *httpServer
 	operatorServer *httpServer
 	peerServer     *grpc.Server
@@ -111,6 +114,7 @@
 
 // Run runs a host until ctx ends, and then shuts it down gracefully: requests in progress are finished.
 func Run(ctx context.Context, s Settings, logOut io.Writer) error {
+	s.ClientLimits = s.ApplyMemoryLimit()
 	h, err := New(s, Options{}, NewLogger(s, logOut))
 	if err != nil {
 		return err
@@ -195,10 +199,15 @@
 		listeners = append(listeners, l)
 	}
 	maxAnswerTime := max(h.settings.LongestRequest, maxOperationTime)
-	h.callerServer = newHTTPServer(listeners[0], newHTTPLimits(h.settings.MaxCallerConnections, maxAnswerTime), nil)
-	h.operatorServer = newHTTPServer(listeners[1], newHTTPLimits(maxOperatorConnections, maxAnswerTime), security.operators)
-	h.peerListener = netutil.LimitListener(listeners[2], h.settings.MaxPeerConnections)
-	h.peerServer = grpc.NewServer(append(peergrpc.ServerOptions(security.server), peergrpc.ContainPanics(h.log)...)...)
+	h.guard = h.settings.newGuard(h.metrics)
+	connections := h.settings.connections(h.settings.MaxCallerConnections, maxOperatorConnections, h.settings.MaxPeerConnections)
+	callers, operators := newHTTPLimits(connections.callers, maxAnswerTime), newHTTPLimits(connections.status, maxAnswerTime)
+	callers.guard, operators.guard = h.guard, h.guard
+	h.callerServer = newHTTPServer(listeners[0], callers, nil)
+	h.operatorServer = newHTTPServer(listeners[1], operators, security.operators)
+	peers := peergrpc.NewGuard(h.guard.Budget(), connections.peers, h.guard.Count)
+	h.peerListener = peers.Listener(netutil.LimitListener(listeners[2], connections.peers))
+	h.peerServer = grpc.NewServer(slices.Concat(peergrpc.ServerOptions(security.server), peers.ServerOptions(), peergrpc.ContainPanics(h.log))...)
 	return nil
 }
 
@@ -361,7 +370,7 @@
 	group.Go(h.operatorServer.serve)
 	group.Go(func() error { return h.peerServer.Serve(h.peerListener) })
 	h.cluster.Start()
-	for _, loop := range h.loops() {
+	for _, loop := range append(h.loops(), func(ctx context.Context) { h.guard.Run(ctx, h.log) }) {
 		group.Go(func() error {
 			contain.Loop(background, h.log, "a background loop of the host", loop)
 			return nil
--- a/daemon/httpserver.go
+++ b/daemon/httpserver.go
@@ -14,6 +14,7 @@
 	"github.com/labstack/echo/v4/middleware"
 
 	"github.com/bulrushrelay/bulrushrelay/adapter/callerhttp"
+	"github.com/bulrushrelay/bulrushrelay/adapter/clientconn"
 )
 
 // Limits on slow and oversized clients.
@@ -38,6 +39,8 @@
 	writeTimeout   time.Duration
 	idleTimeout    time.Duration
 	maxHeaderBytes int
+	// guard bounds the memory of unfinished requests; nil for none.
+	guard *clientconn.Guard
 }
 
 // newHTTPLimits returns the limits of a port whose responses are ready at most longest after the request was read.
@@ -69,20 +72,30 @@
 	if tlsConfig != nil {
 		listener = tls.NewListener(listener, tlsConfig)
 	}
+	listener = guardedListener(listener, limits.guard)
 	e := echo.New()
 	e.HideBanner = true
 	e.HidePort = true
 	e.Use(middleware.Recover())
 	idle := newIdleConns()
+	var handler http.Handler = e
+	if limits.guard != nil {
+		handler = limits.guard.Handler(e)
+	}
 	return &httpServer{
 		listener: listener,
 		idle:     idle,
 		echo:     e,
 		done:     make(chan struct{}),
 		server: &http.Server{
-			Handler:           e,
-			ConnContext:       callerhttp.ConnContext,
-			ConnState:         idle.track,
+			Handler: handler,
+			ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+				return clientconn.ConnContext(callerhttp.ConnContext(ctx, c), c)
+			},
+			ConnState: func(c net.Conn, state http.ConnState) {
+				clientconn.Track(c, state)
+				idle.track(c, state)
+			},
 			ReadHeaderTimeout: limits.readHeaderTimeout,
 			ReadTimeout:       limits.readTimeout,
 			WriteTimeout:      limits.writeTimeout,
--- a/daemon/jobhost.go
+++ b/daemon/jobhost.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -15,6 +16,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/bulrushrelay/bulrushrelay/adapter/cellpb"
+	"github.com/bulrushrelay/bulrushrelay/adapter/clientconn"
 	"github.com/bulrushrelay/bulrushrelay/adapter/clusterrecord"
 	"github.com/bulrushrelay/bulrushrelay/adapter/peergrpc"
 	"github.com/bulrushrelay/bulrushrelay/adapter/telemetry"
@@ -90,8 +92,11 @@
 	health   health
 	hasTable atomic.Bool
 
+	guard                                     *clientconn.Guard
 	callerServer, statusServer, metricsServer *httpServer
 	peerServer                                *grpc.Server
+	peerGuard                                 *peergrpc.Guard
+	maxPeerConnections                        int
 }
 
 // NewJobHost creates a host and opens its listeners.
@@ -169,21 +174,25 @@
 }
 
 func (h *JobHost) listen() error {
+	h.guard = h.settings.newGuard(h.metrics)
+	connections := h.settings.connections(maxJobCallerConnections, maxStatusConnections, DefaultMaxPeerConnections)
 	servers := []struct {
 		server      **httpServer
 		address     string
 		connections int
 	}{
-		{&h.callerServer, h.settings.CallerAddress, maxJobCallerConnections},
-		{&h.statusServer, h.settings.StatusAddress, maxStatusConnections},
-		{&h.metricsServer, h.settings.MetricsAddress, maxStatusConnections},
+		{&h.callerServer, h.settings.CallerAddress, connections.callers},
+		{&h.statusServer, h.settings.StatusAddress, connections.status},
+		{&h.metricsServer, h.settings.MetricsAddress, connections.status},
 	}
 	for _, s := range servers {
 		l, err := h.ports.listen(s.address)
 		if err != nil {
 			return fmt.Errorf("listen on %s: %w", s.address, err)
 		}
-		*s.server = newHTTPServer(l, newHTTPLimits(s.connections, maxOperationTime), nil)
+		limits := newHTTPLimits(s.connections, maxOperationTime)
+		limits.guard = h.guard
+		*s.server = newHTTPServer(l, limits, nil)
 	}
 	router := jobs.NewRouter(h.jobs, numberedCellDirectory{h.settings.Cells, h.members}, peergrpc.NewJobsClient(h.pool))
 	h.callerServer.idle.closeResponse = h.ports.IdleCloseResponse
@@ -191,7 +200,10 @@
 	h.ports.RegisterCallers(h.callerServer.echo, router)
 	h.ports.RegisterStatus(h.statusServer.echo, h.ready)
 	telemetry.Register(h.metricsServer.echo, h.metrics)
-	h.peerServer = grpc.NewServer(append(peergrpc.ServerOptions(insecure.NewCredentials()), peergrpc.ContainPanics(h.log)...)...)
+	h.peerGuard = peergrpc.NewGuard(h.guard.Budget(), connections.peers, h.guard.Count)
+	h.maxPeerConnections = connections.peers
+	h.peerServer = grpc.NewServer(slices.Concat(
+		peergrpc.ServerOptions(insecure.NewCredentials()), h.peerGuard.ServerOptions(), peergrpc.ContainPanics(h.log))...)
 	peerv1.RegisterJobsServer(h.peerServer, peergrpc.NewJobsServer(h.jobs))
 	peergrpc.RegisterGossip(h.peerServer, h.cluster)
 	peergrpc.RegisterContact(h.peerServer, h.contact)
@@ -239,7 +251,7 @@
 		return fmt.Errorf("listen on %s: %w", h.settings.PeerAddress, err)
 	}
 	group.Go(func() error {
-		return h.peerServer.Serve(netutil.LimitListener(peerListener, DefaultMaxPeerConnections))
+		return h.peerServer.Serve(h.peerGuard.Listener(netutil.LimitListener(peerListener, h.maxPeerConnections)))
 	})
 	for _, s := range []*httpServer{h.callerServer, h.statusServer, h.metricsServer} {
 		group.Go(s.serve)
@@ -251,6 +263,7 @@
 			h.ports.FollowWorkers(ctx, hostlist.DemandSource{Current: h.workerDemand, Raised: h.workersNeeded}, h.setWorkers)
 		},
 		h.contact.Run,
+		func(ctx context.Context) { h.guard.Run(ctx, h.log) },
 		every(metricsInterval, h.publishState),
 		every(clockCheckInterval, newClockMonitor(h.log, h.metrics).check),
 	} {
@@ -285,6 +298,7 @@
 		local.Loads = append(local.Loads, membership.Load{Cell: id})
 	}
 	h.cluster.SetLocalState(local)
+	exportGuard(h.metrics, h.guard)
 	exportCluster(h.metrics, h.cluster, h.settings.Cells)
 	exportJobs(h.metrics, h.jobs.Stats())
 	exportOwnerLoad(h.metrics, h.jobs.Load())
--- a/daemon/jobsettings.go
+++ b/daemon/jobsettings.go
@@ -44,6 +44,7 @@
 	Grace time.Duration
 	// MilliCPU is the CPU capacity of the host in thousandths of a core; 0 if it is not known.
 	MilliCPU int64
+	ClientLimits
 }
 
 // WorkerPort performs the calls to workers, and asks them whether they answer.
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -19,6 +19,7 @@
 	exportCluster(h.metrics, h.cluster, h.settings.Cells)
 	exportJobs(h.metrics, h.jobs.Stats())
 	exportOwnerLoad(h.metrics, h.jobs.Load())
+	exportGuard(h.metrics, h.guard)
 	h.exportTable()
 	records, bytes := h.ledgers.Own().Usage()
 	h.metrics.Gauge("ledger_records").Update(records)
--- a/daemon/reference.go
+++ b/daemon/reference.go
@@ -31,6 +31,11 @@
 		}
 		fmt.Fprintf(&b, "| `--%s` | `%s` | %s | %s |\n", name, EnvName(name), value, documented.GetUsage())
 	}
+	b.WriteString("\n`relayd platform` takes its settings from the platform's settings file, and these flags of the section Limits:")
+	for _, f := range ClientLimitFlags(&ClientLimits{}) {
+		b.WriteString(" `--" + f.Names()[0] + "`")
+	}
+	b.WriteString(".\nWithout `--memory-mb` it has the memory that the file states as `Limits.MemoryMb`.\n")
 	b.WriteString("\n## Exit codes\n\n")
 	b.WriteString("0: a graceful shutdown that finished every request. 1: a failure. 2: invalid settings. ")
 	b.WriteString("3: a graceful shutdown that timed out with\nwork still in progress.\n")
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -61,6 +61,7 @@
 	// MilliCPU is the CPU capacity of this host in thousandths of a core; 0 if it is not known. Hosts with a higher
 	// capacity are preferred as owners of cells.
 	MilliCPU int
+	ClientLimits
 }
 
 // AdvertisedAddress returns the address at which other hosts reach this one.
@@ -162,6 +163,7 @@
 	faults.checkRange("ledger-records", s.LedgerRecords, 1, maxLedgerRecords, "records")
 	faults.checkRange("ledger-mb", s.LedgerMB, 1, maxLedgerMB, "MB")
 	faults.checkRange("milli-cpu", s.MilliCPU, 0, maxMilliCPU, "thousandths of a core")
+	s.validateClientLimits(&faults)
 	return faults.err()
 }
 
