adapter/clientconn: a full port closes the connections that keep it waiting

Cause: a connection with an unfinished head holds its place for 5 s. On a port with few connections, such as readiness, 600 of them kept an ordinary request waiting for many rounds of 5 s.

While all connections of a port are in use, those that have sent nothing for 1 s of a request that has begun, or of their first, are closed or refused. Connections that are idle after a request, and those whose request is in progress, stay.

--- a/adapter/clientconn/clientconn_test.go
+++ b/adapter/clientconn/clientconn_test.go
@@ -13,12 +13,16 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/net/netutil"
 
 	"github.com/bulrushrelay/bulrushrelay/core/intake"
 	"github.com/bulrushrelay/bulrushrelay/core/verdict"
 )
 
-const testHeaderLines = 20
+const (
+	testHeaderLines = 20
+	testConnections = 8
+)
 
 // testServer serves a handler that answers with the length of the body, or with the verdict of the error of reading it.
 type testServer struct {
@@ -57,7 +61,7 @@
 			_, _ = fmt.Fprint(w, len(body))
 		})),
 	}
-	go func() { _ = server.Serve(s.guard.Listener(l)) }()
+	go func() { _ = server.Serve(s.guard.Listener(netutil.LimitListener(l, testConnections), testConnections)) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return s
 }
@@ -182,3 +186,30 @@
 	requireAnswer(t, r, http.StatusServiceUnavailable, "not-run")
 	require.EqualValues(t, 1, log.lines.Load())
 }
+
+// Guards against clients that keep all connections of a port busy with heads and bodies that they do not finish, and
+// against idle connections that are closed in their place.
+func TestFullPortClosesConnectionsThatWait(t *testing.T) {
+	s := startServer(t, intake.Config{Bytes: 1 << 20})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go s.guard.Run(ctx, (&lineCounter{}).logger())
+	idle, idleAnswers := s.dial(t)
+	_, err := io.WriteString(idle, head(3, "Content-Length: 0"))
+	require.NoError(t, err)
+	requireAnswer(t, idleAnswers, http.StatusOK, "0")
+	for i := range 3 * testConnections {
+		c, _ := s.dial(t)
+		text := []string{"", "POST / HT", head(3, "Content-Length: 5"), head(3, "Content-Length: 5") + "a"}[i%4]
+		_, err := io.WriteString(c, text)
+		require.NoError(t, err)
+	}
+	late, answers := s.dial(t)
+	_, err = io.WriteString(late, head(3, "Content-Length: 0"))
+	require.NoError(t, err)
+	requireAnswer(t, answers, http.StatusOK, "0")
+	_, err = io.WriteString(idle, head(3, "Content-Length: 0"))
+	require.NoError(t, err)
+	requireAnswer(t, idleAnswers, http.StatusOK, "0")
+	require.Positive(t, s.refusals(intake.CauseConnections))
+}
--- a/adapter/clientconn/conn.go
+++ b/adapter/clientconn/conn.go
@@ -46,6 +46,11 @@
 	request *intake.Request
 	phase   atomic.Int32
 	closed  atomic.Bool
+	// heard is the time of the last byte, or that of the connection, in nanoseconds since 1970. idle is set while the
+	// connection waits for a further request, received once the whole body of the present one has arrived.
+	heard          atomic.Int64
+	idle, received atomic.Bool
+	port           *listener
 	// lines counts the lines of the head, lineBytes the bytes of the last one. Only Read uses them, which the server calls
 	// from one goroutine at a time.
 	lines, lineBytes int
@@ -58,6 +63,10 @@
 		return 0, c.refusal(cause)
 	}
 	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.heard.Store(c.guard.now().UnixNano())
+		c.idle.Store(false)
+	}
 	inHead := phase(c.phase.Load()) == phaseHead
 	if n > 0 && phase(c.phase.Load()) != phaseRest && !c.request.Receive(c.guard.now(), n) {
 		return 0, c.refusal(c.request.Refused())
@@ -82,8 +91,12 @@
 		return io.EOF
 	}
 	message := "the memory for unfinished requests is used up"
-	if cause == intake.CauseSlow {
+	switch cause {
+	case intake.CauseSlow:
 		message = "the body arrives too slowly"
+	case intake.CauseConnections:
+		message = "all connections are in use and the body does not arrive"
+	default:
 	}
 	return verdict.Wrap(errNotRun, verdict.NotRun, verdict.CodeUnavailable, "%s", message).WithRetryAfter(retryAfter)
 }
@@ -119,7 +132,16 @@
 func (c *conn) awaitHead() {
 	c.lines, c.lineBytes, c.headEnded = 0, 0, false
 	c.request.Finish()
+	c.received.Store(false)
 	c.phase.Store(int32(phaseHead))
+	c.idle.Store(true)
+}
+
+// waitsSince returns since when the connection has been waiting for the rest of a request, or for its first; ok is false if
+// it is idle after a request or its request is in progress.
+func (c *conn) waitsSince() (since int64, ok bool) {
+	p := phase(c.phase.Load())
+	return c.heard.Load(), p == phaseHead && !c.idle.Load() || p == phaseBody && !c.received.Load()
 }
 
 // giveUp ends the request that is arriving: a read that waits returns at once.
@@ -132,6 +154,7 @@
 func (c *conn) Close() error {
 	if c.closed.CompareAndSwap(false, true) {
 		c.request.Close()
+		c.port.forget(c)
 	}
 	return c.Conn.Close()
 }
--- a/adapter/clientconn/guard.go
+++ b/adapter/clientconn/guard.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +19,8 @@
 	sweepInterval = time.Second
 	// sparedBytes is what a request of a client may hold whatever the others do: the head and body of an ordinary small one.
 	sparedBytes = 4 << 10
+	// fullPatience is how long a port without a free connection waits for the next byte of a request.
+	fullPatience = time.Second
 	// calmTime is how long nothing must have been refused until that is logged as the end of the refusals.
 	calmTime = 30 * time.Second
 )
@@ -30,6 +33,9 @@
 	// onRefused is called with the cause of each refusal.
 	onRefused func(intake.Cause)
 	refusals  atomic.Int64
+	// mu guards ports, the listeners of the guard.
+	mu    sync.Mutex
+	ports []*listener
 }
 
 // NewGuard returns a guard. onRefused counts the refusals by cause.
@@ -63,6 +69,7 @@
 		}
 		now := g.now()
 		g.budget.GiveUpSlow(now)
+		g.freeConnections(now)
 		total := g.refusals.Load()
 		switch {
 		case total > seen:
@@ -79,14 +86,57 @@
 	}
 }
 
-// Listener returns a listener whose connections the guard bounds.
-func (g *Guard) Listener(l net.Listener) net.Listener {
-	return &listener{l, g}
+// Listener returns a listener whose connections the guard bounds. l accepts at most maxConnections at a time. While all of
+// them are in use, those that make the port wait for their requests are closed.
+func (g *Guard) Listener(l net.Listener, maxConnections int) net.Listener {
+	p := &listener{Listener: l, guard: g, maxConnections: maxConnections, conns: make(map[*conn]struct{})}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ports = append(g.ports, p)
+	return p
 }
 
 type listener struct {
 	net.Listener
-	guard *Guard
+	guard          *Guard
+	maxConnections int
+	// mu guards conns, the open connections.
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+}
+
+func (l *listener) forget(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, c)
+}
+
+// waiting returns the connections that have made the port wait for patience, if all connections are in use.
+func (l *listener) waiting(now time.Time, patience time.Duration) []*conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.conns) < l.maxConnections {
+		return nil
+	}
+	var out []*conn
+	for c := range l.conns {
+		if since, ok := c.waitsSince(); ok && now.UnixNano()-since >= int64(patience) {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// freeConnections closes the connections that keep a full port waiting.
+func (g *Guard) freeConnections(now time.Time) {
+	g.mu.Lock()
+	ports := g.ports
+	g.mu.Unlock()
+	for _, p := range ports {
+		for _, c := range p.waiting(now, fullPatience) {
+			c.request.GiveUp(intake.CauseConnections)
+		}
+	}
 }
 
 // Accept implements net.Listener.
@@ -95,12 +145,16 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: inner, guard: l.guard}
+	c := &conn{Conn: inner, guard: l.guard, port: l}
+	c.heard.Store(l.guard.now().UnixNano())
 	address := inner.RemoteAddr().String()
 	if host, _, err := net.SplitHostPort(address); err == nil {
 		address = host
 	}
 	c.request = l.guard.budget.Open(address, sparedBytes, c.giveUp)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conns[c] = struct{}{}
 	return c, nil
 }
 
@@ -135,8 +189,9 @@
 			return
 		}
 		c.request.BeginBody(g.now(), r.ContentLength)
+		c.received.Store(r.ContentLength == 0)
 		if r.ContentLength != 0 {
-			r.Body = &body{r.Body, c.request}
+			r.Body = &body{r.Body, c}
 		}
 		defer func() {
 			c.phase.Store(int32(phaseRest))
@@ -149,14 +204,15 @@
 // body is the body of a request. Its end completes the request.
 type body struct {
 	io.ReadCloser
-	request *intake.Request
+	conn *conn
 }
 
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if err == io.EOF { //nolint:errorlint // io.Reader returns it unwrapped.
-		b.request.Complete()
+		b.conn.request.Complete()
+		b.conn.received.Store(true)
 	}
 	return n, err
 }
--- a/core/intake/budget.go
+++ b/core/intake/budget.go
@@ -18,6 +18,8 @@
 	CauseMemory Cause = "memory"
 	// CauseSlow means that the body arrived below the minimum rate.
 	CauseSlow Cause = "slow"
+	// CauseConnections means that all connections of a port were in use.
+	CauseConnections Cause = "connections"
 )
 
 const (
@@ -168,6 +170,23 @@
 	r.complete = true
 }
 
+// GiveUp gives the request up unless it has arrived whole.
+func (r *Request) GiveUp(cause Cause) {
+	if r.markUnlessComplete(cause) {
+		r.giveUp(cause)
+	}
+}
+
+func (r *Request) markUnlessComplete(cause Cause) bool {
+	r.shard.mu.Lock()
+	defer r.shard.mu.Unlock()
+	if r.complete || r.refused != "" {
+		return false
+	}
+	r.markRefused(cause)
+	return true
+}
+
 // Refused returns why the request was given up; empty if it was not.
 func (r *Request) Refused() Cause {
 	r.shard.mu.Lock()
--- a/daemon/clientlimits.go
+++ b/daemon/clientlimits.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"net"
 	"os"
 	"path/filepath"
 	"runtime/debug"
@@ -204,11 +203,3 @@
 	}
 	return defaultMemoryMB
 }
-
-// guardedListener returns l with its connections bounded by guard; l itself without one.
-func guardedListener(l net.Listener, guard *clientconn.Guard) net.Listener {
-	if guard == nil {
-		return l
-	}
-	return guard.Listener(l)
-}
--- a/daemon/httpserver.go
+++ b/daemon/httpserver.go
@@ -72,7 +72,9 @@
 	if tlsConfig != nil {
 		listener = tls.NewListener(listener, tlsConfig)
 	}
-	listener = guardedListener(listener, limits.guard)
+	if limits.guard != nil {
+		listener = limits.guard.Listener(listener, limits.maxConnections)
+	}
 	e := echo.New()
 	e.HideBanner = true
 	e.HidePort = true
