--- a/adapter/clientconn/conn.go
+++ b/adapter/clientconn/conn.go
@@ -63,15 +63,16 @@
 		return 0, c.refusal(cause)
 	}
 	n, err := c.Conn.Read(p)
+	current := phase(c.phase.Load())
 	if n > 0 {
-		c.heard.Store(c.guard.now().UnixNano())
+		now := c.guard.now()
+		c.heard.Store(now.UnixNano())
 		c.idle.Store(false)
+		if current != phaseRest && !c.request.Receive(now, n) {
+			return 0, c.refusal(c.request.Refused())
+		}
 	}
-	inHead := phase(c.phase.Load()) == phaseHead
-	if n > 0 && phase(c.phase.Load()) != phaseRest && !c.request.Receive(c.guard.now(), n) {
-		return 0, c.refusal(c.request.Refused())
-	}
-	if inHead && !c.countLines(p[:n]) {
+	if current == phaseHead && !c.countLines(p[:n]) {
 		c.guard.Count(CauseHeaderLines)
 		c.answer(answerHead)
 		return 0, io.EOF
