--- a/cmd/relayd/platform.go
+++ b/cmd/relayd/platform.go
@@ -54,13 +54,16 @@
 				*code = exitSettings
 				return err
 			}
-			if limits.MemoryMB == 0 {
-				limits.MemoryMB = max(s.MemoryMB, 0)
-			}
 			if err := limits.Validate(); err != nil {
 				*code = exitSettings
 				return err
 			}
+			if limits.MemoryMB == 0 {
+				limits.MemoryMB = s.MemoryMB
+			}
+			if limits.MaxDescriptors == 0 {
+				limits.MaxDescriptors = s.MaxDescriptors
+			}
 			return runPlatform(ctx, path, s, cells, limits.ApplyMemoryLimit())
 		},
 	}
--- a/daemon/clientlimits.go
+++ b/daemon/clientlimits.go
@@ -54,6 +54,8 @@
 	MaxHeaderLines  int
 	// MinBodyRate is in bytes a second.
 	MinBodyRate int
+	// MaxDescriptors is the number of descriptors that the process may open.
+	MaxDescriptors int
 	// ReservedDescriptors is the number of descriptors that connections of clients may not use.
 	ReservedDescriptors int
 }
@@ -65,7 +67,8 @@
 		intFlag(&l.RequestMemoryMB, "request-memory-mb", groupLimits, 0, "maximum memory for requests of clients that are arriving or in progress, in MB; 0: a tenth of the memory, at least 9"),
 		intFlag(&l.MaxHeaderLines, "max-header-lines", groupLimits, defaultHeaderLines, "maximum number of lines in the head of a request"),
 		intFlag(&l.MinBodyRate, "min-body-rate", groupLimits, defaultBodyRate, "rate, in bytes a second, at which a body must arrive on average after 5 s; nor may it pause for 5 s"),
-		intFlag(&l.ReservedDescriptors, "reserved-descriptors", groupLimits, 0, "file descriptors that connections of clients leave free for other hosts, workers, targets and the store; 0: a quarter of the limit of the process"),
+		intFlag(&l.MaxDescriptors, "max-descriptors", groupLimits, 0, "file descriptors that this process may open; 0: the limit on open files of the process, which also holds if it is lower"),
+		intFlag(&l.ReservedDescriptors, "reserved-descriptors", groupLimits, 0, "file descriptors that connections of clients leave free for other hosts, workers, targets and the store; 0: a quarter of max-descriptors"),
 	}
 }
 
@@ -81,6 +84,7 @@
 	faults.checkRange("request-memory-mb", l.RequestMemoryMB, 0, maxMemoryMB, "MB")
 	faults.checkRange("max-header-lines", l.MaxHeaderLines, 0, maxHeaderBytes, "lines")
 	faults.checkRange("min-body-rate", l.MinBodyRate, 0, 1<<20, "bytes a second")
+	faults.checkRange("max-descriptors", l.MaxDescriptors, 0, 2*maxConnections, "descriptors")
 	faults.checkRange("reserved-descriptors", l.ReservedDescriptors, 0, maxConnections, "descriptors")
 }
 
@@ -100,18 +104,22 @@
 	if l.MinBodyRate == 0 {
 		l.MinBodyRate = defaultBodyRate
 	}
+	if limit := descriptorLimit(); l.MaxDescriptors == 0 || l.MaxDescriptors > limit {
+		l.MaxDescriptors = limit
+	}
 	if l.ReservedDescriptors == 0 {
-		l.ReservedDescriptors = descriptorLimit() / reservedDivisor
+		l.ReservedDescriptors = l.MaxDescriptors / reservedDivisor
 	}
 	return l
 }
 
 // ApplyMemoryLimit lets the Go runtime collect garbage early enough for the memory of the process. It is meant for a process
-// of its own, and called once. GOMEMLIMIT counts as the memory of the process, so that the runtime gets less.
+// of its own, and called once. GOMEMLIMIT counts as the memory of the process, so that the runtime gets less. It is never
+// raised.
 func (l ClientLimits) ApplyMemoryLimit() ClientLimits {
 	l.MemoryMB = l.withDefaults().MemoryMB
 	runtimeMB := max(l.MemoryMB-programMB, l.MemoryMB/2)
-	debug.SetMemoryLimit(int64(runtimeMB) * bytesPerMB / goMemoryDenominator * goMemoryNumerator)
+	debug.SetMemoryLimit(min(debug.SetMemoryLimit(-1), int64(runtimeMB)*bytesPerMB/goMemoryDenominator*goMemoryNumerator))
 	return l
 }
 
@@ -139,7 +147,8 @@
 // connections returns how many connections the ports may accept, at most the given numbers, so that the reserved
 // descriptors stay free.
 func (l ClientLimits) connections(callers, status, peers int) connectionLimits {
-	return shareDescriptors(descriptorLimit(), l.withDefaults().ReservedDescriptors, callers, status, peers)
+	l = l.withDefaults()
+	return shareDescriptors(l.MaxDescriptors, l.ReservedDescriptors, callers, status, peers)
 }
 
 func shareDescriptors(limit, reserved, callers, status, peers int) connectionLimits {
--- a/daemon/reference.go
+++ b/daemon/reference.go
@@ -35,7 +35,7 @@
 	for _, f := range ClientLimitFlags(&ClientLimits{}) {
 		b.WriteString(" `--" + f.Names()[0] + "`")
 	}
-	b.WriteString(".\nWithout `--memory-mb` it has the memory that the file states as `Limits.MemoryMb`.\n")
+	b.WriteString(".\n`--memory-mb` and `--max-descriptors` replace `Limits.MemoryMb` and `Limits.MaxFds` of the file.\n")
 	b.WriteString("\n## Exit codes\n\n")
 	b.WriteString("0: a graceful shutdown that finished every request. 1: a failure. 2: invalid settings. ")
 	b.WriteString("3: a graceful shutdown that timed out with\nwork still in progress.\n")
--- a/daemon/settings_test.go
+++ b/daemon/settings_test.go
@@ -18,7 +18,7 @@
 		HostListURL: "http://127.0.0.1:8500/hosts", ReadTokens: []string{"reader-0123456789"}, EditTokens: []string{"0123456789abcdef"}, Plain: true,
 		LogFormat: "json", LogLevel: "info", DrainTimeout: 30 * time.Second, LongestRequest: 30 * time.Second,
 		MaxCallerConnections: 100, MaxPeerConnections: 50, KeyRetention: time.Hour, LedgerRecords: 1000, LedgerMB: 16,
-		ClientLimits: ClientLimits{MemoryMB: 200, RequestMemoryMB: 20, MaxHeaderLines: 100, MinBodyRate: 2048, ReservedDescriptors: 300},
+		ClientLimits: ClientLimits{MemoryMB: 200, RequestMemoryMB: 20, MaxHeaderLines: 100, MinBodyRate: 2048, MaxDescriptors: 3000, ReservedDescriptors: 300},
 	}
 }
 
