--- a/adapter/clientconn/conn.go
+++ b/adapter/clientconn/conn.go
@@ -26,7 +26,7 @@
 	retryAfter    = time.Second
 )
 
-// errNotRun wraps the error of a request that was given up while its body arrived.
+// errNotRun is the cause of the error with which the handler of a request that was given up reads its body.
 var errNotRun = errors.New("the request was not received completely")
 
 // phase is what the bytes that arrive on a connection belong to.
--- a/daemon/host.go
+++ b/daemon/host.go
@@ -181,10 +181,6 @@
 	return nil
 }
 
-func listenTCP(address string) (net.Listener, error) {
-	return net.Listen("tcp", address)
-}
-
 func (h *Host) listen(options Options, security transportSecurity) error {
 	listen := options.Listen
 	if listen == nil {
--- a/daemon/listener.go
+++ b/daemon/listener.go
@@ -7,6 +7,10 @@
 	"golang.org/x/net/netutil"
 )
 
+func listenTCP(address string) (net.Listener, error) {
+	return net.Listen("tcp", address)
+}
+
 // limitListener bounds the open connections of l. Unlike those of netutil.LimitListener, its connections give access
 // to their sockets, so that a server can detect that a caller has disconnected.
 func limitListener(l net.Listener, maxConnections int) net.Listener {
