--- a/daemon/clientlimits.go
+++ b/daemon/clientlimits.go
@@ -93,7 +93,10 @@
 // withDefaults returns l with the defaults of this process in place of zeros.
 func (l ClientLimits) withDefaults() ClientLimits {
 	if l.MemoryMB == 0 {
-		l.MemoryMB = availableMemoryMB()
+		l.MemoryMB = givenMemoryMB()
+	}
+	if l.MemoryMB == 0 {
+		l.MemoryMB = defaultMemoryMB
 	}
 	if l.RequestMemoryMB == 0 {
 		l.RequestMemoryMB = max(minRequestMemoryMB, l.MemoryMB/requestMemoryDivisor)
@@ -115,9 +118,14 @@
 
 // ApplyMemoryLimit lets the Go runtime collect garbage early enough for the memory of the process. It is meant for a process
 // of its own, and called once. GOMEMLIMIT counts as the memory of the process, so that the runtime gets less. It is never
-// raised.
+// raised. Without a known memory the runtime has no limit, because it would collect all the time near one that is too low.
 func (l ClientLimits) ApplyMemoryLimit() ClientLimits {
-	l.MemoryMB = l.withDefaults().MemoryMB
+	if l.MemoryMB == 0 {
+		l.MemoryMB = givenMemoryMB()
+	}
+	if l.MemoryMB == 0 {
+		return l
+	}
 	runtimeMB := max(l.MemoryMB-programMB, l.MemoryMB/2)
 	debug.SetMemoryLimit(min(debug.SetMemoryLimit(-1), int64(runtimeMB)*bytesPerMB/goMemoryDenominator*goMemoryNumerator))
 	return l
@@ -170,19 +178,20 @@
 	return int(min(limit.Cur, 2*maxConnections))
 }
 
-// availableMemoryMB returns the memory that this process is given, by GOMEMLIMIT or its control group.
-func availableMemoryMB() int {
+// givenMemoryMB returns the memory that this process is given by GOMEMLIMIT or its control group; 0 if it is not known.
+func givenMemoryMB() int {
 	if limit := debug.SetMemoryLimit(-1); limit != math.MaxInt64 {
 		return int(limit / bytesPerMB)
 	}
 	groups, err := os.ReadFile("/proc/self/cgroup")
 	if err != nil {
-		return defaultMemoryMB
+		return 0
 	}
 	return memoryOfGroup(string(groups), "/sys/fs/cgroup", os.ReadFile)
 }
 
-// memoryOfGroup returns the memory in MB of the control groups listed in groups, in the form of /proc/self/cgroup.
+// memoryOfGroup returns the memory in MB of the control groups listed in groups, in the form of /proc/self/cgroup; 0 if they
+// have no limit.
 func memoryOfGroup(groups, root string, read func(string) ([]byte, error)) int {
 	for line := range strings.Lines(groups) {
 		parts := strings.SplitN(strings.TrimSpace(line), ":", 3)
@@ -210,5 +219,5 @@
 			}
 		}
 	}
-	return defaultMemoryMB
+	return 0
 }
