--- a/cmd/relayd/platform.go
+++ b/cmd/relayd/platform.go
@@ -39,11 +39,12 @@
 		noCopies    bool
 		inboxShare  float64
 		noLookAhead bool
+		limits      daemon.ClientLimits
 	)
 	return &cli.Command{
 		Name:  "platform",
 		Usage: "run one relay host on a platform that lists its workers and queues in a store",
-		Flags: []cli.Flag{
+		Flags: append([]cli.Flag{
 			&cli.StringFlag{
 				Name: "settings", Usage: "settings file of the platform", Value: platform.DefaultSettingsPath,
 				Destination: &path, Sources: cli.EnvVars(platform.SettingsPathVariable),
@@ -66,17 +67,28 @@
 				Name: daemon.NoLookAheadFlag, Usage: daemon.NoLookAheadUsage,
 				Destination: &noLookAhead, Sources: cli.EnvVars(daemon.EnvName(daemon.NoLookAheadFlag)),
 			},
-		},
+		}, daemon.ClientLimitFlags(&limits)...),
 		Action: func(ctx context.Context, _ *cli.Command) error {
 			s, err := platform.ReadSettings(path)
 			if err = errors.Join(err, checkInboxShare(inboxShare)); err != nil {
 				*code = exitSettings
 				return err
 			}
+			if err := limits.Validate(); err != nil {
+				*code = exitSettings
+				return err
+			}
+			if limits.MemoryMB == 0 {
+				limits.MemoryMB = s.MemoryMB
+			}
+			if limits.MaxDescriptors == 0 {
+				limits.MaxDescriptors = s.MaxDescriptors
+			}
 			settings := jobSettings(s, cells)
 			settings.NoSpeculativeCopies = noCopies
 			settings.InboxWriteShare = inboxShare
 			settings.NoLookAhead = noLookAhead
+			settings.ClientLimits = limits.ApplyMemoryLimit()
 			return runPlatform(ctx, path, s, settings)
 		},
 	}
--- a/daemon/jobsettings.go
+++ b/daemon/jobsettings.go
@@ -55,6 +55,7 @@
 	NoSpeculativeCopies bool
 	// NoLookAhead turns look-ahead placement off; see placement.Options.
 	NoLookAhead bool
+	ClientLimits
 }
 
 // WorkerPort performs the calls to workers, and asks them whether they answer.
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -21,6 +21,7 @@
 	exportJobs(h.metrics, h.jobs.Stats())
 	exportOwnerLoad(h.metrics, h.jobs.Load())
 	exportEvacuated(h.metrics, h.jobs)
+	exportGuard(h.metrics, h.guard)
 	h.exportTable()
 	records, bytes := h.ledgers.Own().Usage()
 	h.metrics.Gauge("ledger_records").Update(records)
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -70,6 +70,7 @@
 	NoSpeculativeCopies bool
 	// NoLookAhead turns look-ahead placement off; see placement.Options.
 	NoLookAhead bool
+	ClientLimits
 }
 
 // AdvertisedAddress returns the address at which other hosts reach this one.
@@ -185,6 +186,7 @@
 	faults.checkRange("ledger-records", s.LedgerRecords, 1, maxLedgerRecords, "records")
 	faults.checkRange("ledger-mb", s.LedgerMB, 1, maxLedgerMB, "MB")
 	faults.checkRange("milli-cpu", s.MilliCPU, 0, maxMilliCPU, "thousandths of a core")
+	s.validateClientLimits(&faults)
 	return faults.err()
 }
 
