--- a/relay/jobs/owner.go
+++ b/relay/jobs/owner.go
@@ -233,14 +233,6 @@
 	}
 }
 
-// setLimitShare tells the planner which share of the limits it may use.
-func (o *owner) setLimitShare(shareShift uint8) {
-	o.shareShift = shareShift
-	if p, ok := o.planner.(LimitSharePlanner); ok {
-		p.SetLimitShare(o.cfg.Cells, shareShift)
-	}
-}
-
 // checkCallsDone closes callsDone when a draining owner has no calls left whose outcome matters to its successor.
 func (o *owner) checkCallsDone() {
 	if !o.draining.Load() || o.callsDoneClosed {
--- a/relay/jobs/plan.go
+++ b/relay/jobs/plan.go
@@ -86,3 +86,11 @@
 	s.Forecasts.Add(now.Forecasts - before.Forecasts)
 	s.ForecastError.Add(int64(now.ForecastError - before.ForecastError))
 }
+
+// setLimitShare tells the planner which share of the limits it may use.
+func (o *owner) setLimitShare(shareShift uint8) {
+	o.shareShift = shareShift
+	if p, ok := o.planner.(LimitSharePlanner); ok {
+		p.SetLimitShare(o.cfg.Cells, shareShift)
+	}
+}
