--- a/cmd/relayd/platform.go
+++ b/cmd/relayd/platform.go
@@ -38,7 +38,7 @@
 		cells       int
 		noCopies    bool
 		inboxShare  float64
-		noLookAhead bool
+		lookAhead bool
 		limits      daemon.ClientLimits
 	)
 	return &cli.Command{
@@ -64,8 +64,8 @@
 				Destination: &noCopies, Sources: cli.EnvVars(daemon.EnvName("no-speculative-copies")),
 			},
 			&cli.BoolFlag{
-				Name: daemon.NoLookAheadFlag, Usage: daemon.NoLookAheadUsage,
-				Destination: &noLookAhead, Sources: cli.EnvVars(daemon.EnvName(daemon.NoLookAheadFlag)),
+				Name: daemon.LookAheadFlag, Usage: daemon.LookAheadUsage,
+				Destination: &lookAhead, Sources: cli.EnvVars(daemon.EnvName(daemon.LookAheadFlag)),
 			},
 		}, daemon.ClientLimitFlags(&limits)...),
 		Action: func(ctx context.Context, _ *cli.Command) error {
@@ -87,7 +87,7 @@
 			settings := jobSettings(s, cells)
 			settings.NoSpeculativeCopies = noCopies
 			settings.InboxWriteShare = inboxShare
-			settings.NoLookAhead = noLookAhead
+			settings.LookAhead = lookAhead
 			settings.ClientLimits = limits.ApplyMemoryLimit()
 			return runPlatform(ctx, path, s, settings)
 		},
--- a/daemon/flags.go
+++ b/daemon/flags.go
@@ -18,10 +18,10 @@
 	return envPrefix + strings.ToUpper(strings.ReplaceAll(flag, "-", "_"))
 }
 
-// NoLookAheadFlag turns look-ahead placement off, on hosts that run requests and jobs and on those that run only jobs.
+// LookAheadFlag turns look-ahead placement on, on hosts that run requests and jobs and on those that run only jobs.
 const (
-	NoLookAheadFlag  = "no-look-ahead"
-	NoLookAheadUsage = "place tasks without regard to what waits and what will end soon, to compare both orders (docs/design/look-ahead.md)"
+	LookAheadFlag  = "look-ahead"
+	LookAheadUsage = "reserve workers for tasks that wait by when running tasks are expected to end (docs/design/look-ahead.md)"
 )
 
 // Categories of the flags, each a section of the settings page.
@@ -72,7 +72,7 @@
 		intFlag(&s.LedgerMB, "ledger-mb", groupLimits, 256, "maximum memory for idempotency records, in MB"),
 		intFlag(&s.MilliCPU, "milli-cpu", groupLimits, 0, "CPU capacity of this host in thousandths of a core, used in the choice of cell owners; 0 if not known"),
 		boolFlag(&s.NoSpeculativeCopies, "no-speculative-copies", groupLimits, "start no second attempts of overdue tasks, also in groups that allow them"),
-		boolFlag(&s.NoLookAhead, NoLookAheadFlag, groupLimits, NoLookAheadUsage),
+		boolFlag(&s.LookAhead, LookAheadFlag, groupLimits, LookAheadUsage),
 	}, ClientLimitFlags(&s.ClientLimits)...)
 }
 
--- a/daemon/host.go
+++ b/daemon/host.go
@@ -323,7 +323,7 @@
 	options.Cell = id
 	options.Cells = h.settings.Cells
 	options.ShareShift = h.cluster.Grant(id).ShareShift
-	options.NoLookAhead = h.settings.NoLookAhead
+	options.NoLookAhead = !h.settings.LookAhead
 	planner := placement.NewCell(rand.Uint64(), options)
 	planner.SetTable(t)
 	return planner
--- a/daemon/jobhost.go
+++ b/daemon/jobhost.go
@@ -175,7 +175,7 @@
 		BackfillDepth: maxBackfillTasks,
 		// Slowing down a task frees no capacity on its worker.
 		MinThrottle: 1,
-		NoLookAhead: h.settings.NoLookAhead,
+		NoLookAhead: !h.settings.LookAhead,
 	})
 	planner.SetTable(t)
 	return planner
--- a/daemon/jobsettings.go
+++ b/daemon/jobsettings.go
@@ -53,8 +53,8 @@
 	MilliCPU int64
 	// NoSpeculativeCopies turns off second attempts of overdue tasks.
 	NoSpeculativeCopies bool
-	// NoLookAhead turns look-ahead placement off; see placement.Options.
-	NoLookAhead bool
+	// LookAhead turns look-ahead placement on; see placement.Options.
+	LookAhead bool
 	ClientLimits
 }
 
--- a/relay/jobs/synctimes.go
+++ b/relay/jobs/synctimes.go
@@ -7,9 +7,9 @@
 	answerTimesPerLease = 8
 	// slowAnswerFactor is the number of usual answer times after which an answer counts as lost.
 	slowAnswerFactor = 4
-	// minStartTimeout leaves time for a lost packet to be sent again. An urgent task of about 1 s has 0.7 s to start, so that
-	// it can still be on time after one start without an answer.
-	minStartTimeout = 400 * time.Millisecond
+	// minStartTimeout leaves time for two lost packets to be sent again, and about half of the 1.5 s within which an urgent
+	// task starts for a second start. With 400 ms, owners with 0.16 of a core gave up starts in bursts that were answered late.
+	minStartTimeout = 800 * time.Millisecond
 	// startPatienceFactor is the number of usual answer times after which a start counts as unanswered. A start that is given
 	// up too early costs the work until its stop, so that the owner waits longer than for the answer to a sync.
 	startPatienceFactor = 8
