--- a/cmd/relayd/platform.go
+++ b/cmd/relayd/platform.go
@@ -34,12 +34,12 @@
 // exitSettings.
 func platformCommand(code *int) *cli.Command {
 	var (
-		path        string
-		cells       int
-		noCopies    bool
-		inboxShare  float64
-		lookAhead bool
-		limits      daemon.ClientLimits
+		path       string
+		cells      int
+		noCopies   bool
+		inboxShare float64
+		lookAhead  bool
+		limits     daemon.ClientLimits
 	)
 	return &cli.Command{
 		Name:  "platform",
