--- a/clientlimits/hosts_test.go
+++ b/clientlimits/hosts_test.go
@@ -16,9 +16,9 @@
 
 	"github.com/bulrushrelay/bulrushrelay/adapter/operatorhttp"
 	"github.com/bulrushrelay/bulrushrelay/daemon"
+	"github.com/bulrushrelay/bulrushrelay/platform/platformtest"
 	"github.com/bulrushrelay/bulrushrelay/standin/hostlist"
 	"github.com/bulrushrelay/bulrushrelay/standin/kv"
-	"github.com/bulrushrelay/bulrushrelay/standin/platformstore"
 	"github.com/bulrushrelay/bulrushrelay/standin/target"
 )
 
@@ -190,7 +190,7 @@
 // startPlatformHost starts relayd platform with a stand-in of the platform's store.
 func startPlatformHost(t *testing.T) host {
 	t.Helper()
-	store := platformstore.New()
+	store := platformtest.New()
 	storeListener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	server := &http.Server{Handler: store, ReadHeaderTimeout: time.Minute}
--- a/daemon/host.go
+++ b/daemon/host.go
@@ -393,13 +393,3 @@
 	stopBackground()
 	return errors.Join(failed, err, group.Wait())
 }
-
-// tableProvider provides the table in force. It implements entry.Tables over the table service.
-type tableProvider struct {
-	config *config.Service
-}
-
-// InForce implements entry.Tables.
-func (t tableProvider) InForce() (*table.Table, error) {
-	return t.config.CurrentTable()
-}
--- a/daemon/loops.go
+++ b/daemon/loops.go
@@ -15,6 +15,7 @@
 	"github.com/bulrushrelay/bulrushrelay/core/ownership"
 	"github.com/bulrushrelay/bulrushrelay/core/table"
 	"github.com/bulrushrelay/bulrushrelay/relay/cluster"
+	"github.com/bulrushrelay/bulrushrelay/relay/config"
 	"github.com/bulrushrelay/bulrushrelay/relay/jobs"
 )
 
@@ -214,3 +215,13 @@
 func (f *fleet) Capacity() table.Capacity {
 	return table.Capacity{TargetSlots: f.current.Load().slots, Cells: f.cellMap.Cells()}
 }
+
+// tableProvider provides the table in force. It implements entry.Tables over the table service.
+type tableProvider struct {
+	config *config.Service
+}
+
+// InForce implements entry.Tables.
+func (t tableProvider) InForce() (*table.Table, error) {
+	return t.config.CurrentTable()
+}
--- a/review/standins-2/cases.go
+++ b/review/standins-2/cases.go
@@ -6,7 +6,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/bulrushrelay/bulrushrelay/standin/platformstore"
+	"github.com/bulrushrelay/bulrushrelay/platform/platformtest"
 )
 
 const (
@@ -80,19 +80,19 @@
 	time.Sleep(2 * time.Second)
 	if w.trouble {
 		w.rec.note("the store is down")
-		w.store.SetMood(platformstore.MoodBusy)
+		w.store.SetMood(platformtest.MoodBusy)
 		time.Sleep(outage)
 		w.rec.note("the store is back, and slow")
-		w.store.SetMood(platformstore.MoodSlow)
+		w.store.SetMood(platformtest.MoodSlow)
 		time.Sleep(silentFrom)
 		w.rec.note("the store does not answer")
-		w.store.SetMood(platformstore.MoodSilent)
+		w.store.SetMood(platformtest.MoodSilent)
 		time.Sleep(silentTime)
 		w.rec.note("the store is slow")
-		w.store.SetMood(platformstore.MoodSlow)
+		w.store.SetMood(platformtest.MoodSlow)
 		time.Sleep(slowTime - silentFrom - silentTime)
 		w.rec.note("the store is well")
-		w.store.SetMood(platformstore.MoodWell)
+		w.store.SetMood(platformtest.MoodWell)
 	}
 	time.Sleep(askAfter)
 	for deadline := time.Now().Add(askFor); time.Now().Before(deadline); time.Sleep(500 * time.Millisecond) {
@@ -134,7 +134,7 @@
 	time.Sleep(500 * time.Millisecond)
 	if w.trouble {
 		w.rec.note("the store is down")
-		w.store.SetMood(platformstore.MoodBusy)
+		w.store.SetMood(platformtest.MoodBusy)
 	}
 	// The first task fails 2 s after its start.
 	time.Sleep(1800 * time.Millisecond)
@@ -159,7 +159,7 @@
 		}
 		time.Sleep(outage - 3300*time.Millisecond)
 		w.rec.note("the store is well")
-		w.store.SetMood(platformstore.MoodWell)
+		w.store.SetMood(platformtest.MoodWell)
 	}
 	time.Sleep(25 * time.Second)
 	call(w.rec, w.relays[0], http.MethodGet, id, nil)
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -14,7 +14,7 @@
 	"syscall"
 	"time"
 
-	"github.com/bulrushrelay/bulrushrelay/standin/platformstore"
+	"github.com/bulrushrelay/bulrushrelay/platform/platformtest"
 )
 
 // The exit codes of a case.
@@ -27,7 +27,7 @@
 // world is a small deployment with its stand-ins.
 type world struct {
 	rec     *recorder
-	store   *platformstore.Store
+	store   *platformtest.Store
 	relays  []*relayProcess
 	runners []*runner
 	trouble bool
@@ -98,7 +98,7 @@
 		return err
 	}
 	w.folder = dir
-	w.store = platformstore.New()
+	w.store = platformtest.New()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
--- a/review/standins-2/runner.go
+++ b/review/standins-2/runner.go
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	"github.com/bulrushrelay/bulrushrelay/standin/platformstore"
+	"github.com/bulrushrelay/bulrushrelay/platform/platformtest"
 )
 
 const (
@@ -75,7 +75,7 @@
 type runner struct {
 	id, address, label string
 	capacity           int
-	store              *platformstore.Store
+	store              *platformtest.Store
 	rec                *recorder
 	// fails is set if what runs there fails instead of being done.
 	fails bool
