--- a/relay/jobs/router.go
+++ b/relay/jobs/router.go
@@ -221,7 +221,7 @@
 	return id, err
 }
 
-// queryTimeout bounds a query, which an owner answers from its memory, or after one read of the inbox.
+// queryTimeout bounds a query, which an owner answers from its memory, or once the record of the job is durable.
 func (r *Router) queryTimeout() time.Duration {
 	return min(maxOwnerPatience, r.submitTimeout)
 }
--- a/relay/jobs/synctimes.go
+++ b/relay/jobs/synctimes.go
@@ -8,7 +8,7 @@
 	// slowAnswerFactor is the number of usual answer times after which an answer counts as lost.
 	slowAnswerFactor = 4
 	// minStartTimeout leaves time for two lost packets to be sent again, and about half of the 1.5 s within which an urgent
-	// task starts for a second start. With 400 ms, owners with 0.16 of a core gave up starts in bursts that were answered late.
+	// task starts for a second start.
 	minStartTimeout = 800 * time.Millisecond
 	// startPatienceFactor is the number of usual answer times after which a start counts as unanswered. A start that is given
 	// up too early costs the work until its stop, so that the owner waits longer than for the answer to a sync.
