relay/jobs: the number of waiting jobs does not leave out the inbox

Questions about one job ask whether the owner knows its inbox, WaitingJobs did not.

An owner now gives no number until all entries of the inbox are durable in its log (before that the cell does not list their jobs), and none without full authority, when another host may have opened the inbox. The platform's front answers 503 then, as for a cell without an owner. TestWaitingJobsAreNotCountedWithoutTheInbox failed before; its first form showed the second gap: entries that are known and not durable were not counted either.

--- a/relay/jobs/api.go
+++ b/relay/jobs/api.go
@@ -277,12 +277,17 @@
 	return o.cell.Get(id, from, limit)
 }
 
-// WaitingJobs returns the number of jobs of a cell that have not run any task yet, by class.
+// WaitingJobs returns the number of jobs of a cell that have not run any task yet, by class. It fails while accepted jobs may
+// be in the inbox of the cell, where this owner does not count them.
 func (s *Service) WaitingJobs(_ context.Context, cell ident.CellID) (map[ident.ClassName]int, error) {
 	o, ok := s.owners.Get(cell)
 	if !ok {
 		return nil, errNotOwned(cell)
 	}
+	if !o.listsAllJobs() {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeUnavailable, "the inbox of cell %d may hold more jobs", cell).
+			WithRetryAfter(o.retryAfterStore(""))
+	}
 	return o.cell.WaitingJobs(), nil
 }
 
--- a/relay/jobs/inboxgate_test.go
+++ b/relay/jobs/inboxgate_test.go
@@ -258,6 +258,35 @@
 	})
 }
 
+// Guards against a number of waiting jobs that leaves out those in the inbox: an owner that has not read it yet, or that another
+// host may have replaced, gives none.
+func TestWaitingJobsAreNotCountedWithoutTheInbox(t *testing.T) {
+	inboxScenario(t, 2, func(fx *fixture, entry *entryHost) {
+		fx.claimCell()
+		for number := range uint64(60) {
+			// The workers have room for the tasks of a few jobs only.
+			spec := numberedSpec(number + 1)
+			spec.Groups[0].Count = 100
+			entry.place(spec)
+		}
+		const delay = 300 * time.Millisecond
+		owner := fx.slowOwnerHost(entry, delay)
+		_, err := owner.svc.WaitingJobs(bg, cell)
+		requireVerdict(t, verdict.NotRun, err)
+		// The inbox is read after three calls to the store, and the jobs are durable after some more.
+		time.Sleep(4 * delay)
+		_, err = owner.svc.WaitingJobs(bg, cell)
+		requireVerdict(t, verdict.NotRun, err)
+		time.Sleep(10 * delay)
+		waiting, err := owner.svc.WaitingJobs(bg, cell)
+		require.NoError(t, err)
+		require.GreaterOrEqual(t, waiting["batch"], 30)
+		owner.setGrant(func(g *ownership.Grant) { g.Authority = ownership.InDoubt })
+		_, err = owner.svc.WaitingJobs(bg, cell)
+		requireVerdict(t, verdict.NotRun, err)
+	})
+}
+
 // Guards against store calls for jobs that the owner accepts in time.
 func TestInboxCostsNothingWhileTheOwnerAnswers(t *testing.T) {
 	inboxScenario(t, 2, func(fx *fixture, entry *entryHost) {
--- a/relay/jobs/inboxowner.go
+++ b/relay/jobs/inboxowner.go
@@ -73,17 +73,26 @@
 	return o.cfg.Inbox.Store.Range(callCtx, inboxPrefix(o.cellID))
 }
 
-// noteInboxKnown sets inboxKnown once the cell knows the jobs of all entries. It runs in the loop.
+// noteInboxKnown sets inboxKnown once the cell knows the jobs of all entries, and inboxTaken once they are durable in the log. It
+// runs in the loop.
 func (o *owner) noteInboxKnown() {
 	if o.closedGate != 0 && len(o.waitingEntries) == 0 && !o.draining.Load() {
 		o.inboxKnown.Store(true)
+		o.inboxTaken.Store(len(o.takenEntries) == 0)
 	}
 }
 
+// listsAllJobs reports whether the cell lists every accepted job. Jobs of the inbox are listed once they are durable in the log.
+// Without full authority another host may have claimed the cell, which opens the inbox.
+func (o *owner) listsAllJobs() bool {
+	return !o.cfg.Inbox.enabled() || o.inboxTaken.Load() && o.authority() == ownership.Full
+}
+
 // leaveInbox ends the time in which this owner knows every entry, and returns the revision of the gate that it has closed; 0
 // if there is none. It runs in the loop of a draining owner.
 func (o *owner) leaveInbox() store.Revision {
 	o.inboxKnown.Store(false)
+	o.inboxTaken.Store(false)
 	gate := o.closedGate
 	o.closedGate = 0
 	return gate
@@ -179,6 +188,9 @@
 			}
 		}
 	}
+	if !o.inboxTaken.Load() {
+		o.noteInboxKnown()
+	}
 }
 
 func (o *owner) logEntryTaken(job ident.JobID, taken takenEntry) {
--- a/relay/jobs/owner.go
+++ b/relay/jobs/owner.go
@@ -56,6 +56,8 @@
 	// inboxKnown is set while the inbox is closed and the cell knows the jobs of all its entries. It holds only with full
 	// authority: a host that claims the cell opens the inbox.
 	inboxKnown atomic.Bool
+	// inboxTaken is set while, besides, all of them are durable in the log.
+	inboxTaken atomic.Bool
 	// loopDone is closed when the loop has run its last event.
 	loopDone chan struct{}
 	// callsDone is closed once a draining owner has no call to a worker queued or in flight.
