clientlimits: heads, blank lines and trailers without end, and a host that is not told its memory

New kinds of clients send 1 MB of each, of a chunk extension and of trailers, to each port, with the crowd and the bounds of the other kinds.

--- a/clientlimits/clients_test.go
+++ b/clientlimits/clients_test.go
@@ -127,6 +127,21 @@
 	}
 }
 
+// endlessBytes is how much the clients send of what has no end.
+const endlessBytes = 1 << 20
+
+// endless returns a function for requests that repeat a text without end after the first lines of the head.
+func endless(start, repeated string) func(b bodyTarget, i int) []byte {
+	return func(b bodyTarget, i int) []byte {
+		return []byte(b.head(i, start) + strings.Repeat(repeated, endlessBytes/len(repeated)))
+	}
+}
+
+// blankLines returns blank lines without end before a request.
+func blankLines(b bodyTarget, i int) []byte {
+	return []byte(strings.Repeat("\r\n", endlessBytes/2) + b.head(i, "\r\n"))
+}
+
 const nameDigits = "abcdefghijklmnopqrstuvwxyz0123456789"
 
 // shortName returns different names of three letters and digits.
--- a/clientlimits/hosts_test.go
+++ b/clientlimits/hosts_test.go
@@ -101,8 +101,14 @@
 	require.NoError(t, err, "an ordinary request is not answered")
 }
 
-// startHost starts relayd with stand-ins of a store, a host list and a target, and a table of one class.
+// startHost starts relayd with little memory.
 func startHost(t *testing.T) host {
+	t.Helper()
+	return startHostWith(t, givenDescriptors, fmt.Sprintf("GOMEMLIMIT=%dMiB", givenMemoryMB))
+}
+
+// startHostWith starts relayd with stand-ins of a store, a host list and a target, and a table of one class.
+func startHostWith(t *testing.T, descriptors int, environment ...string) host {
 	t.Helper()
 	storeListener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -126,7 +132,7 @@
 		StoreEndpoints: []string{storeListener.Addr().String()}, HostListURL: list.URL(),
 		EditTokens: []string{operatorToken}, Plain: true,
 	}
-	p := startRelayd(t, append(daemon.Environment(settings), fmt.Sprintf("GOMEMLIMIT=%dMiB", givenMemoryMB)))
+	p := startRelayd(t, descriptors, append(daemon.Environment(settings), environment...))
 	requireAnswered(t, p, ordinaryRequest(http.MethodGet, "http://"+a[2]+"/healthz", "", "", http.StatusOK))
 	operator := operatorhttp.Client{BaseURL: "http://" + a[2], Token: operatorToken, HTTP: http.DefaultClient}
 	requireAnswered(t, p, func() error {
@@ -207,7 +213,7 @@
 	settings := filepath.Join(t.TempDir(), "boot.toml")
 	text := fmt.Sprintf(settingsFormat, hostIP, portOf(a[2]), portOf(a[3]), a[0], a[1], givenMemoryMB, givenDescriptors, storeListener.Addr())
 	require.NoError(t, os.WriteFile(settings, []byte(text), 0o600))
-	p := startRelayd(t, nil, "platform", "--settings", settings)
+	p := startRelayd(t, givenDescriptors, nil, "platform", "--settings", settings)
 	ready := ordinaryRequest(http.MethodGet, "http://"+a[1]+"/-/readyz", "", "", http.StatusOK)
 	requireAnswered(t, p, ready)
 	call := ordinaryRequest(http.MethodGet, "http://"+a[0]+queuePath, queueHost, "", http.StatusOK)
--- a/clientlimits/limits_test.go
+++ b/clientlimits/limits_test.go
@@ -24,8 +24,16 @@
 	{"small chunks", chunked(smallChunkBytes), sendAtOnce},
 	{"short header lines", manyLines(shortLine), sendAtOnce},
 	{"odd header lines", manyLines(oddLine), sendAtOnce},
+	{"header line without end", endless("X-A: ", "a"), sendAtOnce},
+	{"header lines without end", endless("", "X-A: a\r\n"), sendAtOnce},
+	{"blank lines without end", blankLines, sendAtOnce},
+	{"chunk extension without end", endless("Transfer-Encoding: chunked\r\n\r\n1;", "a"), sendAtOnce},
+	{"trailers without end", endless("Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n", "X-A: a\r\n"), sendAtOnce},
 }
 
+// bodyAttacks is the number of attacks, from the first one on, that send bodies.
+const bodyAttacks = 4
+
 // runAttacks starts a process for each kind of client and checks that it survives them and answers an ordinary request
 // while they stay connected.
 func runAttacks(t *testing.T, start func(*testing.T) host, portName string) {
@@ -56,6 +64,21 @@
 // Guards against unfinished requests at the metrics port that use up the memory of a host.
 func TestPlatformMetrics(t *testing.T) { runAttacks(t, startPlatformHost, "metrics") }
 
+// Guards against a host that is not told its memory and assumes more than a small machine has.
+func TestMemoryNotStated(t *testing.T) {
+	for _, a := range attacks[:bodyAttacks] {
+		t.Run(a.name, func(t *testing.T) {
+			h := startHostWith(t, ampleDescriptors, "GOMEMLIMIT=off")
+			p := h.ports["callers"]
+			p.connections, p.targets = manyConnections, p.targets[:1]
+			a.send(openClients(t, p, a.request))
+			h.awaitSettled(t)
+			requireAnswered(t, h.process, p.ordinary)
+			h.requireMemoryBelow(t, unstatedMemoryMB)
+		})
+	}
+}
+
 // excessConnections is how many connections clients open where more are tried than the process may have descriptors.
 const excessConnections = givenDescriptors + 200
 
--- a/clientlimits/process_test.go
+++ b/clientlimits/process_test.go
@@ -27,6 +27,11 @@
 	// a fifth must be left for workers, targets, the store and other hosts.
 	givenDescriptors = 400
 	maxDescriptors   = 320
+	// unstatedMemoryMB is the bound on the resident memory of a process that is not told how much it has. It has
+	// ampleDescriptors and gets manyConnections.
+	unstatedMemoryMB = 200
+	ampleDescriptors = 2000
+	manyConnections  = 600
 
 	// settleTime is how long the memory must not grow before it counts as settled: what clients have sent waits in the
 	// sockets at first.
@@ -73,10 +78,10 @@
 	mostDescriptors atomic.Int64
 }
 
-// startRelayd starts relayd with the limit on descriptors, and kills it when the test ends.
-func startRelayd(t *testing.T, environment []string, args ...string) *process {
+// startRelayd starts relayd with a limit on descriptors, and kills it when the test ends.
+func startRelayd(t *testing.T, descriptors int, environment []string, args ...string) *process {
 	t.Helper()
-	shell := fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, givenDescriptors)
+	shell := fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, descriptors)
 	p := &process{
 		command: exec.Command("sh", append([]string{"-c", shell, relayd}, args...)...),
 		log:     &bytes.Buffer{}, exited: make(chan struct{}),
@@ -159,17 +164,25 @@
 // requireWithinBounds fails unless the process lives and has stayed under its bounds.
 func (p *process) requireWithinBounds(t *testing.T) {
 	t.Helper()
-	require.True(t, p.alive(), "the process has ended")
-	memory, descriptors := p.peakMemoryMB(t), p.mostDescriptors.Load()
-	t.Logf("peak memory %d MB, most descriptors %d", memory, descriptors)
-	if memory > givenMemoryMB {
-		t.Errorf("resident memory of %d MB, given %d MB", memory, givenMemoryMB)
-	}
+	p.requireMemoryBelow(t, givenMemoryMB)
+	descriptors := p.mostDescriptors.Load()
+	t.Logf("most descriptors %d", descriptors)
 	if descriptors > maxDescriptors {
 		t.Errorf("%d open descriptors, bound %d", descriptors, maxDescriptors)
 	}
 }
 
+// requireMemoryBelow fails unless the process lives and its resident memory has stayed at limitMB or below.
+func (p *process) requireMemoryBelow(t *testing.T, limitMB int) {
+	t.Helper()
+	require.True(t, p.alive(), "the process has ended")
+	memory := p.peakMemoryMB(t)
+	t.Logf("peak memory %d MB", memory)
+	if memory > limitMB {
+		t.Errorf("resident memory of %d MB, bound %d MB", memory, limitMB)
+	}
+}
+
 // freeAddresses returns n consecutive free ports of an address of the loopback network.
 func freeAddresses(t *testing.T, ip string, n int) []string {
 	t.Helper()
