daemon: a host that is not told its memory assumes 256 MB

Hosts of the users' platform state their memory and are not affected. The smallest of them has 184 MB.

--- a/daemon/clientlimits.go
+++ b/daemon/clientlimits.go
@@ -19,7 +19,7 @@
 
 const (
 	// defaultMemoryMB is the memory of a process that is not told how much it has.
-	defaultMemoryMB = 1024
+	defaultMemoryMB = 256
 	// requestMemoryDivisor leaves the rest of the memory to the state of the host, to what requests are decoded to, and to
 	// garbage.
 	requestMemoryDivisor = 10
@@ -63,7 +63,7 @@
 // ClientLimitFlags returns the flags that fill l.
 func ClientLimitFlags(l *ClientLimits) []cli.Flag {
 	return []cli.Flag{
-		intFlag(&l.MemoryMB, "memory-mb", groupLimits, 0, "memory of this process, in MB; 0: GOMEMLIMIT, else the limit of the control group, else 1024"),
+		intFlag(&l.MemoryMB, "memory-mb", groupLimits, 0, "memory of this process, in MB; 0: GOMEMLIMIT, else the limit of the control group, else 256"),
 		intFlag(&l.RequestMemoryMB, "request-memory-mb", groupLimits, 0, "maximum memory for requests of clients that are arriving or in progress, in MB; 0: a tenth of the memory, at least 9"),
 		intFlag(&l.MaxHeaderLines, "max-header-lines", groupLimits, defaultHeaderLines, "maximum number of lines in the head of a request"),
 		intFlag(&l.MinBodyRate, "min-body-rate", groupLimits, defaultBodyRate, "rate, in bytes a second, at which a body must arrive on average after 5 s; nor may it pause for 5 s"),
