adapter/clientconn, adapter/peergrpc: connections of the guards in shards

The guards kept all connections of a port, and all addresses of the peers' port, under one lock each. They are kept in shards now, as all other state that several threads use. No behaviour changes.

--- a/adapter/clientconn/conn.go
+++ b/adapter/clientconn/conn.go
@@ -51,6 +51,8 @@
 	heard          atomic.Int64
 	idle, received atomic.Bool
 	port           *listener
+	// number names the connection at its port.
+	number uint64
 	// lines counts the lines of the head, lineBytes the bytes of the last one. Only Read uses them, which the server calls
 	// from one goroutine at a time.
 	lines, lineBytes int
--- a/adapter/clientconn/guard.go
+++ b/adapter/clientconn/guard.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/bulrushrelay/bulrushrelay/core/intake"
+	"github.com/bulrushrelay/bulrushrelay/core/shard"
 )
 
 const (
@@ -22,7 +23,8 @@
 	// fullPatience is how long a port without a free connection waits for the next byte of a request.
 	fullPatience = time.Second
 	// calmTime is how long nothing must have been refused until that is logged as the end of the refusals.
-	calmTime = 30 * time.Second
+	calmTime   = 30 * time.Second
+	connShards = 16
 )
 
 // Guard bounds the clients of the HTTP ports of a process.
@@ -89,7 +91,10 @@
 // Listener returns a listener whose connections the guard bounds. l accepts at most maxConnections at a time. While all of
 // them are in use, those that make the port wait for their requests are closed.
 func (g *Guard) Listener(l net.Listener, maxConnections int) net.Listener {
-	p := &listener{Listener: l, guard: g, maxConnections: maxConnections, conns: make(map[*conn]struct{})}
+	p := &listener{
+		Listener: l, guard: g, maxConnections: maxConnections,
+		conns: shard.NewMap[uint64, *conn](connShards, func(number uint64) uint64 { return number }),
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.ports = append(g.ports, p)
@@ -100,30 +105,27 @@
 	net.Listener
 	guard          *Guard
 	maxConnections int
-	// mu guards conns, the open connections.
-	mu    sync.Mutex
-	conns map[*conn]struct{}
+	// conns holds the open connections by their numbers. accepted is the last number; only Accept uses it, which the server
+	// calls from one goroutine.
+	conns    *shard.Map[uint64, *conn]
+	accepted uint64
 }
 
-func (l *listener) forget(c *conn) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.conns, c)
-}
+func (l *listener) forget(c *conn) { l.conns.Delete(c.number) }
 
 // waiting returns the connections that have made the port wait for patience, if all connections are in use.
 func (l *listener) waiting(now time.Time, patience time.Duration) []*conn {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if len(l.conns) < l.maxConnections {
+	if l.conns.Len() < l.maxConnections {
 		return nil
 	}
 	var out []*conn
-	for c := range l.conns {
-		if since, ok := c.waitsSince(); ok && now.UnixNano()-since >= int64(patience) {
-			out = append(out, c)
+	l.conns.ForEachShard(func(conns map[uint64]*conn) {
+		for _, c := range conns {
+			if since, ok := c.waitsSince(); ok && now.UnixNano()-since >= int64(patience) {
+				out = append(out, c)
+			}
 		}
-	}
+	})
 	return out
 }
 
@@ -145,16 +147,15 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: inner, guard: l.guard, port: l}
+	l.accepted++
+	c := &conn{Conn: inner, guard: l.guard, port: l, number: l.accepted}
 	c.heard.Store(l.guard.now().UnixNano())
 	address := inner.RemoteAddr().String()
 	if host, _, err := net.SplitHostPort(address); err == nil {
 		address = host
 	}
 	c.request = l.guard.budget.Open(address, sparedBytes, c.giveUp)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.conns[c] = struct{}{}
+	l.conns.Set(c.number, c)
 	return c, nil
 }
 
--- a/adapter/peergrpc/guard.go
+++ b/adapter/peergrpc/guard.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/bulrushrelay/bulrushrelay/core/intake"
+	"github.com/bulrushrelay/bulrushrelay/core/shard"
 )
 
 const (
@@ -29,6 +30,7 @@
 	// One address may hold a quarter of the connections of the peers' port, but always minPerAddress.
 	addressDivisor = 4
 	minPerAddress  = 8
+	addressShards  = 16
 )
 
 // Guard bounds what strangers at the peers' port can hold. It counts the bytes that arrive on a connection until the
@@ -37,16 +39,15 @@
 	budget     *intake.Budget
 	perAddress int
 	onRefused  func(intake.Cause)
-
-	// mu guards connections, the number of open connections by address.
-	mu          sync.Mutex
-	connections map[string]int
+	// connections holds the number of open connections by address.
+	connections *shard.Map[string, int]
 }
 
 // NewGuard returns a guard of a port that accepts a number of connections. onRefused counts the refusals by cause.
 func NewGuard(b *intake.Budget, connections int, onRefused func(intake.Cause)) *Guard {
 	return &Guard{
-		budget: b, perAddress: max(connections/addressDivisor, minPerAddress), onRefused: onRefused, connections: make(map[string]int),
+		budget: b, perAddress: max(connections/addressDivisor, minPerAddress), onRefused: onRefused,
+		connections: shard.NewStringMap[string, int](addressShards),
 	}
 }
 
@@ -104,22 +105,21 @@
 }
 
 // admit counts a connection of an address unless it has too many.
-func (g *Guard) admit(address string) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.connections[address] >= g.perAddress {
-		return false
-	}
-	g.connections[address]++
-	return true
+func (g *Guard) admit(address string) (ok bool) {
+	g.connections.WithShard(address, func(open map[string]int) {
+		if ok = open[address] < g.perAddress; ok {
+			open[address]++
+		}
+	})
+	return ok
 }
 
 func (g *Guard) forget(address string) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.connections[address]--; g.connections[address] == 0 {
-		delete(g.connections, address)
-	}
+	g.connections.WithShard(address, func(open map[string]int) {
+		if open[address]--; open[address] == 0 {
+			delete(open, address)
+		}
+	})
 }
 
 // guardedConn is a connection of the peers' port.
