core/lifecycle: tasks leave workers that starts do not reach

A worker to which a start could not be sent gets no tasks until it answers, and the first two such refusals of a task are repeated without a pause. Calls that this host withholds (no authority, worker given up) have a reason of their own, because they say nothing about the worker. TestTasksLeaveWorkersThatStartsDoNotReach fails without either part.

--- a/core/lifecycle/answer_test.go
+++ b/core/lifecycle/answer_test.go
@@ -236,3 +236,34 @@
 	f.sync("w1", nil)
 	require.Equal(t, Queued, f.taskView(attempt.Task.Job, 0).State, "a report that lists everything lacks it")
 }
+
+// Load: workers go down and up by turns, and each start finds out anew that one of them is down. Guards against urgent tasks that
+// lose their slack to pauses, and to one start after the other on a worker that runs nothing because it is down.
+func TestTasksLeaveWorkersThatStartsDoNotReach(t *testing.T) {
+	f := newFixture(t, 7, "w1", "w2")
+	f.sync("w1", nil)
+	f.sync("w2", nil)
+	job := f.submit(1)
+	task := ident.TaskID{Job: job}
+	unsent := Answer{Outcome: Refused, Reason: ReasonUnsent}
+	takesTasks := func() bool {
+		puts := commandsOf[PutWorker](f)
+		return !puts[len(puts)-1].Worker.Quarantined
+	}
+	attempt := f.planStart(task, "w1")
+	f.commands = nil
+	f.apply(f.c.StartAnswered(f.now, "w1", attempt, unsent))
+	require.False(t, takesTasks())
+	require.Equal(t, []ident.TaskID{task}, f.takeEnqueued(), "queued again without a pause")
+	f.sync("w1", nil)
+	require.True(t, takesTasks(), "the worker has answered")
+
+	// A start that this host has withheld says nothing about the worker.
+	attempt = f.planStart(task, "w2")
+	f.commands = nil
+	f.apply(f.c.StartAnswered(f.now, "w2", attempt, Answer{Outcome: Refused, Reason: ReasonWithheld}))
+	require.Empty(t, commandsOf[PutWorker](f))
+	require.Empty(t, f.takeEnqueued())
+	f.tickUntil(f.now.Add(2 * startRetryPause))
+	require.Equal(t, []ident.TaskID{task}, f.takeEnqueued())
+}
--- a/core/lifecycle/attempt.go
+++ b/core/lifecycle/attempt.go
@@ -131,6 +131,7 @@
 		t.noteRan(attempt.Attempt)
 		t.refusals = 0
 		t.refusedBy = nil
+		c.setUnreachable(c.workers[id], false, &eff)
 		if r.phase == phaseStarting {
 			r.phase = phaseActive
 			if r == t.run {
@@ -140,6 +141,9 @@
 			c.evictIfLeaving(now, r, &eff)
 		}
 	case Refused:
+		if a.Reason == ReasonUnsent {
+			c.setUnreachable(c.workers[id], true, &eff)
+		}
 		if r == t.copy {
 			c.noteCopyEnd(now, r, "a worker refused the start")
 			c.endRun(now, r, &eff)
@@ -151,7 +155,7 @@
 			t.refusedBy = append(t.refusedBy, id)
 			t.job.refused = true
 		}
-		pause := t.refusalPause()
+		pause := t.refusalPause(a.Reason)
 		c.noteCopyEnd(now, r, "a worker refused the start")
 		c.endRun(now, r, &eff)
 		c.requeue(now, t, pause, WaitRefused, &eff)
@@ -238,7 +242,7 @@
 		c.attemptEnded(now, c.workers[id], e, &eff)
 		return eff
 	}
-	if a.Reason == ReasonUnsent {
+	if a.neverSent() {
 		r.phase = phaseActive
 		c.setState(now, r.task, Running)
 		return eff
--- a/core/lifecycle/failure.go
+++ b/core/lifecycle/failure.go
@@ -18,6 +18,9 @@
 	maxBackoff   = time.Minute
 	// The pause after a start that certainly did not run doubles from startRetryPause to maxStartRetryPause.
 	startRetryPause = 200 * time.Millisecond
+	// immediateRetries is how many consecutive starts that could not be sent are repeated without a pause. The slack of an urgent task
+	// is less than a second.
+	immediateRetries = 2
 	// A task with room on some worker must start within 3 s.
 	maxStartRetryPause = 2 * time.Second
 	// maxLastingRetryPause replaces maxStartRetryPause for lasting tasks, which have 6 s to run again and may have to
@@ -145,8 +148,12 @@
 	return min(c.policy.FirstBackoff<<min(max(failures-1, 0), 10), c.policy.MaxBackoff)
 }
 
-// refusalPause returns the pause after a refused start, which doubles with each consecutive refusal.
-func (t *task) refusalPause() time.Duration {
+// refusalPause returns the pause after a refused start, which doubles with each consecutive refusal. There is none after the
+// first ones that could not be sent, because the next start goes to another worker.
+func (t *task) refusalPause(reason RefusalReason) time.Duration {
+	if reason == ReasonUnsent && t.refusals <= immediateRetries {
+		return 0
+	}
 	maxPause := maxStartRetryPause
 	if t.group.Lasting {
 		maxPause = maxLastingRetryPause
--- a/core/lifecycle/report.go
+++ b/core/lifecycle/report.go
@@ -17,8 +17,8 @@
 	}
 	w.incarnation = incarnation
 	c.setToken(now, w, r)
-	if size := w.effectiveCapacity(r.Capacity); w.silent || w.capacity != size {
-		w.silent = false
+	if size := w.effectiveCapacity(r.Capacity); w.unanswering() || w.capacity != size {
+		w.silent, w.unreachable = false, false
 		w.capacity = size
 		c.scheduleTick(w)
 		c.putWorker(w, eff)
--- a/core/lifecycle/throttle.go
+++ b/core/lifecycle/throttle.go
@@ -25,7 +25,7 @@
 	defer c.mu.Unlock()
 	c.noteFence(a)
 	if r := c.currentRun(id, attempt); r != nil && r.throttle == fraction {
-		r.throttleLost = a.Outcome == Unknown || a.Reason == ReasonUnsent || a.Reason == ReasonUnhealthy
+		r.throttleLost = a.Outcome == Unknown || a.neverSent() || a.Reason == ReasonUnhealthy
 	}
 	return Effects{}
 }
--- a/core/lifecycle/types.go
+++ b/core/lifecycle/types.go
@@ -290,10 +290,13 @@
 	ReasonUnhealthy
 	// ReasonUnsupported means that the worker does not implement the call.
 	ReasonUnsupported
+	// ReasonWithheld means that this host has decided not to make the call. Unlike ReasonUnsent it says nothing about the worker.
+	ReasonWithheld
 )
 
 var reasonNames = [...]string{
 	"none", "fenced", "capacity", "unknown task", "expired", "ended", "unsent", "leaving", "unclaimed", "unhealthy", "unsupported",
+	"withheld",
 }
 
 // String returns the reason for messages and logs.
@@ -310,6 +313,9 @@
 	Reason  RefusalReason
 }
 
+// neverSent reports whether the call has not left this host.
+func (a Answer) neverSent() bool { return a.Reason == ReasonUnsent || a.Reason == ReasonWithheld }
+
 // End is how an attempt ended on its worker.
 type End uint8
 
--- a/core/lifecycle/worker.go
+++ b/core/lifecycle/worker.go
@@ -26,8 +26,11 @@
 	// evacuated is set while the worker takes no tasks because of an evacuation.
 	evacuated bool
 	// silent is set while the worker has not answered for Policy.SilentAfter.
-	silent   bool
-	capacity resource.Vector
+	silent bool
+	// unreachable is set from a start that could not be sent until the worker answers. A worker that has just gone down runs
+	// nothing, so that it would get one start after the other until it counts as silent.
+	unreachable bool
+	capacity    resource.Vector
 	// unreached is the part of the worker in Cell.unreached.
 	unreached placement.Unreached
 	// incarnation identifies the process of the worker.
@@ -90,7 +93,19 @@
 
 // usable reports whether the planner may place any task on the worker.
 func (w *worker) usable() bool {
-	return w.inPlanner && !w.leaving() && !w.evacuated && !w.silent && !w.health.quarantined
+	return w.inPlanner && !w.leaving() && !w.evacuated && !w.unanswering() && !w.health.quarantined
+}
+
+// unanswering reports whether the worker gets no tasks because it does not answer.
+func (w *worker) unanswering() bool { return w.silent || w.unreachable }
+
+// setUnreachable notes whether starts reach a worker that the planner knows.
+func (c *Cell) setUnreachable(w *worker, unreachable bool, eff *Effects) {
+	if w == nil || w.unreachable == unreachable || !w.inPlanner {
+		return
+	}
+	w.unreachable = unreachable
+	c.putWorker(w, eff)
 }
 
 // UpdateMembers applies workers of the cell by a host list that may lack others.
@@ -223,7 +238,7 @@
 	added := !w.inPlanner
 	w.inPlanner = true
 	c.countUnreached(w, eff)
-	eff.do(PutWorker{Silent: w.silent, Worker: placement.Worker{
+	eff.do(PutWorker{Silent: w.unanswering(), Worker: placement.Worker{
 		ID:           w.member.ID,
 		Rack:         w.member.Rack,
 		DataCentre:   w.member.DataCentre,
@@ -233,9 +248,9 @@
 		Leaving:      w.leaving(),
 		Unlisted:     !w.listed && !w.member.Leaving,
 		Evacuated:    w.evacuated,
-		Quarantined:  w.health.quarantined || w.silent,
-		AcceptsProbe: w.health.probing && !w.silent && !w.evacuated,
-		LastResort:   w.health.quarantined && !w.silent && !w.evacuated,
+		Quarantined:  w.health.quarantined || w.unanswering(),
+		AcceptsProbe: w.health.probing && !w.unanswering() && !w.evacuated,
+		LastResort:   w.health.quarantined && !w.unanswering() && !w.evacuated,
 	}})
 	if !added {
 		return
@@ -262,7 +277,7 @@
 	}
 	w.claimed = true
 	w.lapsed = false
-	w.silent = false
+	w.silent, w.unreachable = false, false
 	w.incarnation = incarnation
 	w.lastContact = now
 	w.unanswered = false
--- a/relay/jobs/calls.go
+++ b/relay/jobs/calls.go
@@ -271,7 +271,7 @@
 	}
 }
 
-var notSentAnswer = lifecycle.Answer{Outcome: lifecycle.Refused, Reason: lifecycle.ReasonUnsent}
+var notSentAnswer = lifecycle.Answer{Outcome: lifecycle.Refused, Reason: lifecycle.ReasonWithheld}
 
 func (o *owner) answerNotSent(id ident.WorkerID, command lifecycle.Command) {
 	switch c := command.(type) {
