daemon: the lease of a host is at most 2 s

The other deployments (worker leases of 6 s) have 2 s already. It also leaves 1.3 s more until lasting tasks of a lost worker are late after a takeover.

TestSuccessorAcceptsJobsWhileClientsRepeatTheirCalls failed before for worker leases of 10 s and more.

--- a/daemon/jobsettings.go
+++ b/daemon/jobsettings.go
@@ -117,11 +117,15 @@
 	return len(s.regions())
 }
 
-// leaseTime returns the time to live of the host's lease: a third of a worker's lease. A successor then renews the
-// leases of tasks before they end after the loss of their owner, and waits at most one and a half worker leases for
-// tasks on workers that are lost too.
+// maxLeaseTime bounds the lease of a host. Callers repeat a call for about 3 s, within which the successor of a lost owner
+// must accept jobs.
+const maxLeaseTime = 2 * time.Second
+
+// leaseTime returns the time to live of the host's lease: a third of a worker's lease, but at most maxLeaseTime. A successor
+// then renews the leases of tasks before they end after the loss of their owner, and waits at most one and a half worker
+// leases for tasks on workers that are lost too.
 func (s JobSettings) leaseTime() time.Duration {
-	return max(s.SmallestLease, s.WorkerLease/3)
+	return max(s.SmallestLease, min(s.WorkerLease/3, maxLeaseTime))
 }
 
 // policy returns the times and rules of the job service for these workers.
--- a/daemon/jobsettings_test.go
+++ b/daemon/jobsettings_test.go
@@ -32,3 +32,17 @@
 	ownershipConfig := ownership.ConfigForTTL(s.leaseTime())
 	require.Less(t, ownershipConfig.TTL+2*ownershipConfig.RankStep+ownershipConfig.SettleWait, s.WorkerLease-jobSyncWait-jobSyncGap)
 }
+
+// Load: an owner is lost while clients hand jobs in, each of which repeats its call for 2.7 s. Guards against a successor that
+// accepts jobs only after that, where workers grant long leases.
+func TestSuccessorAcceptsJobsWhileClientsRepeatTheirCalls(t *testing.T) {
+	const (
+		clientPatience = 2700 * time.Millisecond
+		acquireTime    = 300 * time.Millisecond
+	)
+	for _, workerLease := range []time.Duration{6 * time.Second, 10 * time.Second, time.Minute} {
+		s := JobSettings{WorkerLease: workerLease, SmallestLease: time.Second}
+		c := ownership.ConfigForTTL(s.leaseTime())
+		require.LessOrEqual(t, c.TTL+2*c.RankStep+acquireTime, clientPatience, "worker lease %s", workerLease)
+	}
+}
