daemon: a host that reaches neither the store nor an owner is not ready

With inboxes a host said that it was ready whatever it reached.

A host is ready now if the store answers it, or if gossip shows the owner of a cell at work. In an outage of the store for all hosts they stay ready, because the owner serves.

--- a/daemon/directory.go
+++ b/daemon/directory.go
@@ -37,6 +37,15 @@
 	return ident.Instance{}, "", false
 }
 
+// reachesOwner reports whether gossip shows the owner of a cell at work. A host that the store does not answer may know an owner
+// that has lost the cell since.
+func (m *memberDirectory) reachesOwner(cell ident.CellID) bool {
+	owner, _, ok := m.Owner(cell)
+	return ok && slices.ContainsFunc(m.cluster.Members(), func(member cluster.Member) bool {
+		return member.Instance == owner && !suspected(member) && reportsCell(member, cell)
+	})
+}
+
 // runningMembers returns the number of hosts that are known to run.
 func (m *memberDirectory) runningMembers() int {
 	n := 0
--- a/daemon/jobhost.go
+++ b/daemon/jobhost.go
@@ -235,21 +235,20 @@
 	return address, owner == d.members.self, ok
 }
 
-// ready reports whether the host has a table, can place jobs, and is not draining. Without inboxes it can place jobs only
-// if it knows the owner of a cell.
+// ready reports whether the host has a table, can place jobs, and is not draining. With inboxes it can place jobs if it reaches
+// the store or the owner of a cell, without them only if it knows the owner of a cell. A host that is cut off from both would
+// keep its callers from the others.
 func (h *JobHost) ready() bool {
 	if !h.health.inPhase(phaseReady) || !h.hasTable.Load() {
 		return false
 	}
 	if h.settings.InboxWriteShare > 0 {
-		return true
+		return h.cluster.InContact() || slices.ContainsFunc(CellIDs(h.settings.Cells), h.members.reachesOwner)
 	}
-	for _, id := range CellIDs(h.settings.Cells) {
-		if _, _, ok := h.members.Owner(id); ok {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(CellIDs(h.settings.Cells), func(id ident.CellID) bool {
+		_, _, ok := h.members.Owner(id)
+		return ok
+	})
 }
 
 // Run serves until ctx ends, and then hands its cells over and stops.
--- a/explore/jobhost_test.go
+++ b/explore/jobhost_test.go
@@ -47,6 +47,8 @@
 type jobCell struct {
 	t         *testing.T
 	transport *network.MemoryTransport
+	// links are the links between the hosts; each is a zone of its own.
+	links *network.Network
 	store     *kv.Engine
 	recorder  *worker.Recorder
 	fleet     worker.Fleet
@@ -68,13 +70,18 @@
 	store  *kv.Session
 	link   *worker.Link
 	router *jobs.Router
+	ready  func() bool
 	cancel context.CancelFunc
 	runErr chan error
 	killed bool
 }
 
 func newJobCell(t *testing.T) *jobCell {
-	c := &jobCell{t: t, transport: network.NewMemoryTransport(), store: kv.New(kv.Config{}), recorder: worker.NewRecorder(), fleet: worker.Fleet{}, workerLease: 6 * time.Second}
+	transport := network.NewMemoryTransport()
+	c := &jobCell{
+		t: t, transport: transport, links: network.NewInMemory(transport), store: kv.New(kv.Config{}), recorder: worker.NewRecorder(), fleet: worker.Fleet{},
+		workerLease: 6 * time.Second,
+	}
 	for i := range jobCellWorkers {
 		id := ident.WorkerID(fmt.Sprint("worker-", i))
 		c.fleet[id] = worker.New(worker.Config{
@@ -95,6 +102,7 @@
 	firstAddress := 100 + addressesPerJobHost*(number-1)
 	hostID := ident.HostID(fmt.Sprint("nelson-", number))
 	p := &jobProcess{cell: c, store: c.store.Client(fmt.Sprint("process-", c.started)), link: worker.NewLink(c.fleet), runErr: make(chan error, 1)}
+	c.links.SetZone(addressOf(firstAddress+2), network.Zone(hostID))
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	var requests evacuations.Source
@@ -112,9 +120,9 @@
 		Metrics: telemetry.NewRegistry(), Store: p.store, Workers: p.link, FollowWorkers: c.followWorkers, FollowTable: c.followTable,
 		Evacuations:     requests,
 		RegisterCallers: func(_ *echo.Echo, r *jobs.Router) { p.router = r },
-		RegisterStatus:  func(*echo.Echo, func() bool) {},
+		RegisterStatus:  func(_ *echo.Echo, ready func() bool) { p.ready = ready },
 		Listen:          c.transport.Listen,
-		DialPeer:        network.NewInMemory(c.transport).Dialer("nelson"),
+		DialPeer:        c.links.Dialer(network.Zone(hostID)),
 		DecisionLog:     decisions,
 
 		IdleCloseResponse: platform.IdleCloseResponse,
--- a/relay/cluster/shards.go
+++ b/relay/cluster/shards.go
@@ -96,6 +96,9 @@
 	return c
 }
 
+// InContact reports whether the store has answered this host lately.
+func (s *Service) InContact() bool { return s.storeContact().inContact }
+
 // viewShard holds the view of the members and what this host reports about itself.
 type viewShard struct {
 	// mu makes a merge and its publication one step, and also composing the host's own state from its parts. The view
