--- a/relay/jobs/drain.go
+++ b/relay/jobs/drain.go
@@ -50,7 +50,7 @@
 		// The log already holds all that this owner knows, and a further snapshot could get the id of the present one.
 		return nil
 	}
-	if err := o.log.putSnapshot(ctx, snapshot); err != nil {
+	if err := o.log.snapshots.write(ctx, snapshot, o.log.seq); err != nil {
 		return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeUnavailable, "drain cell %d: write the snapshot", cell)
 	}
 	return nil
--- a/relay/jobs/log.go
+++ b/relay/jobs/log.go
@@ -9,7 +9,6 @@
 
 	"github.com/google/uuid"
 
-	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
 	"github.com/bulrushrelay/bulrushrelay/core/store"
 	"github.com/bulrushrelay/bulrushrelay/internal/sleep"
@@ -75,10 +74,7 @@
 // cellLog appends the records of one owner to the log of its cell, in order. Records that are queued together are
 // written in one commit.
 type cellLog struct {
-	store Store
-	codec Codec
-	cell  ident.CellID
-	epoch ident.Epoch
+	cellStore
 	// interval is the shortest time between two commits.
 	interval time.Duration
 	// onCommitted is called with each durable batch, and takeSnapshot returns the state after it. onReplaced is called
@@ -109,21 +105,14 @@
 	shareTimer    *time.Timer
 	shareTimerDue time.Time
 
+	snapshots *snapshotWriter
+
 	// The fields below are used by the writer only.
-	seq uint64
-	// firstSeq is the sequence number of the first entry that may be stored, apart from garbage.
-	firstSeq             uint64
+	seq                  uint64
 	entriesSinceSnapshot int
-	// head is the stored snapshot head, headRevision its revision (0 if there is none), and snapshotParts the keys that
-	// it names.
-	head          Head
-	headRevision  store.Revision
-	snapshotParts []string
-	// openSnapshot is the snapshot of which it is not known whether its head is stored; nil if there is none.
-	openSnapshot *snapshotWrite
-	// garbage are the keys of parts that no head names or will name, and of entries that an earlier owner left although the
-	// head covers them.
-	garbage []string
+	// snapshotInProgress is set while a request to the snapshot writer has no result, and snapshotOpen while the outcome of
+	// the last head is open.
+	snapshotInProgress, snapshotOpen bool
 }
 
 // append queues records and returns their entries in the queue.
@@ -258,9 +247,7 @@
 		if !l.writeBatch(ctx, batch) {
 			return
 		}
-		if l.entriesSinceSnapshot >= entriesPerSnapshot {
-			l.writeSnapshot(ctx)
-		}
+		l.requestSnapshot()
 		if sleep.For(ctx, l.interval-time.Since(started)) != nil {
 			return
 		}
@@ -360,8 +347,31 @@
 	return fencedOutcome
 }
 
-func (l *cellLog) ownershipCondition() store.Compare {
-	return store.Compare{Key: ownKey(l.cell), Field: store.FieldCreateRevision, Revision: store.Revision(l.epoch)}
+// requestSnapshot has a snapshot written once enough entries have been written since the last one. After a failure the log
+// stays as it is, and the snapshot is tried again some entries later.
+func (l *cellLog) requestSnapshot() {
+	select {
+	case r := <-l.snapshots.results:
+		l.snapshotInProgress, l.snapshotOpen = false, r.isOpen
+		l.entriesSinceSnapshot = int(l.seq - r.headSeq)
+		if r.err != nil {
+			l.entriesSinceSnapshot = entriesPerSnapshot - snapshotRetryEntries
+		}
+	default:
+	}
+	if l.snapshotInProgress || l.entriesSinceSnapshot < entriesPerSnapshot {
+		return
+	}
+	request := snapshotRequest{seq: l.seq}
+	if !l.snapshotOpen {
+		s, ok := l.takeSnapshot()
+		if !ok {
+			return
+		}
+		request.snapshot = &s
+	}
+	l.snapshotInProgress = true
+	l.snapshots.requests <- request
 }
 
 func (l *cellLog) markDurable(batch []*pendingRecord, records []lifecycle.Record) {
--- a/relay/jobs/service.go
+++ b/relay/jobs/service.go
@@ -201,6 +201,7 @@
 	o.run("the loop of the owner", o.loop, o.endLoop)
 	o.run("saving estimates", func() { o.saveEstimatesPeriodically(o.ctx) }, nil)
 	o.run("the log writer", func() { o.log.run(o.ctx) }, nil)
+	o.run("the snapshot writer", func() { o.log.snapshots.run(o.ctx) }, nil)
 	if s.cfg.Inbox.enabled() {
 		o.run("taking the inbox", func() { o.takeInbox(o.ctx) }, nil)
 	}
@@ -255,8 +256,10 @@
 	o.cell.SetPolicy(s.cfg.Policy)
 	o.cell.SetRetention(lifecycle.Retention{Limited: s.cfg.Inbox.enabled()})
 	o.planner.SetTable(t)
+	keys := cellStore{store: s.cfg.Store, codec: s.cfg.Codec, cell: g.Cell, epoch: g.Epoch}
 	o.log = &cellLog{
-		store: s.cfg.Store, codec: s.cfg.Codec, cell: g.Cell, epoch: g.Epoch,
+		cellStore:    keys,
+		snapshots:    newSnapshotWriter(keys, state, o.replaced),
 		interval:     s.cfg.CommitInterval,
 		onCommitted:  o.onCommitted,
 		meter:        s.cfg.Meter,
@@ -264,8 +267,7 @@
 		onReplaced:   o.replaced,
 		wake:         make(chan struct{}, 1),
 		writerDone:   make(chan struct{}),
-		seq:          state.lastSeq, firstSeq: state.head.Seq + 1, entriesSinceSnapshot: int(state.lastSeq - state.head.Seq),
-		head: state.head, headRevision: state.headRevision, snapshotParts: state.snapshotParts, garbage: state.garbage,
+		seq:          state.lastSeq, entriesSinceSnapshot: int(state.lastSeq - state.head.Seq),
 	}
 	return o
 }
--- a/relay/jobs/snapshot.go
+++ b/relay/jobs/snapshot.go
@@ -1,11 +1,9 @@
 package jobs
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
-	"slices"
 	"strings"
 	"time"
 
@@ -31,146 +29,6 @@
 	return fmt.Sprintf("%s%s/%06d", partPrefix(cell), id, n)
 }
 
-// snapshotWrite is a snapshot whose parts are stored, with the encoded head that makes it valid.
-type snapshotWrite struct {
-	head  Head
-	value []byte
-	parts []string
-}
-
-// writeSnapshot writes a snapshot and truncates the log. After a failure the log stays as it is, and the snapshot is
-// tried again some commits later.
-func (l *cellLog) writeSnapshot(ctx context.Context) {
-	err := l.finishSnapshot(ctx)
-	if err == nil && l.entriesSinceSnapshot >= entriesPerSnapshot {
-		s, ok := l.takeSnapshot()
-		if !ok {
-			return
-		}
-		err = l.putSnapshot(ctx, s)
-	}
-	switch {
-	case errors.Is(err, errReplaced):
-		l.onReplaced(err.Error())
-	case err != nil:
-		l.entriesSinceSnapshot = entriesPerSnapshot - snapshotRetryEntries
-	}
-}
-
-// putSnapshot writes first the parts and then, in one write, the head that makes them valid.
-func (l *cellLog) putSnapshot(ctx context.Context, s lifecycle.Snapshot) error {
-	// A second head must not be written while the outcome of the first is open.
-	if err := l.finishSnapshot(ctx); err != nil {
-		return err
-	}
-	parts, err := l.codec.EncodeSnapshot(s, maxBatchBytes)
-	if err != nil {
-		return err
-	}
-	head := Head{
-		Seq: l.seq, Epoch: l.epoch, Clean: s.Clean, Parts: len(parts), ID: fmt.Sprintf("%d-%d", l.epoch, l.seq),
-	}
-	if s.Clean {
-		head.ID += "-clean"
-	}
-	value, err := l.codec.EncodeHead(head)
-	if err != nil {
-		return err
-	}
-	keys := make([]string, len(parts))
-	for i := range parts {
-		keys[i] = partKey(l.cell, head.ID, i)
-	}
-	for i, p := range parts {
-		if err := l.writeAsOwner(ctx, store.Op{Key: keys[i], Value: p}); err != nil {
-			l.garbage = append(l.garbage, keys...)
-			return err
-		}
-	}
-	l.openSnapshot = &snapshotWrite{head: head, value: value, parts: keys}
-	return l.finishSnapshot(ctx)
-}
-
-// finishSnapshot writes the head of the snapshot whose parts are stored and then truncates the log. If the outcome of
-// the write stays unknown, the snapshot stays open: the store may execute the write later, so that the parts must be
-// kept until a repeat has settled it. The write names the head that it replaces, so that it takes effect at most once,
-// and never after the next head.
-func (l *cellLog) finishSnapshot(ctx context.Context) error {
-	if l.openSnapshot == nil {
-		return nil
-	}
-	revision, err := l.replaceAsOwner(ctx, headKey(l.cell), l.headRevision, l.openSnapshot.value)
-	if err != nil {
-		return err
-	}
-	l.garbage = append(l.garbage, l.snapshotParts...)
-	l.head, l.headRevision, l.snapshotParts = l.openSnapshot.head, revision, l.openSnapshot.parts
-	l.openSnapshot = nil
-	l.entriesSinceSnapshot = int(l.seq - l.head.Seq)
-	l.truncate(ctx)
-	return nil
-}
-
-// truncate deletes the log entries and parts that the snapshot replaces. Keys that remain after a failure are deleted
-// later. Readers ignore them, because their sequence numbers are not above that of the head.
-func (l *cellLog) truncate(ctx context.Context) {
-	keys := l.garbage
-	for seq := l.firstSeq; seq <= l.head.Seq; seq++ {
-		keys = append(keys, logKey(l.cell, seq))
-	}
-	for chunk := range slices.Chunk(keys, maxTruncateOps) {
-		ops := make([]store.Op, len(chunk))
-		for i, key := range chunk {
-			ops[i] = store.Op{Key: key, Delete: true}
-		}
-		if l.writeAsOwner(ctx, ops...) != nil {
-			return
-		}
-	}
-	l.garbage = nil
-	l.firstSeq = l.head.Seq + 1
-}
-
-var errReplaced = errors.New("another owner has the cell, or has written to it")
-
-// writeAsOwner writes on condition that this owner still has the cell.
-func (l *cellLog) writeAsOwner(ctx context.Context, ops ...store.Op) error {
-	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	res, err := l.store.Txn(callCtx, []store.Compare{l.ownershipCondition()}, ops)
-	if err != nil {
-		return err
-	}
-	if res.Outcome != store.Applied {
-		return errReplaced
-	}
-	return nil
-}
-
-// replaceAsOwner writes a key on condition that this owner still has the cell and that the last change of the key was
-// at the given revision (0: the key does not exist). It returns the revision of the value, also if an earlier attempt
-// whose outcome was unknown has written it.
-func (l *cellLog) replaceAsOwner(ctx context.Context, key string, replaced store.Revision, value []byte) (store.Revision, error) {
-	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	compares := []store.Compare{l.ownershipCondition(), {Key: key, Field: store.FieldModRevision, Revision: replaced}}
-	res, err := l.store.Txn(callCtx, compares, []store.Op{{Key: key, Value: value}})
-	if err != nil {
-		return 0, err
-	}
-	if res.Outcome == store.Applied {
-		return res.Revision, nil
-	}
-	entry, found, err := l.store.Get(callCtx, key)
-	if err != nil {
-		return 0, err
-	}
-	if !found || entry.ModRevision == replaced || !bytes.Equal(entry.Value, value) {
-		return 0, errReplaced
-	}
-	return entry.ModRevision, nil
-}
-
 // storedState is the state of a cell that earlier owners left in the store.
 type storedState struct {
 	head Head
--- a/relay/jobs/snapshotwrite_test.go
+++ b/relay/jobs/snapshotwrite_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -224,3 +225,42 @@
 		fx.verify(next, later...)
 	})
 }
+
+// slowParts is a store that takes long for the parts of snapshots.
+type slowParts struct {
+	jobs.Store
+	delay  time.Duration
+	writes *atomic.Int64
+}
+
+func (s slowParts) Txn(ctx context.Context, compares []store.Compare, ops []store.Op) (store.TxnResult, error) {
+	if len(ops) > 0 && strings.HasPrefix(ops[0].Key, snapshotParts) && !ops[0].Delete {
+		s.writes.Add(1)
+		time.Sleep(s.delay)
+	}
+	return s.Store.Txn(ctx, compares, ops)
+}
+
+// Load: a full cell, whose snapshot takes as long as dozens of commits. Guards against jobs, and steps of jobs, that wait for it,
+// and against a cell that is lost while its snapshot is being written.
+func TestCommitsDoNotWaitForASnapshot(t *testing.T) {
+	scenario(t, 4, func(fx *fixture, h *host) {
+		fx.kill(h)
+		writes := new(atomic.Int64)
+		h = fx.hostOn(func(_ *host, s jobs.Store) jobs.Store { return slowParts{s, time.Second, writes} })
+		fx.giveCell(h)
+		ids := h.submitOneByOne(250)
+		slowest := time.Duration(0)
+		for writes.Load() == 0 || len(ids) < 300 {
+			begun := time.Now()
+			ids = append(ids, h.submitOneByOne(1)...)
+			slowest = max(slowest, time.Since(begun))
+		}
+		require.Less(t, slowest, 500*time.Millisecond)
+		fx.kill(h)
+		next := fx.host()
+		fx.giveCell(next)
+		next.awaitDone(10*time.Minute, ids...)
+		fx.verify(next, ids...)
+	})
+}
