core/table: warnings for limits that contradict each other and entries that never have an effect

relayctl table validate lists faults, warnings and the changes from the revision in force. New warnings: a concurrency limit that the rate never reaches, a queue that cannot be served within the deadline, a limit on accelerators that no worker has, and tenants whose names differ only in letter case. The first two and the last need no relay host. They do not prevent a commit.

--- a/adapter/operatorhttp/input.go
+++ b/adapter/operatorhttp/input.go
@@ -42,10 +42,23 @@
 	}
 }
 
-// Validate returns the faults of a table without calling a relay host. The result has no warnings, because they depend
-// on the capacity of the fleet.
+// Validate returns the faults of a table, and the warnings that do not depend on the capacity of the fleet, without calling a
+// relay host.
 func Validate(body Body) (Validation, error) {
-	return newValidation(decodeRows(body.Type, bytes.NewReader(body.Data)))
+	rows, err := decodeRows(body.Type, bytes.NewReader(body.Data))
+	v, err := newValidation(rows, err)
+	if err == nil && len(v.Faults) == 0 {
+		v.Warnings = fromWarnings(table.FindWarnings(rows, table.Capacity{}))
+	}
+	return v, err
+}
+
+func fromWarnings(found []table.Warning) []Warning {
+	warnings := []Warning{}
+	for _, w := range found {
+		warnings = append(warnings, Warning{Name: string(w.Name), Column: w.Column, Message: w.Message})
+	}
+	return warnings
 }
 
 // newValidation returns the faults in err as a Validation, and any other error unchanged.
--- a/adapter/operatorhttp/read.go
+++ b/adapter/operatorhttp/read.go
@@ -113,11 +113,7 @@
 }
 
 func (h *Handler) warnings(rows []table.Row) []Warning {
-	warnings := []Warning{}
-	for _, w := range table.FindWarnings(rows, h.fleet.Capacity()) {
-		warnings = append(warnings, Warning{Name: string(w.Name), Column: w.Column, Message: w.Message})
-	}
-	return warnings
+	return fromWarnings(table.FindWarnings(rows, h.fleet.Capacity()))
 }
 
 func (h *Handler) getHistory(c echo.Context) error {
--- a/cmd/relayctl/table_validate.go
+++ b/cmd/relayctl/table_validate.go
@@ -15,9 +15,9 @@
 		Name:      "validate",
 		Usage:     "list every fault, warning and change of a CSV file without changing anything",
 		ArgsUsage: "FILE",
-		Description: `FILE "-" is standard input. Without --url and --token only the faults of the file are checked, locally. A relay
-host adds the warnings, which name limits that the fleet cannot meet and do not prevent a commit, and the changes from
-the newest revision.`,
+		Description: `FILE "-" is standard input. Without --url and --token the file is checked locally: its faults, and warnings, which
+do not prevent a commit, for limits that contradict each other. A relay host adds the warnings for limits that the fleet
+cannot meet or never uses, and the changes from the newest revision.`,
 		Action: tableValidate,
 	}
 }
@@ -54,7 +54,7 @@
 	}
 	writeWarnings(c, report.Warnings)
 	if client == nil {
-		printMessage(c, "checked without a relay host: warnings and changes are not known")
+		printMessage(c, "checked without a relay host: the capacity of the fleet and the changes are not known")
 	}
 	return writeOutput(c, report, func(w io.Writer) { writeReport(w, report) })
 }
--- a/core/table/table_test.go
+++ b/core/table/table_test.go
@@ -80,7 +80,36 @@
 	for _, w := range warnings {
 		positions = append(positions, string(w.Name)+" "+string(w.Column))
 	}
-	require.Equal(t, []string{"api processors", "api concurrency", "api rate", "heavy concurrency", " weight"}, positions)
+	require.Equal(t, []string{
+		"api processors", "api concurrency", "api rate", "api concurrency", "api queue", "heavy concurrency", "heavy queue", "api accelerators", " weight",
+	}, positions)
+}
+
+// Guards against limits that contradict each other, and entries that never have an effect, being found only in operation.
+func TestFindWarningsOfConflictingLimits(t *testing.T) {
+	consistent := Row{Name: "a", Kind: LatencyCritical, Tenant: "web", Weight: 1, Rate: 100, Concurrency: 50, Queue: 50, Deadline: 500 * time.Millisecond}
+	require.Empty(t, FindWarnings([]Row{consistent}, Capacity{}))
+	for name, change := range map[string]func(r *Row){
+		"concurrency": func(r *Row) { r.Concurrency = 51 },
+		"queue":       func(r *Row) { r.Queue = 51 },
+	} {
+		r := consistent
+		change(&r)
+		warnings := FindWarnings([]Row{r}, Capacity{})
+		require.Len(t, warnings, 1, name)
+		require.Equal(t, ColumnName(name), warnings[0].Column)
+		r.Kind = Batch
+		require.Empty(t, FindWarnings([]Row{r}, Capacity{}), "the deadline of a task is that of its start")
+	}
+	accelerated, other := consistent, consistent
+	accelerated.Resources.Accelerators = 1
+	other.Name, other.Tenant = "b", "Web"
+	withoutAccelerators := Capacity{Workers: resource.Vector{MilliCPU: 1000}}
+	require.Len(t, FindWarnings([]Row{accelerated}, withoutAccelerators), 1)
+	require.Empty(t, FindWarnings([]Row{accelerated}, Capacity{}))
+	warnings := FindWarnings([]Row{consistent, other}, Capacity{})
+	require.Len(t, warnings, 1)
+	require.Equal(t, ColTenant, warnings[0].Column)
 }
 
 func drawTable(t *rapid.T, label string) *Table {
--- a/core/table/warnings.go
+++ b/core/table/warnings.go
@@ -25,13 +25,16 @@
 	Message string
 }
 
-// FindWarnings returns a warning for each limit that the fleet cannot meet or divide, for each rate that allows less
-// than one request within the deadline, and for each tenant that holds nearly all weights.
+// FindWarnings returns a warning for each limit that the fleet cannot meet or divide, that contradicts another one, or that
+// is never used, for each rate that allows less than one request within the deadline, and for each tenant that holds nearly
+// all weights.
 func FindWarnings(rows []Row, c Capacity) []Warning {
 	var warnings []Warning
 	for _, r := range rows {
 		warnings = append(warnings, rowWarnings(r, c)...)
+		warnings = append(warnings, limitConflicts(r)...)
 	}
+	warnings = append(warnings, neverUsed(rows, c)...)
 	return append(warnings, tenantWeightWarnings(rows)...)
 }
 
