--- a/explore/jobhost_test.go
+++ b/explore/jobhost_test.go
@@ -48,10 +48,10 @@
 	t         *testing.T
 	transport *network.MemoryTransport
 	// links are the links between the hosts; each is a zone of its own.
-	links *network.Network
-	store     *kv.Engine
-	recorder  *worker.Recorder
-	fleet     worker.Fleet
+	links    *network.Network
+	store    *kv.Engine
+	recorder *worker.Recorder
+	fleet    worker.Fleet
 	// readable is the table that the processes can read now; nil while the read does not answer.
 	readable atomic.Pointer[table.Table]
 	started  int
