core/placement: tasks near their data

The planner looked at a sample of workers and preferred those on the rack with the data of a task. In a cell of 400 workers with 64 looked at, often none of them was on it, and if the rack was full the task ran elsewhere at once, where it may take three times as long.

--- a/cmd/relayd/platform.go
+++ b/cmd/relayd/platform.go
@@ -167,7 +167,7 @@
 		HostID: s.Host, DataCentre: s.DataCentre, Regions: s.Regions, Cells: cells,
 		CallerAddress: s.CallerAddress, StatusAddress: s.ReadyAddress, PeerAddress: s.PeerAddress, MetricsAddress: s.MetricsAddress,
 		WorkerLease: s.WorkerLease, StopTime: s.StopTime, SmallestLease: s.SmallestLease, StoreWrites: s.StoreWrites, Grace: s.Grace,
-		MilliCPU: s.MilliCPU, EvacuationBound: s.EvacuationBound,
+		MilliCPU: s.MilliCPU, EvacuationBound: s.EvacuationBound, OffRackSlowdown: s.OffRackSlowdown,
 	}
 }
 
--- a/core/placement/cell.go
+++ b/core/placement/cell.go
@@ -166,9 +166,10 @@
 	w.Capacity = clampAmounts(w.Capacity)
 	n := c.ensureNode(w.ID)
 	c.subtractCapacity(n)
-	c.moveRack(n, c.spread.addWorker(w.Rack))
+	// The worker is in its rack twice for a moment, so that a rack of one worker keeps its number.
+	c.moveRack(n, c.spread.addWorker(w.Rack, n))
 	if n.described {
-		c.spread.removeWorker(n.worker.Rack)
+		c.spread.removeWorker(n.worker.Rack, n)
 	}
 	if w.Leaving || w.Evacuated || w.Quarantined || !n.worker.Capacity.Fits(w.Capacity) {
 		c.requeueClaims(n)
@@ -199,7 +200,7 @@
 	}
 	c.subtractCapacity(n)
 	if n.described {
-		c.spread.removeWorker(n.worker.Rack)
+		c.spread.removeWorker(n.worker.Rack, n)
 	}
 	c.removeNode(n)
 	return lost
--- a/core/placement/lookahead.go
+++ b/core/placement/lookahead.go
@@ -45,8 +45,9 @@
 	runTimes *forecast.RunTimes
 	errors   forecast.Errors
 	stats    LookAheadStats
-	// timeline is a buffer.
+	// timeline and lines are buffers.
 	timeline forecast.Timeline
+	lines    []*forecast.Timeline
 	// wanted lists sizes of tasks that were the first of their queues and did not fit in the last cycle, unplaced
 	// those of the current cycle.
 	wanted, unplaced []wantedSize
--- a/core/placement/options.go
+++ b/core/placement/options.go
@@ -101,6 +101,9 @@
 	// NoLookAhead reserves workers only after ReserveAfter and by declared run times, and keeps what is reserved from
 	// all other tasks.
 	NoLookAhead bool
+	// OffRackSlowdown is how many times as long a task takes away from the rack with its data. If it is above 1, tasks wait for a
+	// full rack as long as that costs less than running elsewhere.
+	OffRackSlowdown float64
 	// MinThrottle is the smallest fraction of its processors that a throttled task keeps; 1 disables throttling.
 	MinThrottle float64
 	// Interference estimates the slowdown between classes; nil means a new Estimator.
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -35,6 +35,8 @@
 	// not tried.
 	undisplaceable []*task
 	lookAheadWork
+	// rackForecasts counts the forecasts for full racks.
+	rackForecasts int
 	// touchedQueues lists the queues whose cursors are in use.
 	touchedQueues []*tenantQueue
 }
@@ -49,6 +51,8 @@
 	limited
 	// unplaced tasks fit no worker now.
 	unplaced
+	// postponed tasks wait for room near their data.
+	postponed
 )
 
 // Plan implements Planner. Complete claims are started first, then restarts, then the queues in the order of their
@@ -140,17 +144,27 @@
 		case limited:
 			r.shares.blockClass(t.class)
 		case unplaced:
-			q.cursor = t.next
-			if q.tried == 0 {
-				q.minTried = t.desired
-			}
-			q.minTried = minPerDimension(q.minTried, t.desired)
+			q.skip(t)
 			q.tried++
 			r.blockIfExhausted(q)
+		case postponed:
+			// Tasks that wait for one rack do not use up the tries of those behind them.
+			q.skip(t)
+			q.tried = max(q.tried, 1)
+			r.blockIfExhausted(q)
 		}
 	}
 }
 
+// skip goes on behind a task that has not been placed.
+func (q *tenantQueue) skip(t *task) {
+	q.cursor = t.next
+	if q.tried == 0 {
+		q.minTried = t.desired
+	}
+	q.minTried = minPerDimension(q.minTried, t.desired)
+}
+
 // blockIfExhausted blocks a queue once all its tasks, or as many as the backfill depth allows, have been tried.
 func (r *planRun) blockIfExhausted(q *tenantQueue) {
 	if q.length > 0 && q.tried > 0 && (q.cursor == nil || q.tried > r.backfillDepth) {
@@ -181,7 +195,15 @@
 	if !t.class.allowsBooking(t.desired) {
 		return limited
 	}
-	if n := r.chooseNode(t); n != nil {
+	nearby, waits := r.chooseNearby(t)
+	if waits {
+		return postponed
+	}
+	n := nearby
+	if n == nil {
+		n = r.chooseNode(t)
+	}
+	if n != nil {
 		r.shares.dequeue(t)
 		r.start(t, n)
 		return placed
--- a/core/placement/rack_spread.go
+++ b/core/placement/rack_spread.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
 )
@@ -18,8 +19,14 @@
 const noRack = -1
 
 type rack struct {
-	index   int
-	workers int
+	index int
+	// nodes are the workers of the rack.
+	nodes []*node
+	// room holds after which times the tasks that wait for the rack are expected to fit there, in ascending order, as of the
+	// Plan forecastIn. waiting is how many tasks that Plan has left waiting.
+	forecastIn uint64
+	room       []time.Duration
+	waiting    int
 }
 
 type rackCount struct {
@@ -72,22 +79,24 @@
 }
 
 // addWorker adds a worker to a rack and returns the number of the rack.
-func (s *rackSpread) addWorker(name ident.Rack) int {
+func (s *rackSpread) addWorker(name ident.Rack, n *node) int {
 	r, ok := s.racks[name]
 	if !ok {
 		r = &rack{index: s.nextIndex}
 		s.nextIndex++
 		s.racks[name] = r
 	}
-	r.workers++
+	r.nodes = append(r.nodes, n)
 	return r.index
 }
 
 // removeWorker removes a worker from a rack.
-func (s *rackSpread) removeWorker(name ident.Rack) {
+func (s *rackSpread) removeWorker(name ident.Rack, n *node) {
 	r := s.racks[name]
-	r.workers--
-	if r.workers == 0 {
+	if i := slices.Index(r.nodes, n); i >= 0 {
+		r.nodes = slices.Delete(r.nodes, i, i+1)
+	}
+	if len(r.nodes) == 0 {
 		delete(s.racks, name)
 	}
 }
--- a/daemon/flags.go
+++ b/daemon/flags.go
@@ -72,6 +72,7 @@
 		intFlag(&s.LedgerMB, "ledger-mb", groupLimits, 256, "maximum memory for idempotency records, in MB"),
 		intFlag(&s.MilliCPU, "milli-cpu", groupLimits, 0, "CPU capacity of this host in thousandths of a core, used in the choice of cell owners; 0 if not known"),
 		boolFlag(&s.NoSpeculativeCopies, "no-speculative-copies", groupLimits, "start no second attempts of overdue tasks, also in groups that allow them"),
+		floatFlag(&s.OffRackSlowdown, "off-rack-slowdown", groupLimits, 0, "how many times as long a task takes away from the rack with its data; tasks wait for a full rack as long as that costs less; 0: they do not wait"),
 		boolFlag(&s.LookAhead, LookAheadFlag, groupLimits, LookAheadUsage),
 	}, ClientLimitFlags(&s.ClientLimits)...)
 }
--- a/daemon/host.go
+++ b/daemon/host.go
@@ -324,6 +324,7 @@
 	options.Cells = h.settings.Cells
 	options.ShareShift = h.cluster.Grant(id).ShareShift
 	options.NoLookAhead = !h.settings.LookAhead
+	options.OffRackSlowdown = h.settings.OffRackSlowdown
 	planner := placement.NewCell(rand.Uint64(), options)
 	planner.SetTable(t)
 	return planner
--- a/daemon/jobhost.go
+++ b/daemon/jobhost.go
@@ -174,8 +174,9 @@
 		// The tasks of one class differ much in size and in the workers that may run them.
 		BackfillDepth: maxBackfillTasks,
 		// Slowing down a task frees no capacity on its worker.
-		MinThrottle: 1,
-		NoLookAhead: !h.settings.LookAhead,
+		MinThrottle:     1,
+		OffRackSlowdown: h.settings.OffRackSlowdown,
+		NoLookAhead:     !h.settings.LookAhead,
 	})
 	planner.SetTable(t)
 	return planner
--- a/daemon/jobsettings.go
+++ b/daemon/jobsettings.go
@@ -53,6 +53,8 @@
 	MilliCPU int64
 	// NoSpeculativeCopies turns off second attempts of overdue tasks.
 	NoSpeculativeCopies bool
+	// OffRackSlowdown is how many times as long a task takes away from the rack with its data; 0 if it is not known.
+	OffRackSlowdown float64
 	// LookAhead turns look-ahead placement on; see placement.Options.
 	LookAhead bool
 	ClientLimits
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -70,6 +70,8 @@
 	NoSpeculativeCopies bool
 	// LookAhead turns look-ahead placement on; see placement.Options.
 	LookAhead bool
+	// OffRackSlowdown is how many times as long a task takes away from the rack with its data; 0 if it is not known.
+	OffRackSlowdown float64
 	ClientLimits
 }
 
@@ -114,6 +116,7 @@
 	// minEvacuationBound leaves time for several reads of the requests.
 	minEvacuationBound = time.Second
 	maxEvacuationBound = 10 * time.Minute
+	maxOffRackSlowdown = 1000
 
 	// DefaultMaxPeerConnections is many times the target number of relay hosts, 64, because a host that is replaced
 	// leaves its connection open until keepalive finds it dead.
@@ -177,6 +180,9 @@
 	if s.EvacuationBound != 0 && (s.EvacuationBound < minEvacuationBound || s.EvacuationBound > maxEvacuationBound) {
 		faults.add("evacuation-bound", s.EvacuationBound.String(), fmt.Sprintf("0, or %s to %s", minEvacuationBound, maxEvacuationBound))
 	}
+	if s.OffRackSlowdown < 0 || s.OffRackSlowdown > maxOffRackSlowdown {
+		faults.add("off-rack-slowdown", fmt.Sprint(s.OffRackSlowdown), fmt.Sprintf("0 to %d", maxOffRackSlowdown))
+	}
 	faults.checkRange("max-caller-connections", s.MaxCallerConnections, 1, maxConnections, "connections")
 	faults.checkRange("max-peer-connections", s.MaxPeerConnections, 1, maxConnections, "connections")
 	// Key records are compared in whole milliseconds, so that a finer setting would not take effect.
