--- a/core/placement/nearby.go
+++ b/core/placement/nearby.go
@@ -44,7 +44,7 @@
 
 // waitsForRack reports whether a task waits for its rack, which has no room for it.
 func (r *planRun) waitsForRack(t *task, full *rack) bool {
-	if r.opts.OffRackSlowdown <= 1 || t.lasting || t.constraints.Filler {
+	if mayWait := r.opts.OffRackSlowdown > 1 && !t.lasting && !t.constraints.Filler; !mayWait {
 		return false
 	}
 	if full.forecastIn != r.planSeq {
--- a/core/placement/nearby_test.go
+++ b/core/placement/nearby_test.go
@@ -122,10 +122,14 @@
 func TestTasksWaitForAHotRack(t *testing.T) {
 	for seed := range uint64(12) {
 		share := []float64{0.4, 0.5, 0.6, 0.8}[seed%4]
-		atOnce, atOnceOnRack := playHotRack(seed, share, placement.Options{Candidates: 64})
-		waiting, waitingOnRack := playHotRack(seed, share, placement.Options{Candidates: 64, OffRackSlowdown: rackSlowdown})
-		t.Logf("seed %d, share %.1f: at once %s with %d on the rack, waiting %s with %d", seed, share, atOnce, atOnceOnRack, waiting, waitingOnRack)
-		require.LessOrEqual(t, waiting, atOnce)
-		require.GreaterOrEqual(t, waitingOnRack, atOnceOnRack)
+		for _, noLookAhead := range []bool{false, true} {
+			atOnce, atOnceOnRack := playHotRack(seed, share, placement.Options{Candidates: 64, NoLookAhead: noLookAhead})
+			waiting, waitingOnRack := playHotRack(seed, share, placement.Options{Candidates: 64, NoLookAhead: noLookAhead, OffRackSlowdown: rackSlowdown})
+			t.Logf("seed %d, share %.1f: at once %s with %d on the rack, waiting %s with %d", seed, share, atOnce, atOnceOnRack, waiting, waitingOnRack)
+			require.LessOrEqual(t, waiting, atOnce)
+			if !noLookAhead {
+				require.GreaterOrEqual(t, waitingOnRack, atOnceOnRack)
+			}
+		}
 	}
 }
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -180,7 +180,7 @@
 	if s.EvacuationBound != 0 && (s.EvacuationBound < minEvacuationBound || s.EvacuationBound > maxEvacuationBound) {
 		faults.add("evacuation-bound", s.EvacuationBound.String(), fmt.Sprintf("0, or %s to %s", minEvacuationBound, maxEvacuationBound))
 	}
-	if s.OffRackSlowdown < 0 || s.OffRackSlowdown > maxOffRackSlowdown {
+	if valid := s.OffRackSlowdown >= 0 && s.OffRackSlowdown <= maxOffRackSlowdown; !valid {
 		faults.add("off-rack-slowdown", fmt.Sprint(s.OffRackSlowdown), fmt.Sprintf("0 to %d", maxOffRackSlowdown))
 	}
 	faults.checkRange("max-caller-connections", s.MaxCallerConnections, 1, maxConnections, "connections")
