--- a/daemon/jobhost.go
+++ b/daemon/jobhost.go
@@ -93,6 +93,8 @@
 
 	health   health
 	hasTable atomic.Bool
+	// wasReady is the answer to the last check of the platform.
+	wasReady atomic.Bool
 
 	guard                                     *clientconn.Guard
 	callerServer, statusServer, metricsServer *httpServer
@@ -236,10 +238,24 @@
 	return address, owner == d.members.self, ok
 }
 
-// ready reports whether the host has a table, can place jobs, and is not draining. With inboxes it can place jobs if it reaches
+// ready answers a check of the platform, and reports each change.
+func (h *JobHost) ready() bool {
+	ready := h.canServe()
+	if h.wasReady.Swap(ready) != ready {
+		h.log.WithFields(logrus.Fields{"ready": ready, "store_contact": h.cluster.InContact()}).Info("readiness changed")
+	}
+	value := int64(0)
+	if ready {
+		value = 1
+	}
+	h.metrics.Gauge("ready").Update(value)
+	return ready
+}
+
+// canServe reports whether the host has a table, can place jobs, and is not draining. With inboxes it can place jobs if it reaches
 // the store or the owner of a cell, without them only if it knows the owner of a cell. A host that is cut off from both would
 // keep its callers from the others.
-func (h *JobHost) ready() bool {
+func (h *JobHost) canServe() bool {
 	if !h.health.inPhase(phaseReady) || !h.hasTable.Load() {
 		return false
 	}
