relay/jobs: the log says what a recovery holds and until when

After a takeover nothing told for how many workers the owner waits, until when, and when it releases the tasks. A late start could not be divided into the waits for a lease, for ends and for room. recovery_waits comes once a second while tasks are held, and recovery_released when the wait for runs or for ends is over. Both change no decision.

--- a/core/lifecycle/recovery.go
+++ b/core/lifecycle/recovery.go
@@ -40,6 +40,64 @@
 	return !t.group.Lasting || !c.runsListed
 }
 
+// RecoveryPhase is what a new owner waits for before it starts held tasks.
+type RecoveryPhase uint8
+
+// The phases of a recovery, in their order.
+const (
+	// AwaitingRuns means that held tasks may still run on workers that have listed nothing.
+	AwaitingRuns RecoveryPhase = iota
+	// AwaitingEnds means that held tasks do not run, but may have been completed by ends that a worker has not listed.
+	AwaitingEnds
+	// Recovered means that no task is held.
+	Recovered
+)
+
+// RecoveryPhase returns the present phase.
+func (c *Cell) RecoveryPhase() RecoveryPhase {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case !c.recovering:
+		return Recovered
+	case c.runsListed:
+		return AwaitingEnds
+	default:
+		return AwaitingRuns
+	}
+}
+
+// RecoveryCounts says how much the recovery holds and for whom it waits.
+type RecoveryCounts struct {
+	// Held and HeldLasting count the tasks that may not start yet, and the lasting ones among them.
+	Held, HeldLasting int
+	// Unanswered counts the workers that may run attempts of the predecessor and have neither answered nor lapsed.
+	Unanswered int
+	// RunsEndAt is when the last lease on these workers has certainly lapsed; zero if that is not known.
+	RunsEndAt time.Time
+}
+
+// RecoveryCounts returns what the recovery holds at present.
+func (c *Cell) RecoveryCounts() RecoveryCounts {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	counts := RecoveryCounts{Held: len(c.heldTasks)}
+	for _, t := range c.heldTasks {
+		if t.group.Lasting {
+			counts.HeldLasting++
+		}
+	}
+	for _, w := range c.workers {
+		if w.mayHold && !w.claimed && !w.lapsed {
+			counts.Unanswered++
+		}
+	}
+	if counts.Unanswered > 0 && !c.predecessorStoppedAt.IsZero() {
+		counts.RunsEndAt = c.predecessorStoppedAt.Add(c.policy.lapseAfter())
+	}
+	return counts
+}
+
 // Recovering reports whether tasks may still run, or may have been completed, on workers that have not listed
 // everything.
 func (c *Cell) Recovering() bool {
--- a/relay/jobs/eventlist.go
+++ b/relay/jobs/eventlist.go
@@ -34,6 +34,8 @@
 	EventTrusted            EventName = "worker_trusted"
 	EventOwnerLate          EventName = "owner_late"
 	EventOwnerOnTime        EventName = "owner_on_time"
+	EventRecoveryWaits      EventName = "recovery_waits"
+	EventRecoveryReleased   EventName = "recovery_released"
 	EventTableMissing       EventName = "table_missing"
 	EventTableReceived      EventName = "table_received"
 	EventDependencyLost     EventName = "dependency_lost"
@@ -107,6 +109,9 @@
 	FieldRevision    FieldName = "revision"
 	FieldAgeMs       FieldName = "age_ms"
 	FieldRanMs       FieldName = "ran_ms"
+	FieldLasting     FieldName = "lasting"
+	FieldUnanswered  FieldName = "unanswered"
+	FieldRunsEndMs   FieldName = "runs_end_ms"
 
 	FieldRoomExpectedMs FieldName = "room_expected_ms"
 )
@@ -194,6 +199,12 @@
 		{EventOwnerOnTime, "the owner keeps up again: no event has been queued for long during the last second", []FieldName{
 			FieldCell, FieldEpoch, FieldLoopMs, FieldLateMs, FieldContactMs, FieldSilent, FieldWaiting, FieldUnsent, FieldEvents,
 		}},
+		{EventRecoveryWaits, "after a change of owner, tasks are held because they may still run, or may have been completed, on a worker", []FieldName{
+			FieldCell, FieldEpoch, FieldReason, FieldWaitedMs, FieldTasks, FieldLasting, FieldUnanswered, FieldRunsEndMs,
+		}},
+		{EventRecoveryReleased, "the wait that recovery_waits names is over", []FieldName{
+			FieldCell, FieldEpoch, FieldReason, FieldWaitedMs, FieldTasks, FieldLasting, FieldUnanswered,
+		}},
 		{EventTableMissing, "the owner has taken its cell over without a table: it starts and accepts nothing until it has one", []FieldName{
 			FieldCell, FieldEpoch,
 		}},
@@ -264,7 +275,7 @@
 	FieldFailures:    "number of consecutive calls that failed",
 	FieldLostMs:      "milliseconds during which the dependency was lost",
 	FieldStepMs:      "milliseconds by which the time of day changed beyond the time that has passed",
-	FieldWaitedMs:    "milliseconds for which the task has waited, or the owner for its first table",
+	FieldWaitedMs:    "milliseconds for which the task has waited, or the owner for its first table or since it took the cell over",
 	FieldRoom:        "number of workers with enough free resources, whether they may take the task or not",
 	FieldRuledOut:    "workers with room that do not take the task, by reason",
 	FieldJobRunning:  "number of tasks of the job that are booked on workers",
@@ -277,6 +288,9 @@
 	FieldRevision:    "store revision of the request",
 	FieldAgeMs:       "milliseconds since this host first read the request",
 	FieldRanMs:       "milliseconds for which the attempt is known to have run",
+	FieldLasting:     "number of lasting tasks among tasks",
+	FieldUnanswered:  "number of workers of the predecessor that have neither answered nor lapsed",
+	FieldRunsEndMs:   "milliseconds until the leases on these workers have certainly lapsed; absent if that is not known",
 	FieldPoolUse:     "booked share of the pool, workers that take no tasks included, in percent",
 
 	FieldRoomExpectedMs: "time until a worker is expected to have room for the task, by learnt run times; absent without a forecast",
--- a/relay/jobs/owner.go
+++ b/relay/jobs/owner.go
@@ -103,7 +103,7 @@
 	lastPlanAt     time.Time
 	// eventsFirstUntil is the time until which queued events run before a plan that is due.
 	eventsFirstUntil     time.Time
-	recovered            bool
+	recovery             recoveryTracker
 	hasFullAuthority     bool
 	predecessorConfirmed bool
 	shareShift           uint8
@@ -163,6 +163,7 @@
 		o.checkCallsDone()
 		now := o.now()
 		o.checkWaits(now)
+		o.checkRecovery(now)
 		o.checkLateness(now)
 		wake := o.nextWake(now)
 		o.wakeAt = now.Add(wake)
@@ -229,10 +230,6 @@
 	if g.ShareShift != o.shareShift {
 		o.setLimitShare(g.ShareShift)
 	}
-	if !o.recovered && !o.cell.Recovering() {
-		o.recovered = true
-		o.logger.Info("every worker of the cell has answered or lapsed, and the table is known")
-	}
 }
 
 // checkCallsDone closes callsDone when a draining owner has no calls left whose outcome matters to its successor.
