--- /dev/null
+++ b/relay/jobs/silence_test.go
@@ -0,0 +1,87 @@
+package jobs_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bulrushrelay/bulrushrelay/core/ident"
+	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
+	"github.com/bulrushrelay/bulrushrelay/relay/jobs"
+)
+
+// restartBound is the time after the loss of a worker within which its lasting tasks run again, whoever owns the cell: one
+// lease with its margin, and the time in which a new owner claims the other workers.
+const restartBound = lifecycle.LeaseDuration + lifecycle.LeaseMargin + 2*time.Second
+
+// submitLasting submits a lasting task and returns the worker that runs it.
+func (fx *fixture) submitLasting(h *host) ident.WorkerID {
+	s := spec("batch", 1, "work=1h")
+	s.Groups[0].Lasting = true
+	h.submit(s)
+	time.Sleep(time.Second)
+	for id, x := range fx.fleet {
+		if x.RunningTasks() > 0 {
+			return id
+		}
+	}
+	require.Fail(fx.t, "the lasting task does not run")
+	return ""
+}
+
+// replaceWithout kills the owner and gives the cell to a new host that does not reach the worker.
+func (fx *fixture) replaceWithout(h *host, lost ident.WorkerID) *host {
+	fx.kill(h)
+	next := fx.host()
+	next.link.SetCut(lost, true)
+	fx.giveCell(next)
+	return next
+}
+
+// Guards against a lasting task that waits for two leases: its worker is lost, the owner ends before the leases on the
+// worker have lapsed, and the next one counts a whole lease from its own beginning.
+func TestLastingTaskOfALostWorkerDoesNotWaitForASecondLease(t *testing.T) {
+	for _, killedAfter := range []time.Duration{5 * time.Second, 10 * time.Second} {
+		scenario(t, 3, func(fx *fixture, h *host) {
+			lost := fx.submitLasting(h)
+			h.link.SetCut(lost, true)
+			time.Sleep(killedAfter)
+			fx.replaceWithout(h, lost)
+			time.Sleep(restartBound - killedAfter)
+			require.Equal(t, 2, len(fx.recorder.Executions()), "owner killed %s after the loss", killedAfter)
+			require.Equal(t, 1, fx.decisions.count(jobs.EventRecoveryReleased))
+			fx.verify(h)
+		})
+	}
+}
+
+// Guards against a wait that begins anew with each further owner that ends while it waits.
+func TestSilenceOutlastsTwoChangesOfOwner(t *testing.T) {
+	scenario(t, 3, func(fx *fixture, h *host) {
+		lost := fx.submitLasting(h)
+		h.link.SetCut(lost, true)
+		time.Sleep(5 * time.Second)
+		next := fx.replaceWithout(h, lost)
+		time.Sleep(4 * time.Second)
+		fx.replaceWithout(next, lost)
+		time.Sleep(restartBound - 9*time.Second)
+		require.Equal(t, 2, len(fx.recorder.Executions()))
+		fx.verify(h)
+	})
+}
+
+// Guards against a wait that begins anew if the worker was lost just before the first of two owners.
+func TestSilenceSinceTheFirstTakeoverIsKnownAfterTheSecond(t *testing.T) {
+	scenario(t, 3, func(fx *fixture, h *host) {
+		lost := fx.submitLasting(h)
+		h.link.SetCut(lost, true)
+		next := fx.replaceWithout(h, lost)
+		time.Sleep(8 * time.Second)
+		fx.replaceWithout(next, lost)
+		time.Sleep(restartBound - 8*time.Second)
+		require.Equal(t, 2, len(fx.recorder.Executions()))
+		fx.verify(h)
+	})
+}
+
