core/lifecycle: the log says which workers are silent and since when

Cause: that a worker does not answer was known to its owner only. The next one counted a whole lease from its own beginning, however long the silence had lasted.

The owner records silence, and while leases on silent workers last, that time passes. All times count from the takeover of the owner that writes them, by its steady clock; a successor adds nothing for the time between the last record and its own beginning, so that it never assumes more silence than there was. From the record on, no newer lease token goes to the worker until a WorkerAdded record that ends the silence is durable. A predecessor that is still alive cannot write one, so that the silence holds whether it has stopped or not. The record is a WorkerAdded with a field that older releases ignore; a Takeover ends all recorded silences, and its writer records again what it keeps to.

Changed expectations: a worker whose call has failed gets a record once it is silent, so that NextTick is due for it and a worker that answers again adds one record.

--- a/adapter/cellpb/codec.go
+++ b/adapter/cellpb/codec.go
@@ -110,6 +110,11 @@
 		current.Workers = append(current.Workers, out)
 		size += proto.Size(out) + 8
 	}
+	for _, w := range s.Silent {
+		out := encodeSilence(w)
+		current.Workers = append(current.Workers, out)
+		size += proto.Size(out) + 8
+	}
 	for _, j := range s.Jobs {
 		for _, entry := range splitJob(j) {
 			n := proto.Size(entry) + 8
@@ -183,6 +188,10 @@
 			return lifecycle.Snapshot{}, fmt.Errorf("snapshot part: %w", err)
 		}
 		for _, w := range p.GetWorkers() {
+			if w.GetSilence() != nil {
+				s.Silent = append(s.Silent, decodeSilence(w))
+				continue
+			}
 			s.Workers = append(s.Workers, decodeWorker(w))
 		}
 		for _, j := range p.GetJobs() {
--- a/adapter/cellpb/records.go
+++ b/adapter/cellpb/records.go
@@ -46,6 +46,8 @@
 		out.Kind = &cellv1.Record_AttemptsUsed{AttemptsUsed: &cellv1.AttemptsUsed{Run: encodeAttemptID(r.AttemptID)}}
 	case lifecycle.WorkerAdded:
 		out.Kind = &cellv1.Record_WorkerAdded{WorkerAdded: encodeWorker(r)}
+	case lifecycle.WorkerSilent:
+		out.Kind = &cellv1.Record_WorkerAdded{WorkerAdded: encodeSilence(r)}
 	case lifecycle.WorkerRemoved:
 		out.Kind = &cellv1.Record_WorkerRemoved{WorkerRemoved: &cellv1.WorkerRemoved{Worker: string(r.Worker)}}
 	case lifecycle.Takeover:
@@ -89,6 +91,9 @@
 	case *cellv1.Record_AttemptsUsed:
 		return lifecycle.AttemptsUsed{AttemptID: decodeAttemptID(k.AttemptsUsed.GetRun())}, nil
 	case *cellv1.Record_WorkerAdded:
+		if k.WorkerAdded.GetSilence() != nil {
+			return decodeSilence(k.WorkerAdded), nil
+		}
 		return decodeWorker(k.WorkerAdded), nil
 	case *cellv1.Record_WorkerRemoved:
 		return lifecycle.WorkerRemoved{Worker: ident.WorkerID(k.WorkerRemoved.GetWorker())}, nil
@@ -141,6 +146,21 @@
 	return lifecycle.WorkerAdded{Worker: ident.WorkerID(w.GetWorker()), Address: w.GetAddress()}
 }
 
+func encodeSilence(w lifecycle.WorkerSilent) *cellv1.WorkerAdded {
+	return &cellv1.WorkerAdded{
+		Worker: string(w.Worker), Address: w.Address,
+		Silence: &cellv1.Silence{SinceUs: w.Since.Microseconds(), AtUs: w.At.Microseconds()},
+	}
+}
+
+func decodeSilence(w *cellv1.WorkerAdded) lifecycle.WorkerSilent {
+	return lifecycle.WorkerSilent{
+		Worker: ident.WorkerID(w.GetWorker()), Address: w.GetAddress(),
+		Since: time.Duration(w.GetSilence().GetSinceUs()) * time.Microsecond,
+		At:    time.Duration(w.GetSilence().GetAtUs()) * time.Microsecond,
+	}
+}
+
 func encodeCheckpoint(c lifecycle.Checkpoint) *cellv1.Checkpoint {
 	if c.ID == "" {
 		return nil
--- a/core/lifecycle/answer_test.go
+++ b/core/lifecycle/answer_test.go
@@ -164,6 +164,11 @@
 	f.apply(f.c.Recover(f.now, false, []Member{{ID: "w1"}}))
 	require.Zero(t, f.c.NextTick(), "the claim is not answered yet")
 	f.c.CallFailed("w1")
+	require.Equal(t, testStart.Add(silentAfter), f.c.NextTick(), "the silence is recorded")
+	for at := testStart.Add(silentAfter); at.Before(testStart.Add(LeaseDuration + LeaseMargin)); at = at.Add(silenceInterval) {
+		require.Equal(t, at, f.c.NextTick())
+		f.tickUntil(at)
+	}
 	require.Equal(t, testStart.Add(LeaseDuration+LeaseMargin), f.c.NextTick())
 	f.claim("w1", Report{Partial: true})
 	f.tickUntil(f.now.Add(time.Hour))
--- a/core/lifecycle/cell.go
+++ b/core/lifecycle/cell.go
@@ -107,6 +107,12 @@
 	logFailing bool
 	// predecessorStoppedAt is when the predecessor was confirmed to renew no more leases; zero if it is not confirmed.
 	predecessorStoppedAt time.Time
+	// takenOverAt is when this owner took the cell over. loggedSilence is what the log said about silent workers before.
+	takenOverAt   time.Time
+	loggedSilence loggedSilence
+	// silenceRecordedAt is the time of the last record of a silence, and silenceEndsAt when the last lease on the workers
+	// recorded so far has lapsed.
+	silenceRecordedAt, silenceEndsAt time.Time
 	// inDoubt is set while a successor may exist: running tasks are renewed, but no task is started or moved.
 	inDoubt bool
 	fenced  bool
@@ -146,6 +152,7 @@
 		changedJobs:      make(map[ident.JobID]struct{}),
 		returns:          make(map[ident.DataCentre]evacuation.Ramp),
 		speculative:      make(map[ident.TaskID]*task),
+		loggedSilence:    loggedSilence{since: make(map[ident.WorkerID]time.Duration)},
 		learner:          speculation.NewLearner(nil),
 	}
 }
--- a/core/lifecycle/commit.go
+++ b/core/lifecycle/commit.go
@@ -47,6 +47,8 @@
 	case WorkerAdded:
 		c.loggedWorkers[r.Worker] = r.Address
 		if w, ok := c.workers[r.Worker]; ok {
+			c.endSilence(w)
+			c.scheduleTick(w)
 			c.putWorker(w, eff)
 		}
 	case Takeover:
@@ -54,8 +56,8 @@
 		for _, w := range c.sortedWorkers() {
 			c.putWorker(w, eff)
 		}
-	case WorkerRemoved:
-		// The worker was removed when the record was queued.
+	case WorkerRemoved, WorkerSilent:
+		// These took effect when they were queued.
 	}
 }
 
--- a/core/lifecycle/deadlines.go
+++ b/core/lifecycle/deadlines.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// deadlineQueue orders the claimed workers by their next deadline. Most events of a worker only postpone its deadline
+// deadlineQueue orders the workers by their next deadline. Most events of a worker only postpone its deadline
 // and leave the queue unchanged, so an entry may be too early but never too late.
 type deadlineQueue []*worker
 
@@ -40,8 +40,9 @@
 
 // nextDue returns when Tick must next handle the worker; ok is false if it has no deadline.
 func (c *Cell) nextDue(w *worker) (due time.Time, ok bool) {
+	due, ok = c.silenceDue(w)
 	if !w.claimed {
-		return due, false
+		return due, ok
 	}
 	earliest := func(t time.Time) {
 		if !ok || t.Before(due) {
--- a/core/lifecycle/deadlines_test.go
+++ b/core/lifecycle/deadlines_test.go
@@ -27,6 +27,12 @@
 	for _, d := range c.delayed {
 		earliest(d.at)
 	}
+	if c.inDoubt {
+		return next
+	}
+	if c.silenceRecordedAt.Before(c.silenceEndsAt) {
+		earliest(c.silenceRecordedAt.Add(silenceInterval))
+	}
 	return next
 }
 
--- a/core/lifecycle/disruption.go
+++ b/core/lifecycle/disruption.go
@@ -71,6 +71,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.logFailing = failing
+	for _, w := range c.workers {
+		c.scheduleTick(w)
+	}
 }
 
 // moveFromEvacuated moves lasting tasks from evacuated workers within their disruption budgets, if it is due.
--- a/core/lifecycle/record.go
+++ b/core/lifecycle/record.go
@@ -63,11 +63,20 @@
 	AttemptsUsed struct {
 		AttemptID
 	}
-	// WorkerAdded records a worker before the first start is sent to it, so that a successor waits for its answer.
+	// WorkerAdded records a worker before the first start is sent to it, so that a successor waits for its answer. It ends
+	// the silence of a worker that has answered again, before a lease on it is renewed.
 	WorkerAdded struct {
 		Worker  ident.WorkerID
 		Address string
 	}
+	// WorkerSilent records that a worker does not answer. Since is the time after which no lease token can have been sent
+	// to it, and At that of the record, both measured from the takeover of the owner. Since is negative if the worker fell
+	// silent under a predecessor.
+	WorkerSilent struct {
+		Worker    ident.WorkerID
+		Address   string
+		Since, At time.Duration
+	}
 	// WorkerRemoved records that a worker has left the host list and that its leases have lapsed.
 	WorkerRemoved struct {
 		Worker ident.WorkerID
@@ -90,6 +99,7 @@
 func (CheckpointConsumed) record() {}
 func (AttemptsUsed) record()       {}
 func (WorkerAdded) record()        {}
+func (WorkerSilent) record()       {}
 func (WorkerRemoved) record()      {}
 func (Takeover) record()           {}
 
@@ -99,7 +109,9 @@
 	// Clean is set in the last snapshot of an owner that drained and had the inventories of all workers.
 	Clean   bool
 	Workers []WorkerAdded
-	Jobs    []JobSnapshot
+	// Silent lists the workers whose silence is recorded.
+	Silent []WorkerSilent
+	Jobs   []JobSnapshot
 }
 
 // JobSnapshot is the durable state of a job.
--- a/core/lifecycle/recovery.go
+++ b/core/lifecycle/recovery.go
@@ -88,13 +88,11 @@
 		}
 	}
 	for _, w := range c.workers {
-		if w.mayHold && !w.claimed && !w.lapsed {
+		if w.mayRunUnlisted() {
 			counts.Unanswered++
 		}
 	}
-	if counts.Unanswered > 0 && !c.predecessorStoppedAt.IsZero() {
-		counts.RunsEndAt = c.predecessorStoppedAt.Add(c.policy.lapseAfter())
-	}
+	counts.RunsEndAt = c.runsEndAt()
 	return counts
 }
 
@@ -171,20 +169,54 @@
 
 // allRunsListed reports whether every worker has listed what it runs or has certainly stopped all of it.
 func (c *Cell) allRunsListed(now time.Time) bool {
-	lapsed := !c.predecessorStoppedAt.IsZero() && !now.Before(c.predecessorStoppedAt.Add(c.policy.lapseAfter()))
 	for _, w := range c.workers {
-		stopped := w.lapsed || lapsed && w.unanswered
-		if w.mayHold && !w.claimed && !stopped {
+		if !w.mayRunUnlisted() {
+			continue
+		}
+		lapsesAt := c.unlistedRunsEndAt(w)
+		if lapsesAt.IsZero() || now.Before(lapsesAt) || !w.unanswered && !w.silenceRecorded() {
 			return false
 		}
 	}
 	return true
 }
 
-// awaitsAnswer reports whether the claim of a worker is under way, or its answer not yet handled.
+// mayRunUnlisted reports whether attempts of the predecessor may run on the worker that it has not listed.
+func (w *worker) mayRunUnlisted() bool { return w.mayHold && !w.claimed && !w.lapsed }
+
+// unlistedRunsEndAt returns when the leases of such attempts have lapsed; zero if that is not known.
+func (c *Cell) unlistedRunsEndAt(w *worker) time.Time {
+	since := w.silentSince
+	if since.IsZero() {
+		since = c.predecessorStoppedAt
+	}
+	if since.IsZero() {
+		return since
+	}
+	return since.Add(c.policy.lapseAfter())
+}
+
+// runsEndAt returns when all leases have lapsed on workers that have listed nothing; zero if that is not known, or if there
+// are none.
+func (c *Cell) runsEndAt() (end time.Time) {
+	for _, w := range c.workers {
+		if !w.mayRunUnlisted() {
+			continue
+		}
+		lapsesAt := c.unlistedRunsEndAt(w)
+		if lapsesAt.IsZero() {
+			return lapsesAt
+		}
+		end = laterOf(end, lapsesAt)
+	}
+	return end
+}
+
+// awaitsAnswer reports whether the claim of a worker is under way, or its answer not yet handled, and the log does not say
+// since when the worker is silent.
 func (c *Cell) awaitsAnswer() bool {
 	for _, w := range c.workers {
-		if w.mayHold && !w.claimed && !w.unanswered {
+		if w.mayHold && !w.claimed && !w.unanswered && !w.silenceRecorded() {
 			return true
 		}
 	}
--- a/core/lifecycle/report.go
+++ b/core/lifecycle/report.go
@@ -16,7 +16,7 @@
 		c.scheduleTick(w)
 	}
 	w.incarnation = incarnation
-	c.setToken(now, w, r)
+	c.receiveToken(now, w, r.Token, eff)
 	if size := w.effectiveCapacity(r.Capacity); w.unanswering() || w.capacity != size {
 		w.silent, w.unreachable = false, false
 		w.capacity = size
--- a/core/lifecycle/restore.go
+++ b/core/lifecycle/restore.go
@@ -15,6 +15,9 @@
 	for _, w := range s.Workers {
 		c.loggedWorkers[w.Worker] = w.Address
 	}
+	for _, w := range s.Silent {
+		c.loggedSilence.add(w)
+	}
 	for _, js := range s.Jobs {
 		c.noteLogTime(js.AcceptedAt)
 		c.noteLogTime(js.FinishedAt)
@@ -122,9 +125,14 @@
 		}
 	case WorkerAdded:
 		c.loggedWorkers[r.Worker] = r.Address
+		delete(c.loggedSilence.since, r.Worker)
+	case WorkerSilent:
+		c.loggedSilence.add(r)
 	case WorkerRemoved:
 		delete(c.loggedWorkers, r.Worker)
+		delete(c.loggedSilence.since, r.Worker)
 	case Takeover:
+		c.loggedSilence.clear()
 		c.replayTakeover(r)
 	}
 }
@@ -195,11 +203,13 @@
 // Recover takes over the cell after the log has been replayed. clean means that the predecessor drained. A task that
 // may still run is not started until every worker has answered or its leases have lapsed; see recovery.go.
 func (c *Cell) Recover(now time.Time, clean bool, members []Member) Effects {
+	silence := c.takeLoggedSilence()
 	c.Replay(Takeover{Epoch: c.epoch, Clean: clean})
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var eff Effects
 	eff.log(Takeover{Epoch: c.epoch, Clean: clean})
+	c.takenOverAt = now
 	c.recovering = true
 	slices.SortFunc(c.jobOrder, compareJobs)
 	var idle []*task
@@ -219,6 +229,7 @@
 		}
 		c.workers[id].mayHold = true
 	}
+	c.inheritSilence(now, silence, &eff)
 	c.enqueue(now, idle, &eff)
 	c.finishRecovery(now, &eff)
 	return eff
@@ -269,6 +280,9 @@
 	}
 	if confirmed && c.predecessorStoppedAt.IsZero() {
 		c.predecessorStoppedAt = now
+		for _, w := range c.workers {
+			c.scheduleTick(w)
+		}
 	}
 	c.finishRecovery(now, &eff)
 	return eff
@@ -292,6 +306,11 @@
 	for id, address := range c.loggedWorkers {
 		s.Workers = append(s.Workers, WorkerAdded{Worker: id, Address: address})
 	}
+	for _, w := range c.sortedWorkers() {
+		if w.silenceRecorded() {
+			s.Silent = append(s.Silent, c.silenceOf(now, w))
+		}
+	}
 	for _, id := range c.jobOrder {
 		s.Jobs = append(s.Jobs, c.jobSnapshot(c.jobs[id]))
 	}
--- a/core/lifecycle/tick.go
+++ b/core/lifecycle/tick.go
@@ -69,12 +69,20 @@
 		c.endRun(now, t.run, &eff)
 		c.requeue(now, t, maxLogWait, WaitLog, &eff)
 	}
+	c.recordTime(now, &eff)
 	c.finishRecovery(now, &eff)
 	return eff
 }
 
 // tickWorker handles the probe, the silence and the lapse of a worker if they are due.
 func (c *Cell) tickWorker(now time.Time, w *worker, eff *Effects) (becameSilent bool) {
+	if due, ok := c.silenceDue(w); ok && !now.Before(due) {
+		since, _ := c.unansweredSince(w)
+		c.recordSilence(now, w, since, eff)
+	}
+	if !w.claimed {
+		return false
+	}
 	if w.health.quarantined && !w.health.probing && !now.Before(w.health.probeAt) {
 		w.health.probing = true
 		c.putWorker(w, eff)
@@ -136,8 +144,9 @@
 	if t := c.oldestWaiting(); t != nil {
 		earliest(t.run.startedAt.Add(maxLogWait))
 	}
-	if c.recovering && c.table != nil && !c.runsListed && !c.predecessorStoppedAt.IsZero() && !c.inDoubt && !c.awaitsAnswer() {
-		earliest(c.predecessorStoppedAt.Add(c.policy.lapseAfter()))
+	earliest(c.nextTimeRecord())
+	if c.recovering && c.table != nil && !c.runsListed && !c.inDoubt && !c.awaitsAnswer() {
+		earliest(c.runsEndAt())
 	}
 	return next
 }
--- a/core/lifecycle/worker.go
+++ b/core/lifecycle/worker.go
@@ -40,7 +40,13 @@
 	// same for the newest token sent back: no lease on the worker runs longer than LeaseDuration after it.
 	tokenReceivedAt     time.Time
 	sentTokenReceivedAt time.Time
-	lastContact         time.Time
+	// silentSince is set while the log may say that the worker is silent: no lease token received later has been sent to
+	// it. silenceEnding is set while the record that ends this is not durable; the newest token is withheld until then.
+	silentSince             time.Time
+	silenceEnding           bool
+	withheldToken           string
+	withheldTokenReceivedAt time.Time
+	lastContact             time.Time
 	// unanswered is set while the latest claim or sync has failed. A worker is given up only then: an answer that is
 	// still to be handled, or a call in progress, may report that a task has ended.
 	unanswered bool
@@ -96,8 +102,8 @@
 	return w.inPlanner && !w.leaving() && !w.evacuated && !w.unanswering() && !w.health.quarantined
 }
 
-// unanswering reports whether the worker gets no tasks because it does not answer.
-func (w *worker) unanswering() bool { return w.silent || w.unreachable }
+// unanswering reports whether the worker gets no tasks because it does not answer, or may get no new lease yet.
+func (w *worker) unanswering() bool { return w.silent || w.unreachable || w.silenceRecorded() }
 
 // setUnreachable notes whether starts reach a worker that the planner knows.
 func (c *Cell) setUnreachable(w *worker, unreachable bool, eff *Effects) {
@@ -228,6 +234,7 @@
 		delete(c.loggedWorkers, id)
 		eff.log(WorkerRemoved{Worker: id})
 	}
+	c.scheduleTick(w)
 }
 
 // putWorker passes a worker to the planner once the log records it: a successor must know where tasks may run.
@@ -283,10 +290,13 @@
 	w.unanswered = false
 	w.reportWaiting = false
 	c.scheduleTick(w)
-	c.setToken(now, w, report)
+	c.receiveToken(now, w, report.Token, &eff)
 	// The predecessor renewed the leases of adopted tasks with tokens that this owner has not seen. None of them is
-	// newer than the token that answers the claim.
+	// newer than the token that answers the claim, or than the silence that the log tells.
 	w.sentTokenReceivedAt = now
+	if w.silenceRecorded() {
+		w.sentTokenReceivedAt = w.silentSince
+	}
 	w.capacity = w.effectiveCapacity(report.Capacity)
 	if _, known := c.loggedWorkers[id]; known {
 		c.putWorker(w, &eff)
@@ -313,11 +323,6 @@
 	return eff
 }
 
-func (c *Cell) setToken(now time.Time, w *worker, report Report) {
-	w.token = report.Token
-	w.tokenReceivedAt = now
-}
-
 // adopt takes over a running attempt of the predecessor. It returns false if the attempt must be stopped.
 func (c *Cell) adopt(now time.Time, w *worker, a ActiveAttempt, eff *Effects) bool {
 	t := c.task(a.Task)
--- a/core/lifecycle/workercalls.go
+++ b/core/lifecycle/workercalls.go
@@ -2,7 +2,8 @@
 
 import "github.com/bulrushrelay/bulrushrelay/core/ident"
 
-// SyncRequest returns the next sync for a worker; ok is false if the worker is not claimed.
+// SyncRequest returns the next sync for a worker; ok is false if the worker is not claimed. It has no token, and renews
+// nothing, while the log says that the worker is silent.
 func (c *Cell) SyncRequest(id ident.WorkerID) (req SyncRequest, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -11,13 +12,17 @@
 		return SyncRequest{}, false
 	}
 	c.callSeq++
-	req = SyncRequest{Token: w.token, Seq: c.callSeq}
-	if !c.policy.SyncRenewsAll {
-		req.Renewals = w.renewals()
-	}
+	req = SyncRequest{Seq: c.callSeq}
 	for attempt := range w.pendingAcks {
 		req.Acks = append(req.Acks, attempt)
 	}
+	if w.silenceRecorded() {
+		return req, true
+	}
+	req.Token = w.token
+	if !c.policy.SyncRenewsAll {
+		req.Renewals = w.renewals()
+	}
 	w.sentTokenReceivedAt = w.tokenReceivedAt
 	return req, true
 }
@@ -50,18 +55,22 @@
 	}
 }
 
-// CallFailed notes that a claim or a sync was not answered.
-func (c *Cell) CallFailed(id ident.WorkerID) {
-	c.noteCall(id, true, false)
+// CallFailed notes that a claim or a sync was not answered. It reports whether the last call was, so that Tick may be due
+// earlier than NextTick said.
+func (c *Cell) CallFailed(id ident.WorkerID) (first bool) {
+	return c.noteCall(id, true, false)
 }
 
-func (c *Cell) noteCall(id ident.WorkerID, unanswered, reportWaiting bool) {
+func (c *Cell) noteCall(id ident.WorkerID, unanswered, reportWaiting bool) (changed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if w, ok := c.workers[id]; ok && (w.unanswered != unanswered || w.reportWaiting != reportWaiting) {
-		w.unanswered, w.reportWaiting = unanswered, reportWaiting
-		c.scheduleTick(w)
+	w, ok := c.workers[id]
+	if !ok || w.unanswered == unanswered && w.reportWaiting == reportWaiting {
+		return false
 	}
+	w.unanswered, w.reportWaiting = unanswered, reportWaiting
+	c.scheduleTick(w)
+	return true
 }
 
 // AcksAwaitLog reports whether the worker has ended attempts, none of which can be acknowledged because no record of
--- a/relay/jobs/calls.go
+++ b/relay/jobs/calls.go
@@ -96,9 +96,9 @@
 			// Drop a signal for an earlier record.
 		default:
 		}
-		if o.cell.AcksAwaitLog(m.ID) {
+		if o.cell.AcksAwaitLog(m.ID) || o.cell.RenewalAwaitsLog(m.ID) {
 			// The worker reports an ended attempt until the end is acknowledged, so that a sync before that would return
-			// at once.
+			// at once. A sync that renews nothing is of no use either.
 			o.awaitAck(ctx, acked)
 		}
 		req, ok := o.cell.SyncRequest(m.ID)
@@ -226,8 +226,9 @@
 	switch {
 	case a.Outcome == lifecycle.Applied:
 		o.cell.AnswerArrived(m.ID)
-	case ctx.Err() == nil:
-		o.cell.CallFailed(m.ID)
+	case ctx.Err() == nil && o.cell.CallFailed(m.ID):
+		// The loop runs what has become due.
+		o.post(func() {})
 	}
 }
 
--- a/relay/jobs/log.go
+++ b/relay/jobs/log.go
@@ -169,13 +169,13 @@
 
 // shareWait returns how long records may wait to share a commit with others. A cancellation may wait for one commit
 // interval, as it would after another commit: if it were written at once, an urgent job that follows would have to
-// wait for that interval.
+// wait for that interval. So may the silence of a worker.
 func (l *cellLog) shareWait(records []lifecycle.Record) time.Duration {
 	shortest := maxCheckpointDelay
 	for _, r := range records {
 		switch r.(type) {
 		case lifecycle.CheckpointSaved:
-		case lifecycle.JobCancelled:
+		case lifecycle.JobCancelled, lifecycle.WorkerSilent:
 			shortest = min(shortest, l.interval)
 		default:
 			return 0
--- a/relay/jobs/silence_test.go
+++ b/relay/jobs/silence_test.go
@@ -9,6 +9,7 @@
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
 	"github.com/bulrushrelay/bulrushrelay/relay/jobs"
+	"github.com/bulrushrelay/bulrushrelay/standin/kv"
 )
 
 // restartBound is the time after the loss of a worker within which its lasting tasks run again, whoever owns the cell: one
@@ -85,3 +86,54 @@
 	})
 }
 
+// Guards against a task that starts while it still runs: its worker had been silent and answered again, and the next owner
+// counted the lease from the silence.
+func TestWorkerThatAnswersAgainIsNotTakenForLapsed(t *testing.T) {
+	scenario(t, 3, func(fx *fixture, h *host) {
+		silent := fx.submitLasting(h)
+		h.link.SetCut(silent, true)
+		time.Sleep(7 * time.Second)
+		h.link.SetCut(silent, false)
+		time.Sleep(5 * time.Second)
+		fx.replaceWithout(h, silent)
+		time.Sleep(lifecycle.LeaseDuration - 3*time.Second)
+		require.Len(t, fx.recorder.Executions(), 1)
+		time.Sleep(restartBound)
+		require.Len(t, fx.recorder.Executions(), 2)
+		fx.verify(h)
+	})
+}
+
+// Guards against a lease that is renewed after a silence while the log still tells of it: the store was down when the
+// worker answered again.
+func TestNoLeaseIsRenewedBeforeTheEndOfASilenceIsDurable(t *testing.T) {
+	scenario(t, 3, func(fx *fixture, h *host) {
+		silent := fx.submitLasting(h)
+		h.link.SetCut(silent, true)
+		time.Sleep(6 * time.Second)
+		fx.engine.SetFault(kv.Fault{Down: true})
+		h.link.SetCut(silent, false)
+		time.Sleep(3 * time.Second)
+		h.link.SetCut(silent, true)
+		fx.kill(h)
+		fx.engine.SetFault(kv.Fault{})
+		next := fx.host()
+		next.link.SetCut(silent, true)
+		fx.giveCell(next)
+		time.Sleep(restartBound)
+		require.Len(t, fx.recorder.Executions(), 2)
+		fx.verify(next)
+	})
+}
+
+// Guards against work that is lost although its worker answers again in time: the renewal waited for another sync.
+func TestLeaseIsRenewedAfterASilence(t *testing.T) {
+	scenario(t, 3, func(fx *fixture, h *host) {
+		silent := fx.submitLasting(h)
+		h.link.SetCut(silent, true)
+		time.Sleep(8 * time.Second)
+		h.link.SetCut(silent, false)
+		time.Sleep(time.Minute)
+		require.Len(t, fx.recorder.Executions(), 1)
+	})
+}
