core/lifecycle: leases of lost workers are counted from the change of owner, not from the end of its reads

Callers saw lasting tasks wait for longer the longer a new owner took to read its cell: 0.3 to 0.5 s on the grown sites, seconds on a weak host or a slow store. The wait for leases, and the silence that the log shows, were counted from the moment at which the log had been read. But nothing is added to the log, and no lease is renewed by a predecessor that has stopped, from the moment at which the owner has its grant. Both are counted from there.

TestSlowReadOfTheLogDoesNotLengthenTheWait fails in both cases before.

--- a/core/lifecycle/restore.go
+++ b/core/lifecycle/restore.go
@@ -200,6 +200,18 @@
 	}
 }
 
+// Acquired notes since when this owner has the cell: its predecessors wrote nothing to the log after that. stopped means that
+// they renew no leases either. It must be called before Recover, which otherwise counts from its own time: the log may
+// take seconds to read.
+func (c *Cell) Acquired(at time.Time, stopped bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.takenOverAt = at
+	if stopped {
+		c.predecessorStoppedAt = at
+	}
+}
+
 // Recover takes over the cell after the log has been replayed. clean means that the predecessor drained. A task that
 // may still run is not started until every worker has answered or its leases have lapsed; see recovery.go.
 func (c *Cell) Recover(now time.Time, clean bool, members []Member) Effects {
@@ -209,7 +221,9 @@
 	defer c.mu.Unlock()
 	var eff Effects
 	eff.log(Takeover{Epoch: c.epoch, Clean: clean})
-	c.takenOverAt = now
+	if c.takenOverAt.IsZero() {
+		c.takenOverAt = now
+	}
 	c.recovering = true
 	slices.SortFunc(c.jobOrder, compareJobs)
 	var idle []*task
--- a/core/lifecycle/silence.go
+++ b/core/lifecycle/silence.go
@@ -53,7 +53,7 @@
 	for _, w := range c.sortedWorkers() {
 		since, silent := logged.since[w.member.ID]
 		if silent && w.mayHold {
-			c.recordSilence(now, w, now.Add(since-logged.at), eff)
+			c.recordSilence(now, w, c.takenOverAt.Add(since-logged.at), eff)
 		}
 	}
 }
--- a/relay/jobs/service.go
+++ b/relay/jobs/service.go
@@ -183,6 +183,7 @@
 	}
 	o := s.newOwner(g, state)
 	o.acquiredAt = startedAt
+	o.cell.Acquired(startedAt, predecessorStopped(g))
 	o.restoreEstimates(ctx)
 	o.cell.RestoreSnapshot(state.snapshot)
 	for _, r := range state.records {
--- a/relay/jobs/silence_test.go
+++ b/relay/jobs/silence_test.go
@@ -137,3 +137,26 @@
 		require.Len(t, fx.recorder.Executions(), 1)
 	})
 }
+
+// Guards against leases that are counted from the end of a slow read of the log instead of the change of owner.
+func TestSlowReadOfTheLogDoesNotLengthenTheWait(t *testing.T) {
+	for name, lostBefore := range map[string]time.Duration{"silence in the log": 6 * time.Second, "lost with the owner": 0} {
+		t.Run(name, func(t *testing.T) {
+			scenario(t, 3, func(fx *fixture, h *host) {
+				lost := fx.submitLasting(h)
+				h.link.SetCut(lost, true)
+				time.Sleep(lostBefore)
+				fx.kill(h)
+				const slowness = 4 * time.Second
+				next := fx.hostOn(func(_ *host, s jobs.Store) jobs.Store {
+					return storeWithHook{Store: s, hook: func() { time.Sleep(slowness) }}
+				})
+				next.link.SetCut(lost, true)
+				fx.giveCell(next)
+				time.Sleep(restartBound - lostBefore - slowness)
+				require.Len(t, fx.recorder.Executions(), 2)
+				fx.verify(next)
+			})
+		})
+	}
+}
