core/lifecycle: the record that ends a silence is the last one of it

Callers could see a lasting task start while it still ran: a worker had been silent and answered again, its leases were renewed, and the next owner took it for lapsed.

Cause: while a silence lasts, the owner records every 250 ms that time passes, by the first silent worker. That could be one whose end of silence was queued and not durable yet. The log then said that the worker was silent behind the record that ended it, for the rest of the owner's time.

In the scenario the store takes 0.6 s for a write, the worker is silent for 4 s, and its task runs twice after the owner ends 8 s later.

The passing of time is now recorded only by workers whose silence is not about to end; if there is none, nobody needs it.

--- a/core/lifecycle/silence.go
+++ b/core/lifecycle/silence.go
@@ -90,14 +90,15 @@
 	return c.silenceRecordedAt.Add(silenceInterval)
 }
 
-// recordTime records that time has passed since the last record of a silence.
+// recordTime records that time has passed since the last record of a silence. It takes no worker whose silence is about to
+// end: behind the record of that end, the log would say that the worker is silent while its leases are renewed.
 func (c *Cell) recordTime(now time.Time, eff *Effects) {
 	if next := c.nextTimeRecord(); next.IsZero() || now.Before(next) {
 		return
 	}
 	c.silenceRecordedAt = now
 	for _, w := range c.sortedWorkers() {
-		if w.silenceRecorded() {
+		if w.silenceRecorded() && !w.silenceEnding {
 			eff.log(c.silenceOf(now, w))
 			return
 		}
--- /dev/null
+++ b/core/lifecycle/silence_test.go
@@ -0,0 +1,43 @@
+package lifecycle
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bulrushrelay/bulrushrelay/core/ident"
+)
+
+// silence lets the worker leave its syncs without an answer until its silence is recorded.
+func (f *fixture) silence(id ident.WorkerID) {
+	f.c.CallFailed(id)
+	f.tickUntil(f.now.Add(f.c.policy.SilentAfter))
+	require.Contains(f.t, f.loggedSilence(), id)
+}
+
+// loggedSilence returns what a successor that reads the log learns about silent workers.
+func (f *fixture) loggedSilence() map[ident.WorkerID]time.Duration {
+	successor := NewCell(1, 9, f.c.table)
+	for _, r := range f.log {
+		successor.Replay(r)
+	}
+	return successor.loggedSilence.since
+}
+
+// Guards against a log that still says that a worker is silent after its leases have been renewed: the passing of time was
+// recorded by the silence of a worker whose end of silence was already queued.
+func TestNoSilenceIsRecordedBehindItsEnd(t *testing.T) {
+	f := newFixture(t, 7, "w1", "w2")
+	f.silence("w1")
+	f.silence("w2")
+	f.holdLog = true
+	queued := len(f.log)
+	f.sync("w1", nil)
+	f.tickUntil(f.now.Add(4 * silenceInterval))
+	require.NotContains(t, f.loggedSilence(), ident.WorkerID("w1"))
+	require.Contains(t, f.loggedSilence(), ident.WorkerID("w2"), "time passes for the other worker")
+	f.apply(f.c.RecordsCommitted(f.now, f.log[queued:]))
+	f.sync("w1", nil)
+	require.NotContains(t, f.loggedSilence(), ident.WorkerID("w1"))
+}
--- a/relay/jobs/silence_test.go
+++ b/relay/jobs/silence_test.go
@@ -160,3 +160,23 @@
 		})
 	}
 }
+
+// Guards against a task that starts while it still runs: the store was slow when a silent worker answered again, so that
+// the owner recorded the passing of time by the worker's silence behind the record that ends it.
+func TestEndOfASilenceIsTheLastRecordOfIt(t *testing.T) {
+	scenario(t, 3, func(fx *fixture, h *host) {
+		silent := fx.submitLasting(h)
+		h.link.SetCut(silent, true)
+		time.Sleep(4 * time.Second)
+		fx.engine.SetFault(kv.Fault{Delay: 600 * time.Millisecond})
+		h.link.SetCut(silent, false)
+		time.Sleep(8 * time.Second)
+		fx.engine.SetFault(kv.Fault{})
+		fx.replaceWithout(h, silent)
+		time.Sleep(lifecycle.LeaseDuration - 3*time.Second)
+		require.Len(t, fx.recorder.Executions(), 1)
+		time.Sleep(restartBound)
+		require.Len(t, fx.recorder.Executions(), 2)
+		fx.verify(h)
+	})
+}
