core/placement: a restart uses the room kept for larger ones

Callers saw lasting tasks of lost workers that did not run for seconds although workers had room for them. After a large loss the pool is nearly full of lasting tasks, and each restart that fits nowhere claims a worker and keeps what becomes free there until all of it is free. That lasts as long as the urgent tasks there run. Until then a smaller restart that fits in what is kept did not get it, because only reservations of look-ahead were lent. One such worker makes all smaller restarts wait beside unused room, so that a whole batch breaks the bound of 3 s.

A claim of a restart that does not fit yet now gives what it holds to a restart that does, queued or with a claim of its own. After the larger one has waited for 6 s, only restarts that have waited as long get it, so that smaller tasks that fail again and again cannot keep it from running. Room made by evictions stays with the task for which they were made. New starts get nothing more than before.

TestSmallRestartUsesTheRoomKeptForALargeOne, its twin with a claim and TestRestartsUseAllRoomInAFullCell fail before the change. TestLargeRestartKeepsItsRoomFromLaterOnes passes before, and fails without the bound of 6 s.

--- a/core/placement/claims.go
+++ b/core/placement/claims.go
@@ -56,6 +56,9 @@
 	n := r.chooseNode(t)
 	if t.isRestart() {
 		r.wastedVisits = wastedVisits
+		if n == nil && !cl.urgent && r.startClaimedInKept(cl) {
+			return true
+		}
 		if n == nil && !cl.urgent && r.now >= t.retryAt {
 			t.retryAt = r.now + stamp(displaceRetryDelay)
 			n = r.chooseLastResort(t)
@@ -73,6 +76,21 @@
 	return true
 }
 
+// startClaimedInKept starts a restart with a claim on a worker where it fits in what other claims keep.
+func (r *planRun) startClaimedInKept(cl *claim) bool {
+	t := cl.task
+	n := r.chooseKept(t)
+	if n == nil {
+		return false
+	}
+	r.releaseClaim(cl)
+	if n != cl.node {
+		r.distributeFree(cl.node)
+	}
+	r.startInKept(t, n)
+	return true
+}
+
 // startCompleteClaims starts the tasks whose claims hold all they need.
 func (r *planRun) startCompleteClaims() {
 	i := 0
--- a/core/placement/lookahead.go
+++ b/core/placement/lookahead.go
@@ -272,7 +272,8 @@
 	}
 }
 
-// chooseReserved returns the best worker on which a task may use what a reservation holds, and frees it there, or nil.
+// chooseReserved returns the best worker on which a task may use what a reservation holds, and frees it there, or nil. For
+// restarts see chooseKept.
 func (r *planRun) chooseReserved(t *task) *node {
 	if r.opts.NoLookAhead || len(r.claims) == 0 || t.constraints.Filler {
 		return nil
@@ -331,12 +332,10 @@
 	return slices.ContainsFunc(c.claims, func(cl *claim) bool { return cl.lendable(need) })
 }
 
-// yields reports whether a reservation gives way to a task whatever that delays: to restarts and, if it is of a batch
-// class, to urgent tasks within their guaranteed share or of a class whose share is not above that of the batch class.
+// yields reports whether a reservation gives way to a task whatever that delays: if it is of a batch class, to urgent
+// tasks within their guaranteed share or of a class whose share is not above that of the batch class. For restarts see
+// yieldsToRestart.
 func (r *planRun) yields(cl *claim, t *task, withinGuarantee bool) bool {
-	if t.isRestart() {
-		return true
-	}
 	if !t.class.urgent || cl.task.class.urgent {
 		return false
 	}
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -35,6 +35,7 @@
 	// not tried.
 	undisplaceable []*task
 	lookAheadWork
+	kept keptRoom
 	// rackForecasts counts the forecasts for full racks.
 	rackForecasts int
 	// touchedQueues lists the queues whose cursors are in use.
--- a/core/placement/restarts.go
+++ b/core/placement/restarts.go
@@ -57,9 +57,9 @@
 		r.start(t, n)
 		return true
 	}
-	if n := r.chooseReserved(t); n != nil {
+	if n := r.chooseKept(t); n != nil {
 		r.shares.dequeue(t)
-		r.start(t, n)
+		r.startInKept(t, n)
 		return true
 	}
 	if r.now < t.retryAt || r.failedDisplacements >= maxFailedDisplacements {
