relay/jobs: syncs that renew nothing are neither held nor repeated ten times a second

While the record that ends the silence of a worker is not durable, its syncs renew nothing. A worker of the project's own protocol held such a sync for up to 2 s, so that a lease lapsed although the record was durable in time. A worker of the platform answers it at once, so that the owner called it ten times a second for as long as the store was down.

Such a sync is no longer held, and the next one waits for the record, at most for a second. The wait ends as soon as the record is durable, so that the renewal comes no later than before.

--- a/relay/jobs/calls.go
+++ b/relay/jobs/calls.go
@@ -34,7 +34,7 @@
 type workerConn struct {
 	member lifecycle.Member
 	cancel context.CancelFunc
-	// acked wakes the sync loop of the worker when records of ended attempts are durable.
+	// acked wakes the sync loop of the worker when records of ended attempts, or of the end of a silence, are durable.
 	acked         chan struct{}
 	outbox        []lifecycle.Command
 	callsInFlight int
@@ -96,10 +96,14 @@
 			// Drop a signal for an earlier record.
 		default:
 		}
-		if o.cell.AcksAwaitLog(m.ID) || o.cell.RenewalAwaitsLog(m.ID) {
+		switch {
+		case o.cell.RenewalAwaitsLog(m.ID):
+			// A sync before that renews nothing, and the store may be down for long.
+			awaitAck(ctx, acked, maxRetryInterval)
+		case o.cell.AcksAwaitLog(m.ID):
 			// The worker reports an ended attempt until the end is acknowledged, so that a sync before that would return
-			// at once. A sync that renews nothing is of no use either.
-			o.awaitAck(ctx, acked)
+			// at once.
+			awaitAck(ctx, acked, o.cfg.CommitInterval+expectedCommitTime)
 		}
 		req, ok := o.cell.SyncRequest(m.ID)
 		if !ok {
@@ -107,7 +111,12 @@
 			return
 		}
 		started := o.now()
-		synced := o.sync(ctx, m, req, o.timesOfSync(failures))
+		times := o.timesOfSync(failures)
+		if req.Token == "" {
+			// The record that lets the next sync renew may become durable while the worker holds this one.
+			times.hold = 0
+		}
+		synced := o.sync(ctx, m, req, times)
 		pause := o.cfg.SyncGap - o.now().Sub(started)
 		if synced {
 			failures = 0
@@ -135,9 +144,9 @@
 	}
 }
 
-// awaitAck waits until a record is durable, at most for the time that the store usually takes.
-func (o *owner) awaitAck(ctx context.Context, acked <-chan struct{}) {
-	timeout := time.NewTimer(o.cfg.CommitInterval + expectedCommitTime)
+// awaitAck waits until a record that concerns the worker is durable, at most for limit.
+func awaitAck(ctx context.Context, acked <-chan struct{}, limit time.Duration) {
+	timeout := time.NewTimer(limit)
 	defer timeout.Stop()
 	select {
 	case <-acked:
--- a/relay/jobs/silence_test.go
+++ b/relay/jobs/silence_test.go
@@ -1,6 +1,8 @@
 package jobs_test
 
 import (
+	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -180,3 +182,53 @@
 		fx.verify(h)
 	})
 }
+
+// promptWorkers answers a sync without a token at once, as workers of the platform do, and counts the syncs.
+type promptWorkers struct {
+	jobs.WorkerPort
+	syncs atomic.Int64
+}
+
+func (p *promptWorkers) Sync(ctx context.Context, m lifecycle.Member, epoch ident.Epoch, r lifecycle.SyncRequest, hold time.Duration) jobs.ClaimAnswer {
+	p.syncs.Add(1)
+	if r.Token == "" {
+		hold = 0
+	}
+	return p.WorkerPort.Sync(ctx, m, epoch, r, hold)
+}
+
+// Guards against a lease that lapses although its worker has answered and the end of its silence is durable: the worker
+// held a sync that renewed nothing, so that the next one came too late.
+func TestSyncWithoutRenewalIsNotHeld(t *testing.T) {
+	scenario(t, 3, func(fx *fixture, h *host) {
+		silent := fx.submitLasting(h)
+		h.link.SetCut(silent, true)
+		time.Sleep(6 * time.Second)
+		fx.engine.SetFault(kv.Fault{Delay: 300 * time.Millisecond})
+		h.link.SetCut(silent, false)
+		time.Sleep(time.Minute)
+		require.Len(t, fx.recorder.Executions(), 1)
+	})
+}
+
+// Guards against an owner that calls workers ten times a second and renews nothing while the store is down.
+func TestWorkersAreNotCalledOftenWhileTheEndOfASilenceWaits(t *testing.T) {
+	scenario(t, 1, func(fx *fixture, h *host) {
+		fx.kill(h)
+		var workers *promptWorkers
+		h = fx.hostWith(func(cfg *jobs.Config) {
+			workers = &promptWorkers{WorkerPort: cfg.Workers}
+			cfg.Workers = workers
+		})
+		fx.giveCell(h)
+		silent := fx.submitLasting(h)
+		h.link.SetCut(silent, true)
+		time.Sleep(6 * time.Second)
+		fx.engine.SetFault(kv.Fault{Down: true})
+		h.link.SetCut(silent, false)
+		time.Sleep(3 * time.Second)
+		before := workers.syncs.Load()
+		time.Sleep(10 * time.Second)
+		require.LessOrEqual(t, workers.syncs.Load()-before, int64(11))
+	})
+}
