core/lifecycle, relay/jobs: bound the starts in flight by the time of their answers

Cause: the owner sent all starts of a plan at once, up to 8 to each worker. After a takeover that is 1,000 and more. Connections to the store then passed their 700 ms, the lease of the owner was not renewed, and the next owner did the same: an owner had the cell for 6 to 13 s.

The starts in flight to all workers now share a window. It begins with 32, doubles with each round of answers within 100 ms, and halves while answers take more than 200 ms. Calls without an answer do not change it, so that lost workers do not slow down the starts on others.

--- a/relay/jobs/calls.go
+++ b/relay/jobs/calls.go
@@ -41,6 +41,8 @@
 	// throttlesInFlight counts the throttle calls in flight. Starts wait for them, because they may need the
 	// processors that the throttled task frees.
 	throttlesInFlight int
+	// awaitsWindow is set while the worker is in startQueue.
+	awaitsWindow bool
 }
 
 // connect starts to claim and sync a worker, and ends the claim and the syncs at its earlier address, if there is
@@ -241,46 +243,6 @@
 	}
 }
 
-// enqueueCall queues a command for a worker and sends it if maxCallsPerWorker allows.
-func (o *owner) enqueueCall(id ident.WorkerID, command lifecycle.Command) {
-	c, ok := o.conns[id]
-	if !ok {
-		o.answerNotSent(id, command)
-		return
-	}
-	c.outbox = append(c.outbox, command)
-	o.queuedCalls.Add(1)
-	o.sendQueuedCalls(c)
-}
-
-func (o *owner) sendQueuedCalls(c *workerConn) {
-	for c.callsInFlight < maxCallsPerWorker && len(c.outbox) > 0 {
-		command := c.outbox[0]
-		_, throttles := command.(lifecycle.ThrottleTask)
-		if _, starts := command.(lifecycle.StartTask); starts && c.throttlesInFlight > 0 {
-			return
-		}
-		c.outbox = c.outbox[1:]
-		o.queuedCalls.Add(-1)
-		c.callsInFlight++
-		if throttles {
-			c.throttlesInFlight++
-		}
-		m := c.member
-		o.run("a call to a worker", func() {
-			answer := o.send(m, command)
-			o.post(func() {
-				c.callsInFlight--
-				if throttles {
-					c.throttlesInFlight--
-				}
-				o.apply(answer())
-				o.sendQueuedCalls(c)
-			})
-		}, nil)
-	}
-}
-
 var notSentAnswer = lifecycle.Answer{Outcome: lifecycle.Refused, Reason: lifecycle.ReasonWithheld}
 
 func (o *owner) answerNotSent(id ident.WorkerID, command lifecycle.Command) {
@@ -313,6 +275,9 @@
 func (o *owner) send(m lifecycle.Member, command lifecycle.Command) func() lifecycle.Effects {
 	if !o.maySend(command) {
 		return func() lifecycle.Effects {
+			if _, starts := command.(lifecycle.StartTask); starts {
+				o.starts.Ended(false, 0)
+			}
 			o.answerNotSent(m.ID, command)
 			return lifecycle.Effects{}
 		}
@@ -320,7 +285,10 @@
 	switch c := command.(type) {
 	case lifecycle.StartTask:
 		a := o.sendStart(m, c)
-		return func() lifecycle.Effects { return o.cell.StartAnswered(o.now(), m.ID, c.AttemptID, a) }
+		return func() lifecycle.Effects {
+			o.starts.Ended(a.Outcome != lifecycle.Unknown && a.Reason != lifecycle.ReasonWithheld, o.answerTimes.mean())
+			return o.cell.StartAnswered(o.now(), m.ID, c.AttemptID, a)
+		}
 	case lifecycle.StopTasks:
 		ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
 		defer cancel()
--- a/relay/jobs/owner.go
+++ b/relay/jobs/owner.go
@@ -87,8 +87,12 @@
 
 	// The fields below are used by the loop only.
 	// table is the one in force; nil if none is known yet.
-	table              *table.Table
-	conns              map[ident.WorkerID]*workerConn
+	table *table.Table
+	conns map[ident.WorkerID]*workerConn
+	// starts bounds the starts in flight to all workers, and startQueue holds the workers whose next command is a start that
+	// waits for it.
+	starts             lifecycle.StartWindow
+	startQueue         []*workerConn
 	pendingSubmissions map[ident.JobID]*pendingRecord
 	// pendingCancellations holds the cancellations that are not durable yet.
 	pendingCancellations map[ident.JobID]*pendingRecord
