relay/jobs: plan no more starts than the start window has room for

Cause: the planner booked all free room at once, 1,000 starts after a takeover, and the owner sent them in the order of the plans. An urgent task that came later waited behind batch tasks that had not been sent. In the same time the tokens of planned starts grew old.

A plan now starts at most as many tasks as the window has room for; the others stay with the planner, which takes the most urgent first. A plan that waits runs again once a quarter of the window is free, so that each starts several tasks. An owner whose starts are answered in time has a window that is wider than a plan, and sees no change.

TestUrgentTaskDoesNotWaitBehindPlannedStarts fails before the change (7.25 s; bound 2.5 s).

--- a/core/lifecycle/startwindow.go
+++ b/core/lifecycle/startwindow.go
@@ -13,6 +13,8 @@
 	// they take more than lateAnswer, which is well below the time after which a start counts as unanswered.
 	promptAnswer = 100 * time.Millisecond
 	lateAnswer   = 200 * time.Millisecond
+	// planShare is the part of the window that is free when a plan is worth its processor time.
+	planShare = 4
 )
 
 // StartWindow bounds the starts that an owner has in flight to all workers together, by how fast they are answered. A plan
@@ -30,7 +32,13 @@
 func (w *StartWindow) size() int { return minStartWindow + w.extra }
 
 // HasRoom reports whether a start may be sent.
-func (w *StartWindow) HasRoom() bool { return w.inFlight < w.size() }
+func (w *StartWindow) HasRoom() bool { return w.Room() > 0 }
+
+// Room returns how many starts may be sent now.
+func (w *StartWindow) Room() int { return max(w.size()-w.inFlight, 0) }
+
+// HasRoomForPlan reports whether a quarter of the window is free, so that a plan that waited for it starts several tasks.
+func (w *StartWindow) HasRoomForPlan() bool { return w.Room() >= w.size()/planShare }
 
 // Sent notes that a start has been sent.
 func (w *StartWindow) Sent() { w.inFlight++ }
--- a/relay/jobs/callqueue.go
+++ b/relay/jobs/callqueue.go
@@ -72,3 +72,12 @@
 		o.sendQueuedCalls(c)
 	}
 }
+
+// startEnded notes the end of the call of a start, and has the planner run if it waits for the window.
+func (o *owner) startEnded(answered bool) {
+	o.starts.Ended(answered, o.answerTimes.mean())
+	if o.planAwaitsWindow && o.starts.HasRoomForPlan() {
+		o.planAwaitsWindow = false
+		o.planNeeded = true
+	}
+}
--- a/relay/jobs/calls.go
+++ b/relay/jobs/calls.go
@@ -276,7 +276,7 @@
 	if !o.maySend(command) {
 		return func() lifecycle.Effects {
 			if _, starts := command.(lifecycle.StartTask); starts {
-				o.starts.Ended(false, 0)
+				o.startEnded(false)
 			}
 			o.answerNotSent(m.ID, command)
 			return lifecycle.Effects{}
@@ -286,7 +286,7 @@
 	case lifecycle.StartTask:
 		a := o.sendStart(m, c)
 		return func() lifecycle.Effects {
-			o.starts.Ended(a.Outcome != lifecycle.Unknown && a.Reason != lifecycle.ReasonWithheld, o.answerTimes.mean())
+			o.startEnded(a.Outcome != lifecycle.Unknown && a.Reason != lifecycle.ReasonWithheld)
 			return o.cell.StartAnswered(o.now(), m.ID, c.AttemptID, a)
 		}
 	case lifecycle.StopTasks:
--- a/relay/jobs/owner.go
+++ b/relay/jobs/owner.go
@@ -104,7 +104,9 @@
 	planNeeded bool
 	// planUnfinished is set while the planner has work left to do between other events.
 	planUnfinished bool
-	lastPlanAt     time.Time
+	// planAwaitsWindow is set while tasks wait for room in starts.
+	planAwaitsWindow bool
+	lastPlanAt       time.Time
 	// eventsFirstUntil is the time until which queued events run before a plan that is due.
 	eventsFirstUntil     time.Time
 	recovery             recoveryTracker
--- a/relay/jobs/plan.go
+++ b/relay/jobs/plan.go
@@ -50,7 +50,10 @@
 	o.lastPlanAt = now
 	o.planNeeded = false
 	o.planUnfinished = false
-	limit := maxStartsPerPlan
+	// Tasks that the window has no room for stay with the planner, which starts the most urgent first. A start that is planned
+	// keeps its place behind earlier ones.
+	limit := min(maxStartsPerPlan, o.starts.Room())
+	isWindowFull := limit < maxStartsPerPlan
 	held := o.cell.StartsHeld()
 	if held {
 		// The work that runs is still paced.
@@ -61,7 +64,8 @@
 	o.eventsFirstUntil = ended.Add(ended.Sub(now))
 	o.stats.PlannedStarts.Add(int64(len(p.Starts)))
 	o.apply(o.cell.ApplyPlan(now, p))
-	o.planUnfinished = p.More && !held
+	o.planUnfinished = p.More && !held && !isWindowFull
+	o.planAwaitsWindow = p.More && !held && isWindowFull
 	if f, ok := o.planner.(ForecastingPlanner); ok {
 		now := f.LookAhead()
 		o.stats.LookAhead.add(now, o.lookAhead)
--- a/relay/jobs/slowlink_test.go
+++ b/relay/jobs/slowlink_test.go
@@ -40,12 +40,11 @@
 	return l.WorkerPort.Start(ctx, m, epoch, s)
 }
 
-// Guards against an owner that loses its cell by its own work: on a link of 2 Mbit/s it sent all starts of a plan at once, so
-// that the renewal of its lease waited behind up to 8 starts for each worker. A connection to the store is given up after
-// 700 ms. A start takes 2.4 ms of such a link: 600 bytes with its answer.
-func TestStartsDoNotFillSlowLink(t *testing.T) {
+// slowLinkScenario is a scenario with an owner whose link carries a start of 600 bytes, with its answer, in 2.4 ms: 2 Mbit/s.
+func slowLinkScenario(t *testing.T, workers int, f func(fx *fixture, h *host, link *slowLink)) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		fx := newFixture(t, 100)
+		fx := newFixture(t, workers)
 		defer fx.close()
 		link := &slowLink{perStart: 2400 * time.Microsecond}
 		h := fx.hostWith(func(cfg *jobs.Config) {
@@ -53,8 +52,20 @@
 			cfg.Workers = link
 		})
 		fx.giveCell(h)
-		small := resource.Vector{MilliCPU: 100, MemoryMB: 100}
-		id := h.submit(lifecycle.JobSpec{Class: "batch", Groups: []lifecycle.TaskGroup{{Count: 1000, Need: small, Command: "work=1s"}}})
+		f(fx, h, link)
+	})
+}
+
+func smallTasks(class ident.ClassName, n int) lifecycle.JobSpec {
+	small := resource.Vector{MilliCPU: 100, MemoryMB: 100}
+	return lifecycle.JobSpec{Class: class, Groups: []lifecycle.TaskGroup{{Count: n, Need: small, Command: "work=1s"}}}
+}
+
+// Guards against an owner that loses its cell by its own work: on a slow link it sent all starts of a plan at once, so that the
+// renewal of its lease waited behind up to 8 starts for each worker. A connection to the store is given up after 700 ms.
+func TestStartsDoNotFillSlowLink(t *testing.T) {
+	slowLinkScenario(t, 100, func(fx *fixture, h *host, link *slowLink) {
+		id := h.submit(smallTasks("batch", 1000))
 		h.awaitDone(time.Minute, id)
 		fx.verify(h, id)
 		link.mu.Lock()
@@ -62,3 +73,18 @@
 		require.Less(t, link.longest, 700*time.Millisecond)
 	})
 }
+
+// Guards against urgent tasks that start late behind batch tasks that were planned before them and wait for a slow link. An
+// urgent task starts within 1.5 s, so that one of 1 s ends within 2.5 s.
+func TestUrgentTaskDoesNotWaitBehindPlannedStarts(t *testing.T) {
+	slowLinkScenario(t, 100, func(fx *fixture, h *host, _ *slowLink) {
+		flood := h.submit(smallTasks("batch", 3000))
+		time.Sleep(time.Second)
+		began := time.Now()
+		urgent := h.submit(smallTasks("urgent", 1))
+		h.awaitDone(time.Minute, urgent)
+		require.Less(t, time.Since(began), 2500*time.Millisecond)
+		h.awaitDone(time.Minute, flood)
+		fx.verify(h, urgent, flood)
+	})
+}
