core/lifecycle: begin the start window with 64, and judge answers by 150 and 300 ms

64 starts take 150 ms of a link of 2 Mbit/s, and answers of up to 300 ms are still well below the 700 ms after which a connection to the store is given up.

--- a/core/lifecycle/startwindow.go
+++ b/core/lifecycle/startwindow.go
@@ -3,16 +3,16 @@
 import "time"
 
 const (
-	// minStartWindow is the smallest number of starts that an owner has in flight. At 600 bytes a start they take 80 ms of
+	// minStartWindow is the smallest number of starts that an owner has in flight. At 600 bytes a start they take 150 ms of
 	// a link of 2 Mbit/s, the slowest that a host has, so that what the owner sends to the store waits no longer than that
 	// behind them.
-	minStartWindow = 32
+	minStartWindow = 64
 	// maxStartWindow is never reached by an owner whose calls are answered in time.
 	maxStartWindow = 8192
 	// The network takes about 20 ms between regions. The window grows while they take less than promptAnswer and shrinks while
 	// they take more than lateAnswer, which is well below the time after which a start counts as unanswered.
-	promptAnswer = 100 * time.Millisecond
-	lateAnswer   = 200 * time.Millisecond
+	promptAnswer = 150 * time.Millisecond
+	lateAnswer   = 300 * time.Millisecond
 	// planShare is the part of the window that is free when a plan is worth its processor time.
 	planShare = 4
 )
