--- a/relay/jobs/randomsilence_test.go
+++ b/relay/jobs/randomsilence_test.go
@@ -1,7 +1,9 @@
 package jobs_test
 
 import (
+	"context"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
+	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
 	"github.com/bulrushrelay/bulrushrelay/core/ownership"
 	"github.com/bulrushrelay/bulrushrelay/internal/check"
 	"github.com/bulrushrelay/bulrushrelay/standin/kv"
@@ -23,7 +26,14 @@
 	StoreDelay               time.Duration
 	// StoreFirst is set if the fault of the store begins before the cut ends.
 	StoreFirst, StoreWellFirst bool
-	Change                     string
+	// CallDelay bounds the random delay of calls to workers, which may take effect after the owner has given them up.
+	CallDelay time.Duration
+	// Unlisted holds a bit for each worker that the host list lacks from the end of the first cut to the change of owner.
+	Unlisted int
+	// Load adds records that cause snapshots.
+	Load   bool
+	Seed   uint64
+	Change string
 	// Silent, Well, SilentAgain and After are the times of the cut, of the answers after it, of the second cut, and after
 	// the change of owner.
 	Silent, Well, SilentAgain, After time.Duration
@@ -39,6 +49,9 @@
 			Cut: workers.Draw(t, "cut"), CutAgain: workers.Draw(t, "cut again"), Unreached: workers.Draw(t, "unreached"),
 			StoreFault: rapid.SampledFrom([]string{"none", "none", "slow", "slow", "down", "loses answers", "loses writes"}).Draw(t, "store"),
 			StoreDelay: duration("store delay", 2),
+			CallDelay:  rapid.SampledFrom([]time.Duration{0, 0, 400 * time.Millisecond, 4 * time.Second}).Draw(t, "call delay"),
+			Unlisted:   rapid.SampledFrom([]int{0, 0, 1, 2, 3, 8}).Draw(t, "unlisted"),
+			Load:       rapid.Bool().Draw(t, "load"), Seed: rapid.Uint64Range(1, 1000).Draw(t, "seed"),
 			StoreFirst: rapid.Bool().Draw(t, "store first"), StoreWellFirst: rapid.Bool().Draw(t, "store well first"),
 			Change: rapid.SampledFrom([]string{"dies", "dies", "dies", "doubted", "pauses", "drains", "none"}).Draw(t, "change"),
 			Silent: duration("silent", 13), Well: duration("well", 9), SilentAgain: duration("silent again", 11),
@@ -58,6 +71,40 @@
 	}
 }
 
+// addRecords has the owner write records of jobs that cannot run for some seconds.
+func (c *silences) addRecords() {
+	svc := c.owner.svc
+	ctx, cancel := context.WithTimeout(bg, 12*time.Second)
+	large := spec("batch", 1, "work=1s")
+	large.Groups[0].Need = workerCapacity.Add(oneCore)
+	go func() {
+		defer cancel()
+		for ctx.Err() == nil {
+			if _, err := svc.Submit(ctx, cell, large); err != nil {
+				return
+			}
+		}
+	}()
+}
+
+func (c *silences) setUnlisted(workers int) {
+	c.listed = nil
+	for i, m := range c.sortedMembers() {
+		if workers&(1<<i) == 0 {
+			c.listed = append(c.listed, m)
+		}
+	}
+	c.owner.svc.SetMembers(cell, c.members())
+}
+
+func (c *silences) sortedMembers() []lifecycle.Member {
+	var all []lifecycle.Member
+	for i := range chaosWorkerCount {
+		all = append(all, c.fleet[ident.WorkerID(fmt.Sprintf("w%d", i))].Member())
+	}
+	return all
+}
+
 func (c *silences) faultOf(e episode) kv.Fault {
 	switch e.StoreFault {
 	case "slow":
@@ -74,8 +121,14 @@
 }
 
 func (c *silences) perform(e episode) {
+	if e.Load {
+		c.addRecords()
+	}
+	rng := rand.New(rand.NewPCG(e.Seed, 1))
+	c.owner.link.SetDelay(func() time.Duration { return time.Duration(rng.Int64N(int64(e.CallDelay) + 1)) })
 	c.setCuts(c.owner, e.Cut)
 	time.Sleep(e.Silent)
+	c.setUnlisted(e.Unlisted)
 	if e.StoreFirst {
 		c.engine.SetFault(c.faultOf(e))
 	}
@@ -88,6 +141,7 @@
 	c.setCuts(c.owner, e.CutAgain)
 	time.Sleep(e.SilentAgain)
 	c.engine.SetFault(kv.Fault{})
+	c.setUnlisted(0)
 	c.change(e)
 	time.Sleep(e.After)
 }
