core/lifecycle: a worker that comes back after its removal is recorded again

A task could run twice after a change of owner: the log did not name the worker on which its owner had started it.

Cause: since silences are recorded, a WorkerAdded record may be queued for a worker that the log names already. If the worker lapses and is taken off the host list before that record is durable, WorkerRemoved is queued behind it; then the first one made the owner take the worker for recorded, the second changed nothing any more, and the worker was not recorded when it came back.

Evidence: the test fails before. The records queued behind one another are an outage of the store that lasts as long as a lease.

--- a/core/lifecycle/cell.go
+++ b/core/lifecycle/cell.go
@@ -49,6 +49,8 @@
 	sortedCache []*worker
 	// loggedWorkers holds the addresses of the workers that are recorded in the log.
 	loggedWorkers map[ident.WorkerID]string
+	// removalsQueued counts the WorkerRemoved records of each worker that are not durable yet.
+	removalsQueued map[ident.WorkerID]int
 	// hostListKnown is set once SetMembers has been called. Before that, a worker that is not listed may belong to the cell.
 	hostListKnown bool
 	// retention limits which finished jobs are forgotten.
@@ -145,6 +147,7 @@
 		workers:          make(map[ident.WorkerID]*worker),
 		unreached:        make(map[string]placement.Unreached),
 		loggedWorkers:    make(map[ident.WorkerID]string),
+		removalsQueued:   make(map[ident.WorkerID]int),
 		heldTasks:        make(map[ident.TaskID]*task),
 		waitingStarts:    make(map[AttemptID]*task),
 		unloggedEnds:     make(map[AttemptID]unloggedEnd),
--- a/core/lifecycle/commit.go
+++ b/core/lifecycle/commit.go
@@ -45,19 +45,16 @@
 	case AttemptsUsed:
 		c.noteLogged(now, r.AttemptID, eff)
 	case WorkerAdded:
-		c.loggedWorkers[r.Worker] = r.Address
-		if w, ok := c.workers[r.Worker]; ok {
-			c.endSilence(w)
-			c.scheduleTick(w)
-			c.putWorker(w, eff)
-		}
+		c.noteAdded(r, eff)
 	case Takeover:
 		c.takeoverDurable = true
 		for _, w := range c.sortedWorkers() {
 			c.putWorker(w, eff)
 		}
-	case WorkerRemoved, WorkerSilent:
-		// These took effect when they were queued.
+	case WorkerRemoved:
+		c.noteRemoved(r.Worker)
+	case WorkerSilent:
+		// It took effect when it was queued.
 	}
 }
 
--- a/core/lifecycle/silence_test.go
+++ b/core/lifecycle/silence_test.go
@@ -41,3 +41,25 @@
 	f.sync("w1", nil)
 	require.NotContains(t, f.loggedSilence(), ident.WorkerID("w1"))
 }
+
+// Guards against starts on a worker that the log does not name, so that a successor would start their tasks again: the
+// worker had left the host list while the record that ends its silence was not durable, and came back later.
+func TestRemovedWorkerIsRecordedAgain(t *testing.T) {
+	f := newFixture(t, 7, "w1", "w2")
+	f.silence("w1")
+	f.holdLog = true
+	queued := len(f.log)
+	f.sync("w1", nil)
+	f.c.CallFailed("w1")
+	f.apply(f.c.SetMembers(f.now, []Member{{ID: "w2"}}))
+	f.tickUntil(f.now.Add(2 * LeaseDuration))
+	require.Contains(t, f.log, Record(WorkerRemoved{Worker: "w1"}))
+	for _, r := range f.log[queued:] {
+		f.apply(f.c.RecordsCommitted(f.now, []Record{r}))
+	}
+	f.holdLog = false
+	f.apply(f.c.SetMembers(f.now, []Member{{ID: "w1"}, {ID: "w2"}}))
+	f.claim("w1", Report{})
+	require.Equal(t, Record(WorkerAdded{Worker: "w1"}), f.log[len(f.log)-1])
+	require.Contains(t, f.c.loggedWorkers, ident.WorkerID("w1"))
+}
--- a/core/lifecycle/worker.go
+++ b/core/lifecycle/worker.go
@@ -221,22 +221,6 @@
 	return !t.group.Volatile || t.group.Lasting
 }
 
-func (c *Cell) forgetIfGone(w *worker, eff *Effects) {
-	if w.listed || !c.hostListKnown || w.claimed || !w.lapsed || len(w.running) > 0 {
-		return
-	}
-	id := w.member.ID
-	delete(c.workers, id)
-	c.sortedCache = nil
-	eff.do(ForgetWorker{Worker: id})
-	if _, ok := c.loggedWorkers[id]; ok {
-		// If the worker comes back before this record is durable, it needs a new record before the first start on it.
-		delete(c.loggedWorkers, id)
-		eff.log(WorkerRemoved{Worker: id})
-	}
-	c.scheduleTick(w)
-}
-
 // putWorker passes a worker to the planner once the log records it: a successor must know where tasks may run.
 func (c *Cell) putWorker(w *worker, eff *Effects) {
 	if _, ok := c.loggedWorkers[w.member.ID]; !ok || !w.claimed || !c.takeoverDurable {
