--- a/relay/jobs/randomsilence_test.go
+++ b/relay/jobs/randomsilence_test.go
@@ -203,7 +203,8 @@
 			if running != s.Groups[0].Count {
 				c.faults = append(c.faults, fmt.Sprintf("%d lasting tasks run", running))
 			}
-			faults = append(c.faults, check.Executions(fx.recorder)...)
+			c.faults = append(c.faults, check.Executions(fx.recorder)...)
+			faults = c.faults
 		})
 		if len(faults) > 0 {
 			rt.Fatalf("%d faults, the first: %s", len(faults), faults[0])
