soak: lost workers whose cell changes its owner, and when their lasting tasks run again

The soak had no lasting tasks and no loss of a worker beside the end of an owner, so that it could not show lasting tasks that wait for a second lease (docs/incidents/silence-unknown-to-successor.md).

Jobs of lasting tasks run beside the others. The steps "lose", "kill-owner" and "find" cut a worker off, with or without a crash, kill the host that owns its cell, once or twice, and end the loss. They are drawn from a generator of their own, so that the other steps of a seed stay as they are. The check: a lasting task that a loss ended runs again within one worker lease with its margin, the lease of an owner and one rank step for each change of the owner of its cell, and 5 s for claims and room. Times at which the store is disturbed do not count. Tasks of cancelled jobs are left out, and those of cells in which every other worker had a failure as well. That no task runs twice at a time is P2.

--- a/cmd/relaydev/soak.go
+++ b/cmd/relaydev/soak.go
@@ -82,8 +82,8 @@
 	for _, l := range r.LoadResults {
 		out = fmt.Appendf(out, "%s: %d sent, %d answered, %d not run, %d unknown\n", l.Class, l.Sent, l.Answered, l.NotRun, l.Unknown)
 	}
-	out = fmt.Appendf(out, "jobs: %v\n%d steps, %d events, %d violations\ncells that passed to weak hosts: %d, to strong ones: %d\n",
-		r.JobCounts, len(r.Schedule), len(r.Events), len(r.Violations), r.MovesToWeak, r.MovesToStrong)
+	out = fmt.Appendf(out, "jobs: %v\n%d steps, %d events, %d violations\nrestarts of lasting tasks of lost workers: %d (%d left out), the longest %s after the loss\ncells that passed to weak hosts: %d, to strong ones: %d\n",
+		r.JobCounts, len(r.Schedule), len(r.Events), len(r.Violations), r.Restarts, r.RestartsLeftOut, r.LongestRestart, r.MovesToWeak, r.MovesToStrong)
 	for _, n := range r.Notes {
 		out = fmt.Appendf(out, "note: %s\n", n)
 	}
--- a/load/jobs.go
+++ b/load/jobs.go
@@ -29,6 +29,8 @@
 	Tasks int
 	// SubmittedAt is when the submission was sent.
 	SubmittedAt time.Time
+	// CancelSentAt is when the first request to cancel the job was sent; zero if none was.
+	CancelSentAt time.Time
 }
 
 // JobClient submits jobs to random hosts and keeps a list of those that were accepted. It is safe for concurrent use.
@@ -165,6 +167,7 @@
 
 // Cancel cancels a job through a random host.
 func (j *JobClient) Cancel(ctx context.Context, id string) error {
+	j.noteCancelSent(id)
 	base := j.hosts[rand.IntN(len(j.hosts))]
 	r, err := http.NewRequestWithContext(ctx, http.MethodDelete, base+"/v1/jobs/"+id, nil)
 	if err != nil {
@@ -180,3 +183,13 @@
 	}
 	return nil
 }
+
+func (j *JobClient) noteCancelSent(id string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for i := range j.accepted {
+		if a := &j.accepted[i]; a.ID == id && a.CancelSentAt.IsZero() {
+			a.CancelSentAt = time.Now()
+		}
+	}
+}
--- a/soak/hosts.go
+++ b/soak/hosts.go
@@ -160,6 +160,7 @@
 		}
 		if h, err := r.findHost(string(record.Holder.Host)); err == nil {
 			owners[e.Key] = h
+			r.noteHolder(e.Key, record.Holder)
 		}
 	}
 	return owners
--- a/soak/load.go
+++ b/soak/load.go
@@ -17,6 +17,8 @@
 	// persistentClientRate the rate of each of them in requests a second.
 	persistentClientsPerHost = 2
 	persistentClientRate     = 5
+	// batchRunTime is longer than the tasks of the other classes take, except for those that last.
+	batchRunTime = 3 * time.Second
 )
 
 // startLoad sends requests and jobs in the background for the whole run. The requests come through a load balancer
@@ -47,8 +49,9 @@
 		})
 	}
 	for i, c := range []load.JobClass{
-		{Name: classBatch, Rate: 0.7, Group: jobhttp.Group{Count: 6, Processors: 2, MemoryMB: 200, RunTimeMS: 3000}},
+		{Name: classBatch, Rate: 0.7, Group: jobhttp.Group{Count: 6, Processors: 2, MemoryMB: 200, RunTimeMS: batchRunTime.Milliseconds()}},
 		{Name: classUrgent, Rate: 0.4, Group: jobhttp.Group{Count: 4, Processors: 3, MemoryMB: 200, RunTimeMS: 500}},
+		{Name: classLasting, Rate: 0.5, Group: jobhttp.Group{Count: 12, Processors: 0.02, MemoryMB: 10, Lasting: true, Command: "work=10h"}},
 	} {
 		r.background.Go(func() { r.actions.Jobs.Run(ctx, c, r.options.Duration, r.options.Seed+uint64(i)) })
 	}
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -16,7 +16,8 @@
 type Step struct {
 	At time.Duration
 	// Action is a verb and its arguments: an action of package action, or one of this package: replace HOST,
-	// rolling HOST..., churn TIME INTERVAL, flood CLASS RATE TIME, race N.
+	// rolling HOST..., churn TIME INTERVAL, flood CLASS RATE TIME, race N, lose WORKER [crash], find WORKER,
+	// kill-owner WORKER.
 	Action []string
 }
 
@@ -111,6 +112,9 @@
 		failureDuration := minFailureDuration + time.Duration(g.rng.Int64N(int64(maxFailureDuration-minFailureDuration)))
 		failures[g.rng.IntN(len(failures))](min(duration, g.now+failureDuration.Round(timeResolution)))
 	}
+	if topology.SeparateProcesses {
+		g.loseWorkers(rand.New(rand.NewPCG(seed, 1)))
+	}
 	sortByTime(g.steps)
 	return g.steps
 }
--- a/soak/schedule_test.go
+++ b/soak/schedule_test.go
@@ -81,6 +81,14 @@
 			case w[0] == "proxy":
 				require.Empty(t, failures["proxy "+w[1]], action)
 				failures["proxy "+w[1]] = w[2]
+			case w[0] == "lose":
+				require.Empty(t, failures["lost"], "the room of a further worker would be lost")
+				failures["lost"] = w[1]
+			case w[0] == "kill-owner":
+				require.Equal(t, failures["lost"], w[1])
+			case w[0] == "find":
+				require.Equal(t, failures["lost"], w[1])
+				delete(failures, "lost")
 			case w[0] == "rolling" || w[0] == "replace" || w[0] == "churn" || w[0] == "race" || w[0] == "flood":
 			case w[1] == "fault" && w[3] == "none":
 				delete(failures, w[0]+w[2])
@@ -114,7 +122,7 @@
 		require.NoError(t, err, file)
 		require.NotEmpty(t, steps, file)
 		for _, s := range steps {
-			known := slices.Contains(action.Verbs(), s.Action[0]) || slices.Contains([]string{"replace", "rolling", "churn", "flood", "race"}, s.Action[0])
+			known := slices.Contains(action.Verbs(), s.Action[0]) || slices.Contains([]string{"replace", "rolling", "churn", "flood", "race", "lose", "find", "kill-owner"}, s.Action[0])
 			require.True(t, known, "%s: %s", file, s)
 		}
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/bulrushrelay/bulrushrelay/action"
+	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/history"
 	"github.com/bulrushrelay/bulrushrelay/internal/sleep"
 	"github.com/bulrushrelay/bulrushrelay/load"
@@ -21,6 +22,8 @@
 	classLeast  = "least"
 	classUrgent = "urgent"
 	classBatch  = "batch"
+	// classLasting is the class of jobs whose tasks run until the end of the run, or until the schedule cancels them.
+	classLasting = "lasting"
 
 	// stepTimeout bounds one action.
 	stepTimeout = 20 * time.Second
@@ -61,6 +64,11 @@
 	Notes []string
 	// MovesToWeak counts the changes of a cell's owner from a strong host to a weak one, MovesToStrong those back.
 	MovesToWeak, MovesToStrong int
+	// Restarts counts the attempts of lasting tasks that ended with the loss of their workers and whose restarts were
+	// checked, and RestartsLeftOut those to which the promise does not apply. LongestRestart is the longest time from the loss
+	// to the restart.
+	Restarts, RestartsLeftOut int
+	LongestRestart            time.Duration
 }
 
 // runner is the state of one run.
@@ -80,6 +88,12 @@
 	weight int
 	// seenViolations holds the messages of the violations that were found during the run.
 	seenViolations map[string]bool
+	// performed lists the steps with the times at which they were performed, and losses the lost workers.
+	performed []performedStep
+	losses    []workerLoss
+	// holders holds the last known owner of each cell, and takeovers the changes.
+	holders   map[ident.CellID]ident.Instance
+	takeovers []takeover
 }
 
 // Run runs one schedule. Violated guarantees are reported in the result, not as an error.
@@ -89,7 +103,7 @@
 		return nil, err
 	}
 	defer d.Stop()
-	r := &runner{options: o, actions: action.New(d), result: &Result{Schedule: o.Schedule}, seenViolations: make(map[string]bool), weight: 1}
+	r := &runner{options: o, actions: action.New(d), result: &Result{Schedule: o.Schedule}, seenViolations: make(map[string]bool), holders: make(map[ident.CellID]ident.Instance), weight: 1}
 	if r.result.Schedule == nil {
 		r.result.Schedule = Generate(o.Seed, o.Duration, r.topology())
 	}
@@ -144,6 +158,7 @@
 urgent,latency-critical,yes,b,60,0,0,200,1500,0,0,0,3,0
 least,latency-critical,yes,c,%d,0,0,200,3000,0,0,0,2,0
 batch,batch,yes,c,10,0,0,0,0,0,0,0,100,5
+lasting,batch,yes,c,10,0,0,0,0,0,0,0,100,5
 `, r.weight)
 }
 
@@ -162,6 +177,7 @@
 func (r *runner) performStep(ctx context.Context, s Step) {
 	ctx, cancel := context.WithTimeout(ctx, stepTimeout)
 	defer cancel()
+	r.notePerformed(s)
 	var err error
 	switch s.Action[0] {
 	case "replace":
@@ -174,6 +190,12 @@
 		err = r.startRollingRestart(s.Action[1:])
 	case "churn":
 		err = r.startTableChurn(s.Action[1:])
+	case "lose":
+		err = r.loseWorker(s.Action[1:])
+	case "find":
+		err = r.findWorker(s.Action[1:])
+	case "kill-owner":
+		err = r.killOwner(ctx, s.Action[1:])
 	case "evacuation":
 		// A request that is repeated until a host answers must not delay the next steps, nor overtake the one before it.
 		r.background.Go(func() {
@@ -212,6 +234,8 @@
 		}
 	}
 	r.awaitStrongOwners(ctx)
+	r.checkRestarts(ctx)
+	r.cancelLastingJobs(ctx)
 	r.result.JobCounts = make(map[string]int)
 	for _, j := range r.actions.Jobs.AcceptedJobs() {
 		state, err := r.awaitJob(ctx, j.ID)
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -157,6 +157,13 @@
 	w.reschedule()
 }
 
+// Cell returns the cell whose owner claimed the worker last.
+func (w *Worker) Cell() ident.CellID {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.cell
+}
+
 // RunningTasks returns the number of active tasks.
 func (w *Worker) RunningTasks() int {
 	w.mu.Lock()
