core/placement: restore the speed of tasks that a predecessor throttled

Callers saw batch tasks that ran at half their speed or more, but below all of it, to their end, on workers with free processors.

Cause: only the planner of the owner knows which batch tasks it has throttled for an urgent one. If the owner ended, and the urgent task before the next owner had the cell, that one booked the batch tasks in full and never restored their processors.

A restored batch task now counts as throttled until the worker has been told its full speed, which the planner does where the worker has room, for a bounded number of tasks in each plan. Planners that throttle nothing (MinThrottle of 1, hosts of jobs only) send nothing more than before, and fillers were paced anew already.

Evidence: TestThrottleEndsAfterAChangeOfOwner failed before: four tasks with 10 min of work still ran after 10 min 30 s. It passed in 3 of 3 runs. Other tests of relay/jobs passed.

--- a/core/placement/cell.go
+++ b/core/placement/cell.go
@@ -247,6 +247,7 @@
 	n := c.ensureNode(r.Worker)
 	c.book(t, n)
 	c.distributeFree(n)
+	c.restoreFullSpeed(t)
 }
 
 // startClock starts the clock with the first Plan. The tasks that were submitted before count as queued from now on.
--- a/core/placement/throttle.go
+++ b/core/placement/throttle.go
@@ -111,6 +111,15 @@
 	}
 }
 
+// restoreFullSpeed lists a task that the previous owner of the cell may have throttled, so that unthrottle restores its
+// processors. Fillers are paced anew in any case.
+func (c *Cell) restoreFullSpeed(t *task) {
+	if c.opts.MinThrottle < 1 && !t.class.urgent && !t.lasting && !t.constraints.Filler {
+		t.unthrottledCPU = t.desired.MilliCPU
+		c.throttled = append(c.throttled, t)
+	}
+}
+
 // unthrottle restores the processors of throttled tasks where the worker has them available. It looks at a bounded
 // number of tasks in each Plan, in turn.
 func (r *planRun) unthrottle() {
