core/lifecycle: silentLeasesEndAt tells the end of leases from the end of a silence

Found by the review: silenceEndsAt and silenceEnding read as the same thing. A start no longer moves sentTokenReceivedAt back, which nothing is known to reach.

--- a/core/lifecycle/attempt.go
+++ b/core/lifecycle/attempt.go
@@ -96,7 +96,7 @@
 	r.incarnation = w.incarnation
 	t.wait = WaitNone
 	t.maybeSent = true
-	w.sentTokenReceivedAt = w.tokenReceivedAt
+	w.sentTokenReceivedAt = laterOf(w.sentTokenReceivedAt, w.tokenReceivedAt)
 	eff.do(StartTask{
 		AttemptID: r.AttemptID, Worker: w.member.ID, Token: w.token, Class: t.job.spec.Class, Booked: r.booked,
 		RunTime: t.group.RunTime, Command: t.group.Command, Checkpoint: t.checkpoint.ID,
--- a/core/lifecycle/cell.go
+++ b/core/lifecycle/cell.go
@@ -112,9 +112,9 @@
 	// takenOverAt is when this owner took the cell over. loggedSilence is what the log said about silent workers before.
 	takenOverAt   time.Time
 	loggedSilence loggedSilence
-	// silenceRecordedAt is the time of the last record of a silence, and silenceEndsAt when the last lease on the workers
+	// silenceRecordedAt is the time of the last record of a silence, and silentLeasesEndAt when the last lease on the workers
 	// recorded so far has lapsed.
-	silenceRecordedAt, silenceEndsAt time.Time
+	silenceRecordedAt, silentLeasesEndAt time.Time
 	// inDoubt is set while a successor may exist: running tasks are renewed, but no task is started or moved.
 	inDoubt bool
 	fenced  bool
--- a/core/lifecycle/deadlines_test.go
+++ b/core/lifecycle/deadlines_test.go
@@ -30,7 +30,7 @@
 	if c.inDoubt {
 		return next
 	}
-	if c.silenceRecordedAt.Before(c.silenceEndsAt) {
+	if c.silenceRecordedAt.Before(c.silentLeasesEndAt) {
 		earliest(c.silenceRecordedAt.Add(silenceInterval))
 	}
 	return next
--- a/core/lifecycle/record.go
+++ b/core/lifecycle/record.go
@@ -71,7 +71,7 @@
 	}
 	// WorkerSilent records that a worker does not answer. Since is the time after which no lease token can have been sent
 	// to it, and At that of the record, both measured from the takeover of the owner. Since is negative if the worker fell
-	// silent under a predecessor.
+	// silent under a predecessor. It is stored in the form of a WorkerAdded, which older releases can read.
 	WorkerSilent struct {
 		Worker    ident.WorkerID
 		Address   string
--- a/core/lifecycle/silence.go
+++ b/core/lifecycle/silence.go
@@ -62,7 +62,7 @@
 func (c *Cell) recordSilence(now time.Time, w *worker, since time.Time, eff *Effects) {
 	w.silentSince = since
 	c.silenceRecordedAt = now
-	c.silenceEndsAt = laterOf(c.silenceEndsAt, since.Add(c.policy.lapseAfter()))
+	c.silentLeasesEndAt = laterOf(c.silentLeasesEndAt, since.Add(c.policy.lapseAfter()))
 	eff.log(c.silenceOf(now, w))
 }
 
@@ -84,7 +84,7 @@
 
 // nextTimeRecord returns when the passing of time is to be recorded; zero if no lease on a silent worker lasts.
 func (c *Cell) nextTimeRecord() time.Time {
-	if c.inDoubt || c.logFailing || !c.silenceRecordedAt.Before(c.silenceEndsAt) {
+	if c.inDoubt || c.logFailing || !c.silenceRecordedAt.Before(c.silentLeasesEndAt) {
 		return time.Time{}
 	}
 	return c.silenceRecordedAt.Add(silenceInterval)
