core/lifecycle: the log says how long leases on workers are

A new owner counted its own lease for workers that do not answer. Where its predecessor has granted longer ones, by an older release or another setting, it would start tasks again that may still run.

A new owner waits for that one, on workers that it has not reached and on those that have answered it, because a shorter lease does not replace a longer one. A log without the field, of an older release, counts as the longest lease that workers grant. Older releases ignore the field, and count that one too. Without different leases nothing changes.

The tests of the codec hold the new fields.

--- a/adapter/cellpb/codec.go
+++ b/adapter/cellpb/codec.go
@@ -93,7 +93,7 @@
 // EncodeSnapshot encodes a snapshot in parts of at most about maxBytes each. A job may continue in the next part.
 func (Codec) EncodeSnapshot(s lifecycle.Snapshot, maxBytes int) ([][]byte, error) {
 	var parts [][]byte
-	current := &cellv1.SnapshotPart{}
+	current := &cellv1.SnapshotPart{LongestLeaseUs: s.LongestLease.Microseconds()}
 	size := 0
 	flush := func() error {
 		value, err := proto.Marshal(current)
@@ -187,6 +187,7 @@
 		if err := proto.Unmarshal(value, &p); err != nil {
 			return lifecycle.Snapshot{}, fmt.Errorf("snapshot part: %w", err)
 		}
+		s.LongestLease = max(s.LongestLease, decodeMicroseconds(p.GetLongestLeaseUs()))
 		for _, w := range p.GetWorkers() {
 			if w.GetSilence() != nil {
 				s.Silent = append(s.Silent, decodeSilence(w))
--- a/adapter/cellpb/codec_test.go
+++ b/adapter/cellpb/codec_test.go
@@ -45,7 +45,7 @@
 		lifecycle.WorkerAdded{Worker: "w", Address: "a"},
 		lifecycle.WorkerSilent{Worker: "w", Address: "a", Since: -time.Second, At: time.Minute},
 		lifecycle.WorkerRemoved{Worker: "w"},
-		lifecycle.Takeover{Epoch: 9, Clean: true},
+		lifecycle.Takeover{Epoch: 9, Clean: true, LongestLease: 6 * time.Second},
 	}
 	value, err := Codec{}.EncodeBatch("marker", want)
 	require.NoError(t, err)
@@ -59,8 +59,9 @@
 // is split.
 func TestSnapshotSplitsLargeJobs(t *testing.T) {
 	want := lifecycle.Snapshot{
-		Workers: []lifecycle.WorkerAdded{{Worker: "w", Address: "a"}},
-		Silent:  []lifecycle.WorkerSilent{{Worker: "w", Address: "a", Since: -time.Second, At: time.Minute}},
+		LongestLease: 6 * time.Second,
+		Workers:      []lifecycle.WorkerAdded{{Worker: "w", Address: "a"}},
+		Silent:       []lifecycle.WorkerSilent{{Worker: "w", Address: "a", Since: -time.Second, At: time.Minute}},
 	}
 	largeJob := lifecycle.JobSnapshot{Job: job, Spec: spec, AcceptedAt: at, Cancelled: true, FinishedAt: at}
 	for i := range uint32(1500) {
--- a/adapter/cellpb/records.go
+++ b/adapter/cellpb/records.go
@@ -51,7 +51,9 @@
 	case lifecycle.WorkerRemoved:
 		out.Kind = &cellv1.Record_WorkerRemoved{WorkerRemoved: &cellv1.WorkerRemoved{Worker: string(r.Worker)}}
 	case lifecycle.Takeover:
-		out.Kind = &cellv1.Record_Takeover{Takeover: &cellv1.Takeover{Epoch: uint64(r.Epoch), Clean: r.Clean}}
+		out.Kind = &cellv1.Record_Takeover{Takeover: &cellv1.Takeover{
+			Epoch: uint64(r.Epoch), Clean: r.Clean, LongestLeaseUs: r.LongestLease.Microseconds(),
+		}}
 	default:
 		return nil, fmt.Errorf("record type %T cannot be encoded", record)
 	}
@@ -98,7 +100,10 @@
 	case *cellv1.Record_WorkerRemoved:
 		return lifecycle.WorkerRemoved{Worker: ident.WorkerID(k.WorkerRemoved.GetWorker())}, nil
 	case *cellv1.Record_Takeover:
-		return lifecycle.Takeover{Epoch: ident.Epoch(k.Takeover.GetEpoch()), Clean: k.Takeover.GetClean()}, nil
+		return lifecycle.Takeover{
+			Epoch: ident.Epoch(k.Takeover.GetEpoch()), Clean: k.Takeover.GetClean(),
+			LongestLease: decodeMicroseconds(k.Takeover.GetLongestLeaseUs()),
+		}, nil
 	default:
 		return nil, fmt.Errorf("unknown record kind %T", k)
 	}
@@ -156,8 +161,8 @@
 func decodeSilence(w *cellv1.WorkerAdded) lifecycle.WorkerSilent {
 	return lifecycle.WorkerSilent{
 		Worker: ident.WorkerID(w.GetWorker()), Address: w.GetAddress(),
-		Since: time.Duration(w.GetSilence().GetSinceUs()) * time.Microsecond,
-		At:    time.Duration(w.GetSilence().GetAtUs()) * time.Microsecond,
+		Since: decodeMicroseconds(w.GetSilence().GetSinceUs()),
+		At:    decodeMicroseconds(w.GetSilence().GetAtUs()),
 	}
 }
 
@@ -196,3 +201,5 @@
 		MaxFailures: int(min(s.GetMaxFailures(), math.MaxInt32)),
 	}
 }
+
+func decodeMicroseconds(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
--- a/core/lifecycle/cell.go
+++ b/core/lifecycle/cell.go
@@ -112,6 +112,9 @@
 	// takenOverAt is when this owner took the cell over. loggedSilence is what the log said about silent workers before.
 	takenOverAt   time.Time
 	loggedSilence loggedSilence
+	// loggedLease is the longest lease that may last by the log; 0 if it does not say. inheritedLease is the longest that the
+	// predecessors of this owner may have granted.
+	loggedLease, inheritedLease time.Duration
 	// silenceRecordedAt is the time of the last record of a silence, and silentLeasesEndAt when the last lease on the workers
 	// recorded so far has lapsed.
 	silenceRecordedAt, silentLeasesEndAt time.Time
--- a/core/lifecycle/policy.go
+++ b/core/lifecycle/policy.go
@@ -7,6 +7,8 @@
 	// LeaseDuration is how long a task may run on its worker after the token of its last renewal was issued, and
 	// LeaseMargin covers the difference between the rates of the clocks of owner and worker.
 	LeaseDuration, LeaseMargin time.Duration
+	// LongestLease is the longest lease that a predecessor may have granted whose log does not say it; 0 means LeaseDuration.
+	LongestLease time.Duration
 	// SilentAfter is how long a worker may leave the owner without an answer before it gets no new tasks.
 	SilentAfter time.Duration
 	// The pause after a failed attempt doubles from FirstBackoff to MaxBackoff.
@@ -38,11 +40,6 @@
 	}
 }
 
-// lapseAfter is how long a task may run after the token of its last renewal was received, by the clock of the owner.
-func (p Policy) lapseAfter() time.Duration {
-	return p.LeaseDuration + p.LeaseMargin
-}
-
 // SetPolicy replaces the policy. It must be called before the first event.
 func (c *Cell) SetPolicy(p Policy) {
 	c.mu.Lock()
--- a/core/lifecycle/record.go
+++ b/core/lifecycle/record.go
@@ -87,6 +87,8 @@
 		Epoch ident.Epoch
 		// Clean means that the predecessor drained and that its snapshot covers everything it sent.
 		Clean bool
+		// LongestLease is the longest lease that may last on a worker, or that the owner grants; 0 if it is not known.
+		LongestLease time.Duration
 	}
 )
 
@@ -109,6 +111,8 @@
 	// Clean is set in the last snapshot of an owner that drained and had the inventories of all workers.
 	Clean   bool
 	Workers []WorkerAdded
+	// LongestLease is as in Takeover.
+	LongestLease time.Duration
 	// Silent lists the workers whose silence is recorded.
 	Silent []WorkerSilent
 	Jobs   []JobSnapshot
--- a/core/lifecycle/recovery.go
+++ b/core/lifecycle/recovery.go
@@ -193,7 +193,7 @@
 	if since.IsZero() {
 		return since
 	}
-	return since.Add(c.policy.lapseAfter())
+	return since.Add(c.inheritedLapseAfter())
 }
 
 // runsEndAt returns when all leases have lapsed on workers that have listed nothing; zero if that is not known, or if there
--- a/core/lifecycle/restore.go
+++ b/core/lifecycle/restore.go
@@ -18,6 +18,7 @@
 	for _, w := range s.Silent {
 		c.loggedSilence.add(w)
 	}
+	c.loggedLease = s.LongestLease
 	for _, js := range s.Jobs {
 		c.noteLogTime(js.AcceptedAt)
 		c.noteLogTime(js.FinishedAt)
@@ -133,6 +134,7 @@
 		delete(c.loggedSilence.since, r.Worker)
 	case Takeover:
 		c.loggedSilence.clear()
+		c.loggedLease = r.LongestLease
 		c.replayTakeover(r)
 	}
 }
@@ -216,11 +218,12 @@
 // may still run is not started until every worker has answered or its leases have lapsed; see recovery.go.
 func (c *Cell) Recover(now time.Time, clean bool, members []Member) Effects {
 	silence := c.takeLoggedSilence()
+	c.inheritLease()
 	c.Replay(Takeover{Epoch: c.epoch, Clean: clean})
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var eff Effects
-	eff.log(Takeover{Epoch: c.epoch, Clean: clean})
+	eff.log(Takeover{Epoch: c.epoch, Clean: clean, LongestLease: c.longestLease(now)})
 	if c.takenOverAt.IsZero() {
 		c.takenOverAt = now
 	}
@@ -316,7 +319,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.forgetFinishedJobs(now)
-	s := Snapshot{Epoch: c.epoch, Clean: clean && !c.recovering}
+	s := Snapshot{Epoch: c.epoch, Clean: clean && !c.recovering, LongestLease: c.longestLease(now)}
 	for id, address := range c.loggedWorkers {
 		s.Workers = append(s.Workers, WorkerAdded{Worker: id, Address: address})
 	}
--- a/core/lifecycle/silence.go
+++ b/core/lifecycle/silence.go
@@ -62,7 +62,7 @@
 func (c *Cell) recordSilence(now time.Time, w *worker, since time.Time, eff *Effects) {
 	w.silentSince = since
 	c.silenceRecordedAt = now
-	c.silentLeasesEndAt = laterOf(c.silentLeasesEndAt, since.Add(c.policy.lapseAfter()))
+	c.silentLeasesEndAt = laterOf(c.silentLeasesEndAt, since.Add(c.inheritedLapseAfter()))
 	eff.log(c.silenceOf(now, w))
 }
 
--- a/core/lifecycle/worker.go
+++ b/core/lifecycle/worker.go
@@ -74,10 +74,6 @@
 	Seq uint64
 }
 
-func (c *Cell) lapseAt(w *worker) time.Time {
-	return w.sentTokenReceivedAt.Add(c.policy.lapseAfter())
-}
-
 // effectiveCapacity returns the capacity by the host list, else the reported one, else the one known before.
 func (w *worker) effectiveCapacity(reported resource.Vector) resource.Vector {
 	switch {
