daemon: leases of tasks follow from the longest standstill of lasting work

Cause: nobody can know of a silence that began together with the owner's end, so that the successor waits for a whole lease. 10.4 s after its claim of the cell, 11.6 s after the loss, leave 0.4 s for the restart until the task counts as lost, 12 s after the loss. The tasks also wait for the lease while the owner stays.

Nothing changes where workers grant 6 s. With 0, leases are as long as workers grant them.

--- a/cmd/relayd/platform.go
+++ b/cmd/relayd/platform.go
@@ -39,6 +39,7 @@
 		noCopies   bool
 		inboxShare float64
 		lookAhead  bool
+		standstill time.Duration
 		limits     daemon.ClientLimits
 	)
 	return &cli.Command{
@@ -59,6 +60,12 @@
 					"does not take in time; 0 turns this off; the same on every host",
 				Sources: cli.EnvVars(daemon.EnvName("inbox-write-share")),
 			},
+			&cli.DurationFlag{
+				Name: "longest-standstill", Value: daemon.DefaultLongestStandstill, Destination: &standstill,
+				Usage: "how long lasting tasks may stand still after the loss of their worker; a limit for the leases of tasks follows " +
+					"from it; 0 sets none",
+				Sources: cli.EnvVars(daemon.EnvName("longest-standstill")),
+			},
 			&cli.BoolFlag{
 				Name: "no-speculative-copies", Usage: "start no second attempts of overdue tasks, also in groups that allow them",
 				Destination: &noCopies, Sources: cli.EnvVars(daemon.EnvName("no-speculative-copies")),
@@ -70,7 +77,7 @@
 		}, daemon.ClientLimitFlags(&limits)...),
 		Action: func(ctx context.Context, _ *cli.Command) error {
 			s, err := platform.ReadSettings(path)
-			if err = errors.Join(err, checkInboxShare(inboxShare)); err != nil {
+			if err = errors.Join(err, checkInboxShare(inboxShare), daemon.CheckLongestStandstill(standstill)); err != nil {
 				*code = exitSettings
 				return err
 			}
@@ -87,6 +94,7 @@
 			settings := jobSettings(s, cells)
 			settings.NoSpeculativeCopies = noCopies
 			settings.InboxWriteShare = inboxShare
+			settings.LongestStandstill = standstill
 			settings.LookAhead = lookAhead
 			settings.ClientLimits = limits.ApplyMemoryLimit()
 			return runPlatform(ctx, path, s, settings)
@@ -127,7 +135,7 @@
 		Metrics:       metrics,
 		DecisionLog:   decisions,
 		Store:         store,
-		Workers:       platform.NewWorkers(client, s.WorkerLease, jobIDOf, log),
+		Workers:       platform.NewWorkers(client, settings.TaskLease(), jobIDOf, log),
 		FollowWorkers: platform.NewWorkerWatcher(store, log).Run,
 		Evacuations:   requests,
 		FollowTable: func(ctx context.Context, changed func(*table.Table)) {
--- a/daemon/jobsettings.go
+++ b/daemon/jobsettings.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"net"
 	"slices"
@@ -16,6 +17,7 @@
 	"github.com/bulrushrelay/bulrushrelay/core/hostlist"
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
+	"github.com/bulrushrelay/bulrushrelay/core/ownership"
 	"github.com/bulrushrelay/bulrushrelay/core/store"
 	"github.com/bulrushrelay/bulrushrelay/core/table"
 	"github.com/bulrushrelay/bulrushrelay/relay/contact"
@@ -35,8 +37,12 @@
 
 	CallerAddress, StatusAddress, PeerAddress, MetricsAddress string
 
-	// WorkerLease is the longest lease of a task, StopTime the longest time that a worker takes to stop a task.
+	// WorkerLease is the longest lease that workers grant to a task, StopTime the longest time that a worker takes to stop a
+	// task.
 	WorkerLease, StopTime time.Duration
+	// LongestStandstill is how long lasting tasks may stand still after the loss of their worker, also if the owner of their
+	// cell is lost with it. TaskLease follows from it. 0 sets no limit.
+	LongestStandstill time.Duration
 	// SmallestLease is the shortest lease that the store grants, StoreWrites the writes a second that it takes from
 	// all hosts together.
 	SmallestLease time.Duration
@@ -130,11 +136,45 @@
 	return max(s.SmallestLease, min(s.WorkerLease/3, maxLeaseTime))
 }
 
+const (
+	// DefaultLongestStandstill is the usual value of JobSettings.LongestStandstill. Platforms count a lasting task as lost if
+	// it does not run 12 s after the loss of its worker.
+	DefaultLongestStandstill = 12 * time.Second
+	// minLongestStandstill leaves leases that a successor can renew before they end.
+	minLongestStandstill = 10500 * time.Millisecond
+	// acquireTime is the time for the claim transaction, the read of the cell log and the first run of the planner.
+	acquireTime = 300 * time.Millisecond
+	// restartTime is the time for the restart of the tasks of many lost workers while little room is free.
+	restartTime = 3 * time.Second
+)
+
+// TaskLease returns the lease of a task. A new owner that knows nothing of a silent worker waits for a whole lease after
+// its claim of the cell before it starts the worker's tasks again, and without a loss of the owner they wait as long.
+func (s JobSettings) TaskLease() time.Duration {
+	if s.LongestStandstill == 0 {
+		return s.WorkerLease
+	}
+	c := ownership.ConfigForTTL(s.leaseTime())
+	// Two members that are preferred as owners may have been lost too, or may be too new to claim.
+	claimed := c.TTL + max(c.PresumeStoppedAfter, 2*c.RankStep)
+	wait := s.LongestStandstill - claimed - acquireTime - restartTime
+	return min(s.WorkerLease, wait*leaseMarginDivisor/(leaseMarginDivisor+1))
+}
+
+// CheckLongestStandstill checks a value of JobSettings.LongestStandstill.
+func CheckLongestStandstill(d time.Duration) error {
+	if d != 0 && d < minLongestStandstill {
+		return fmt.Errorf("longest-standstill: %s: want 0, or %s or more", d, minLongestStandstill)
+	}
+	return nil
+}
+
 // policy returns the times and rules of the job service for these workers.
 func (s JobSettings) policy() lifecycle.Policy {
 	return lifecycle.Policy{
-		LeaseDuration:   s.WorkerLease,
-		LeaseMargin:     s.WorkerLease / leaseMarginDivisor,
+		LeaseDuration:   s.TaskLease(),
+		LeaseMargin:     s.TaskLease() / leaseMarginDivisor,
+		LongestLease:    s.WorkerLease,
 		SilentAfter:     2 * jobSyncWait,
 		StopRepeatDelay: s.StopTime + endListingDelay,
 		// The workers' own retry limits count every failure, too.
