--- a/soak/lostworkers.go
+++ b/soak/lostworkers.go
@@ -83,12 +83,46 @@
 
 func workerProxy(n int) string { return fmt.Sprintf("worker/%d", n) }
 
-// loseWorker performs "lose WORKER [crash]": no host reaches the worker any more, and with crash its tasks end at once.
-func (r *runner) loseWorker(args []string) error {
+// lostWorker returns the worker that stands for the number of a loss.
+func (r *runner) lostWorker(args []string) (int, error) {
 	n, err := r.workerNumber(args)
+	if err != nil {
+		return 0, err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if chosen, ok := r.lostWorkers[n]; ok {
+		return chosen, nil
+	}
+	return 0, fmt.Errorf("worker %d is not lost", n)
+}
+
+// workerWithLastingTasks returns the first worker from n on that runs lasting tasks, or n if none does.
+func (r *runner) workerWithLastingTasks(n int) int {
+	lasting := r.lastingJobs()
+	runs := make(map[ident.WorkerID]bool)
+	for _, x := range r.actions.Deployment.Executions.Executions() {
+		if _, ok := lasting[x.Task.Job]; ok && !x.Stopped {
+			runs[x.Worker] = true
+		}
+	}
+	workers := r.actions.Deployment.Workers
+	for i := range workers {
+		if candidate := (n + i) % len(workers); runs[workers[candidate].Member().ID] {
+			return candidate
+		}
+	}
+	return n
+}
+
+// loseWorker performs "lose WORKER [crash]": no host reaches the worker any more, and with crash its tasks end at once. A
+// worker without lasting tasks is replaced by the next one that has some.
+func (r *runner) loseWorker(args []string) error {
+	number, err := r.workerNumber(args)
 	if err != nil {
 		return err
 	}
+	n := r.workerWithLastingTasks(number)
 	if err := r.setWorkerProxy(n, network.ProxySilent); err != nil {
 		return err
 	}
@@ -105,12 +139,13 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.losses = append(r.losses, loss)
+	r.lostWorkers[number] = n
 	return nil
 }
 
 // findWorker performs "find WORKER", which ends a loss.
 func (r *runner) findWorker(args []string) error {
-	n, err := r.workerNumber(args)
+	n, err := r.lostWorker(args)
 	if err != nil {
 		return err
 	}
@@ -120,7 +155,7 @@
 // killOwner performs "kill-owner WORKER": it kills the host that owns the cell of a worker, and starts it again later. The
 // last running host is not killed.
 func (r *runner) killOwner(ctx context.Context, args []string) error {
-	n, err := r.workerNumber(args)
+	n, err := r.lostWorker(args)
 	if err != nil {
 		return err
 	}
@@ -202,19 +237,25 @@
 // restartCheck returns the check of the run up to now.
 func (r *runner) restartCheck() *restartCheck {
 	c := &restartCheck{
-		endedAt: time.Now(), jobEnds: make(map[ident.JobID]time.Time), executions: r.actions.Deployment.Executions.Executions(),
+		endedAt: time.Now(), jobEnds: r.lastingJobs(), executions: r.actions.Deployment.Executions.Executions(),
 		dataCentres: r.options.Deployment.DataCentres, slack: restartSlack,
 	}
 	if r.options.WithoutTimeBounds {
 		c.slack = noBound
 	}
-	for _, j := range r.actions.Jobs.AcceptedJobs() {
-		if id, err := ident.ParseJobID(j.ID); err == nil && j.Class == classLasting {
-			c.jobEnds[id] = j.CancelSentAt
-		}
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c.performed, c.losses, c.takeovers = slices.Clone(r.performed), slices.Clone(r.losses), slices.Clone(r.takeovers)
 	return c
 }
+
+// lastingJobs returns the accepted jobs of lasting tasks, with the times at which their cancellation was requested.
+func (r *runner) lastingJobs() map[ident.JobID]time.Time {
+	ends := make(map[ident.JobID]time.Time)
+	for _, j := range r.actions.Jobs.AcceptedJobs() {
+		if id, err := ident.ParseJobID(j.ID); err == nil && j.Class == classLasting {
+			ends[id] = j.CancelSentAt
+		}
+	}
+	return ends
+}
--- a/soak/restarts.go
+++ b/soak/restarts.go
@@ -73,7 +73,8 @@
 				restartedAt = c.endedAt
 			}
 			bound := c.bound(loss, restartedAt)
-			if c.cancelledBefore(x.Task.Job, loss.at.Add(bound)) || !c.roomElsewhere(loss, loss.at.Add(bound)) {
+			until := earliest(restartedAt, loss.at.Add(bound))
+			if c.cancelledBefore(x.Task.Job, until) || !c.roomElsewhere(loss, until) {
 				c.leftOut++
 				continue
 			}
@@ -92,10 +93,10 @@
 	return violations
 }
 
-// foundAt returns when the loss ended.
+// foundAt returns when the loss ended. One worker is lost at a time.
 func (c *restartCheck) foundAt(loss workerLoss) time.Time {
 	for _, s := range c.performed {
-		if s.at.After(loss.at) && c.concerns(s, loss.number) {
+		if s.at.After(loss.at) && (s.action[0] == "find" || c.concerns(s, loss.number)) {
 			return s.at
 		}
 	}
@@ -176,9 +177,11 @@
 // roomElsewhere reports whether another worker of the cell had no failure from before the loss until the given time. The
 // lasting tasks of a run need less than one worker, and they start before other tasks.
 func (c *restartCheck) roomElsewhere(loss workerLoss, until time.Time) bool {
+	from := loss.at.Add(-disturbanceMemory)
 	return slices.ContainsFunc(loss.others, func(n int) bool {
-		return !slices.ContainsFunc(c.performed, func(s performedStep) bool {
-			return s.at.After(loss.at.Add(-disturbanceMemory)) && s.at.Before(until) && (c.concerns(s, n) || c.evacuates(s, n))
+		wasLost := func(l workerLoss) bool { return l.number == n && l.at.Before(until) && c.foundAt(l).After(from) }
+		return !slices.ContainsFunc(c.losses, wasLost) && !slices.ContainsFunc(c.performed, func(s performedStep) bool {
+			return s.at.After(from) && s.at.Before(until) && (c.concerns(s, n) || c.evacuates(s, n))
 		})
 	})
 }
@@ -187,8 +190,6 @@
 func (c *restartCheck) concerns(s performedStep, n int) bool {
 	number := fmt.Sprint(n)
 	switch s.action[0] {
-	case "lose", "find":
-		return s.action[1] == number
 	case "worker":
 		return s.action[2] == number
 	case "proxy":
--- a/soak/restarts_test.go
+++ b/soak/restarts_test.go
@@ -68,14 +68,21 @@
 		"cancelled too late": {0, func(c *restartCheck, at func(time.Duration) time.Time) {
 			c.jobEnds[c.executions[0].Task.Job] = at(late)
 		}, 1},
+		"cancelled after the restart": {late, func(c *restartCheck, at func(time.Duration) time.Time) {
+			c.jobEnds[c.executions[0].Task.Job] = at(late + time.Second)
+		}, 1},
 		"no other worker":          {late, func(c *restartCheck, _ func(time.Duration) time.Time) { c.losses[0].others = nil }, 0},
 		"other worker cut off":     {late, steps("50s proxy worker/2 silent"), 0},
 		"other worker evacuated":   {late, steps("50s evacuation start a"), 0},
 		"another worker evacuated": {late, steps("50s evacuation start b", "64s evacuation stop b"), 1},
 		"a third worker cut off":   {late, steps("50s proxy worker/3 silent"), 1},
-		"found before the lease":   {late, steps("65s find 1"), 0},
-		"found after the lease":    {late, steps("72s find 1"), 1},
-		"task of another kind":     {late, func(c *restartCheck, _ func(time.Duration) time.Time) { clear(c.jobEnds) }, 0},
+		"other worker just lost": {late, func(c *restartCheck, at func(time.Duration) time.Time) {
+			steps("50s find 2")(c, at)
+			c.losses = append(c.losses, workerLoss{number: 2, worker: "worker-002", cell: 3, at: at(time.Second)})
+		}, 0},
+		"found before the lease": {late, steps("65s find 1"), 0},
+		"found after the lease":  {late, steps("72s find 1"), 1},
+		"task of another kind":   {late, func(c *restartCheck, _ func(time.Duration) time.Time) { clear(c.jobEnds) }, 0},
 		"attempt that ended before": {late, func(c *restartCheck, at func(time.Duration) time.Time) {
 			c.executions[0].StoppedAt = at(59 * time.Second)
 		}, 0},
--- a/soak/run_test.go
+++ b/soak/run_test.go
@@ -78,6 +78,21 @@
 	require.Empty(t, r.Violations)
 }
 
+// Guards against lasting tasks that do not run again, or run twice at a time, after the loss of their worker and of two
+// owners of its cell, and against a check that finds none of them.
+func TestLastingTasksOutliveWorkerAndOwners(t *testing.T) {
+	t.Parallel()
+	o := testOptions(t)
+	o.Deployment.Cells, o.Deployment.Workers, o.Duration = 3, 12, 33*time.Second
+	steps, err := Parse(strings.NewReader("8s lose 0\n13s kill-owner 0\n31s kill-owner 0"))
+	require.NoError(t, err)
+	o.Schedule = steps
+	r, err := Run(t.Context(), o)
+	require.NoError(t, err)
+	require.Empty(t, r.Violations)
+	require.Positive(t, r.Restarts, strings.Join(r.Notes, "\n"))
+}
+
 // Guards against checks of a whole run that cannot fail: here a target runs each request twice.
 func TestSoakFindsDuplicateRuns(t *testing.T) {
 	t.Parallel()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -91,6 +91,8 @@
 	// performed lists the steps with the times at which they were performed, and losses the lost workers.
 	performed []performedStep
 	losses    []workerLoss
+	// lostWorkers maps the number of a worker in the schedule to the one that was lost in its place.
+	lostWorkers map[int]int
 	// holders holds the last known owner of each cell, and takeovers the changes.
 	holders   map[ident.CellID]ident.Instance
 	takeovers []takeover
@@ -103,7 +105,7 @@
 		return nil, err
 	}
 	defer d.Stop()
-	r := &runner{options: o, actions: action.New(d), result: &Result{Schedule: o.Schedule}, seenViolations: make(map[string]bool), holders: make(map[ident.CellID]ident.Instance), weight: 1}
+	r := &runner{options: o, actions: action.New(d), result: &Result{Schedule: o.Schedule}, seenViolations: make(map[string]bool), holders: make(map[ident.CellID]ident.Instance), lostWorkers: make(map[int]int), weight: 1}
 	if r.result.Schedule == nil {
 		r.result.Schedule = Generate(o.Seed, o.Duration, r.topology())
 	}
