core/lifecycle: changes of owner do not put off checkpoints

Batch tasks lost more work with their worker than the interval of five minutes, if the owner of their cell changed more often than that: no progress was saved at all.

Cause: a new owner counted the interval from its own takeover, and took the time of the takeover for that of a checkpoint which the log and the worker both name.

The time of a known checkpoint is kept. The log does not tell when a task was started that has saved nothing, so that its checkpoint is due between 30 and 60 s after the takeover. That is one call and one record for each adopted batch task, spread over 30 s; platforms whose workers save progress by themselves (CheckpointInterval of 0) are not concerned.

Not mended: at least 30 s of each owner are needed, so that owners which change more often still save nothing.

--- a/core/lifecycle/report.go
+++ b/core/lifecycle/report.go
@@ -100,6 +100,25 @@
 	return true
 }
 
+// A new owner asks for overdue checkpoints once adoptedSaveDelay has passed, which leaves the takeover to claims and restarts, and
+// spreads them over adoptedSaveSpread.
+const (
+	adoptedSaveDelay  = 30 * time.Second
+	adoptedSaveSpread = 30 * time.Second
+)
+
+// lastSave returns the time from which the interval to the next checkpoint counts. An attempt of a predecessor that has saved
+// nothing counts as overdue, because the log does not tell when it started.
+func (c *Cell) lastSave(r *run) time.Time {
+	saved := laterOf(r.checkpointAskedAt, r.task.checkpoint.At)
+	if !r.adopted {
+		return laterOf(r.startedAt, saved)
+	}
+	spread := adoptedSaveDelay + adoptedSaveSpread*time.Duration(r.Task.Index%64)/64
+	overdue := c.takenOverAt.Add(spread - c.policy.CheckpointInterval)
+	return laterOf(overdue, saved)
+}
+
 // observeAttempt applies what a report says of a running attempt. It asks for a checkpoint if the last one is too old.
 // Progress that a copy saves beside the first attempt is ignored: only one attempt can resume.
 func (c *Cell) observeAttempt(now time.Time, r *run, a ActiveAttempt, obs []placement.Observation, eff *Effects) []placement.Observation {
@@ -109,9 +128,8 @@
 		eff.log(CheckpointSaved{AttemptID: a.AttemptID, Checkpoint: t.checkpoint})
 		eff.do(NoteCheckpoint{Task: r.bookedAs, At: now})
 	}
-	lastSave := laterOf(laterOf(r.startedAt, r.checkpointAskedAt), t.checkpoint.At)
 	asksForCheckpoints := c.policy.CheckpointInterval > 0 && t.job.spec.Kind == table.Batch
-	if asksForCheckpoints && r == t.run && r.phase == phaseActive && now.Sub(lastSave) >= c.policy.CheckpointInterval {
+	if asksForCheckpoints && r == t.run && r.phase == phaseActive && now.Sub(c.lastSave(r)) >= c.policy.CheckpointInterval {
 		r.checkpointAskedAt = now
 		eff.do(CheckpointTask{AttemptID: r.AttemptID, Worker: r.worker})
 	}
--- a/core/lifecycle/worker.go
+++ b/core/lifecycle/worker.go
@@ -328,7 +328,7 @@
 		startedAt: now, firstSeenAt: now, incarnation: w.incarnation, maybeSentBefore: true, confirmedSeq: c.callSeq,
 		ready: a.Ready, adopted: true,
 	}
-	if a.Checkpoint.ID != "" {
+	if a.Checkpoint.ID != "" && a.Checkpoint.ID != t.checkpoint.ID {
 		t.checkpoint = Checkpoint{ID: a.Checkpoint.ID, At: now}
 	}
 	w.running[t.id] = t.run
