--- a/soak/load.go
+++ b/soak/load.go
@@ -53,7 +53,11 @@
 		{Name: classUrgent, Rate: 0.4, Group: jobhttp.Group{Count: 4, Processors: 3, MemoryMB: 200, RunTimeMS: 500}},
 		{Name: classLasting, Rate: 0.5, Group: jobhttp.Group{Count: 12, Processors: 0.02, MemoryMB: 10, Lasting: true, Command: "work=10h"}},
 	} {
-		r.background.Go(func() { r.actions.Jobs.Run(ctx, c, r.options.Duration, r.options.Seed+uint64(i)) })
+		client := r.actions.Jobs
+		if c.Group.Lasting {
+			client = r.lasting
+		}
+		r.background.Go(func() { client.Run(ctx, c, r.options.Duration, r.options.Seed+uint64(i)) })
 	}
 	return nil
 }
--- a/soak/lostworkers.go
+++ b/soak/lostworkers.go
@@ -186,8 +186,8 @@
 
 // cancelLastingJobs cancels the jobs that would not end by themselves.
 func (r *runner) cancelLastingJobs(ctx context.Context) {
-	for _, j := range r.actions.Jobs.AcceptedJobs() {
-		for j.Class == classLasting && r.actions.Jobs.Cancel(ctx, j.ID) != nil && ctx.Err() == nil {
+	for _, j := range r.lasting.AcceptedJobs() {
+		for r.lasting.Cancel(ctx, j.ID) != nil && ctx.Err() == nil {
 			time.Sleep(pollInterval)
 		}
 	}
@@ -252,8 +252,8 @@
 // lastingJobs returns the accepted jobs of lasting tasks, with the times at which their cancellation was requested.
 func (r *runner) lastingJobs() map[ident.JobID]time.Time {
 	ends := make(map[ident.JobID]time.Time)
-	for _, j := range r.actions.Jobs.AcceptedJobs() {
-		if id, err := ident.ParseJobID(j.ID); err == nil && j.Class == classLasting {
+	for _, j := range r.lasting.AcceptedJobs() {
+		if id, err := ident.ParseJobID(j.ID); err == nil {
 			ends[id] = j.CancelSentAt
 		}
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -22,7 +22,7 @@
 	classLeast  = "least"
 	classUrgent = "urgent"
 	classBatch  = "batch"
-	// classLasting is the class of jobs whose tasks run until the end of the run, or until the schedule cancels them.
+	// classLasting is the class of jobs whose tasks run until the end of the run.
 	classLasting = "lasting"
 
 	// stepTimeout bounds one action.
@@ -73,8 +73,10 @@
 
 // runner is the state of one run.
 type runner struct {
-	options    Options
-	actions    *action.Actions
+	options Options
+	actions *action.Actions
+	// lasting submits the jobs of lasting tasks, which the schedule does not cancel.
+	lasting    *load.JobClient
 	result     *Result
 	background sync.WaitGroup
 
@@ -105,7 +107,7 @@
 		return nil, err
 	}
 	defer d.Stop()
-	r := &runner{options: o, actions: action.New(d), result: &Result{Schedule: o.Schedule}, seenViolations: make(map[string]bool), holders: make(map[ident.CellID]ident.Instance), lostWorkers: make(map[int]int), weight: 1}
+	r := &runner{options: o, actions: action.New(d), lasting: load.NewJobClient(d.CallerURLs()), result: &Result{Schedule: o.Schedule}, seenViolations: make(map[string]bool), holders: make(map[ident.CellID]ident.Instance), lostWorkers: make(map[int]int), weight: 1}
 	if r.result.Schedule == nil {
 		r.result.Schedule = Generate(o.Seed, o.Duration, r.topology())
 	}
@@ -239,7 +241,7 @@
 	r.checkRestarts(ctx)
 	r.cancelLastingJobs(ctx)
 	r.result.JobCounts = make(map[string]int)
-	for _, j := range r.actions.Jobs.AcceptedJobs() {
+	for _, j := range slices.Concat(r.actions.Jobs.AcceptedJobs(), r.lasting.AcceptedJobs()) {
 		state, err := r.awaitJob(ctx, j.ID)
 		r.result.JobCounts[j.Class+" "+state]++
 		if state == "cancelled" {
