--- a/core/lifecycle/worker.go
+++ b/core/lifecycle/worker.go
@@ -98,7 +98,8 @@
 	return w.inPlanner && !w.leaving() && !w.evacuated && !w.unanswering() && !w.health.quarantined
 }
 
-// unanswering reports whether the worker gets no tasks because it does not answer, or may get no new lease yet.
+// unanswering reports whether the worker gets no tasks because it does not answer, or because it has just answered again and
+// the log still calls it silent.
 func (w *worker) unanswering() bool { return w.silent || w.unreachable || w.silenceRecorded() }
 
 // setUnreachable notes whether starts reach a worker that the planner knows.
--- a/core/lifecycle/workercalls.go
+++ b/core/lifecycle/workercalls.go
@@ -55,8 +55,8 @@
 	}
 }
 
-// CallFailed notes that a claim or a sync was not answered. It reports whether the last call was, so that Tick may be due
-// earlier than NextTick said.
+// CallFailed notes that a claim or a sync was not answered. It reports whether it is the first such call in a row: Tick may then
+// be due earlier than NextTick said.
 func (c *Cell) CallFailed(id ident.WorkerID) (first bool) {
 	return c.noteCall(id, true, false)
 }
