--- a/daemon/jobsettings.go
+++ b/daemon/jobsettings.go
@@ -158,7 +158,10 @@
 	// Two members that are preferred as owners may have been lost too, or may be too new to claim.
 	claimed := c.TTL + max(c.PresumeStoppedAfter, 2*c.RankStep)
 	wait := s.LongestStandstill - claimed - acquireTime - restartTime
-	return min(s.WorkerLease, wait*leaseMarginDivisor/(leaseMarginDivisor+1))
+	// A successor must be able to renew a lease that the lost owner renewed one sync before. That takes longer than the wanted
+	// lease if the store grants only long leases to hosts.
+	renewable := c.TTL + 2*c.RankStep + c.SettleWait + 2*jobSyncWait
+	return min(s.WorkerLease, max(renewable, wait*leaseMarginDivisor/(leaseMarginDivisor+1)))
 }
 
 // CheckLongestStandstill checks a value of JobSettings.LongestStandstill.
--- a/daemon/jobsettings_test.go
+++ b/daemon/jobsettings_test.go
@@ -50,6 +50,16 @@
 	require.Error(t, CheckLongestStandstill(minLongestStandstill-time.Second))
 }
 
+// Guards against leases of tasks that are shorter than a change of owner takes, or negative, if the store grants only long
+// leases: every such change would end all tasks.
+func TestLongLeasesOfTheStoreLeaveLeasesOfTasksThatCanBeRenewed(t *testing.T) {
+	for _, smallest := range []time.Duration{2 * time.Second, 3 * time.Second, 5 * time.Second, 10 * time.Second} {
+		s := JobSettings{WorkerLease: time.Minute, SmallestLease: smallest, LongestStandstill: DefaultLongestStandstill}
+		c := ownership.ConfigForTTL(s.leaseTime())
+		require.Less(t, c.TTL+2*c.RankStep+c.SettleWait, s.TaskLease()-jobSyncWait-jobSyncGap, "smallest lease %s", smallest)
+	}
+}
+
 // Load: an owner is lost while clients hand jobs in, each of which repeats its call for 2.7 s. Guards against a successor that
 // accepts jobs only after that, where workers grant long leases.
 func TestSuccessorAcceptsJobsWhileClientsRepeatTheirCalls(t *testing.T) {
