review: a channel that lost bytes in a cut is closed after it

The proxies of case 13 dropped bytes and went on with the same channel after the cut, which no network does. Such a channel is now closed by the first bytes after the cut.

--- a/review/standins-3/peercut.go
+++ b/review/standins-3/peercut.go
@@ -92,18 +92,24 @@
 	}
 }
 
-// forward copies what one side sends to the other. While one of the hosts is cut off, everything is dropped silently.
+// forward copies what one side sends to the other. While one of the hosts is cut off, everything is dropped silently. A channel that
+// has lost something is closed by the first bytes after the cut.
 func (n *peerNet) forward(dst, src net.Conn, reader, writer *host) {
 	defer func() { _, _ = dst.Close(), src.Close() }()
 	buffer := make([]byte, 64<<10)
+	incomplete := false
 	for {
 		size, err := src.Read(buffer)
-		if size > 0 && !n.isCut(reader, writer) {
-			if _, err := dst.Write(n.translate(bytes.Clone(buffer[:size]), reader)); err != nil {
-				return
-			}
+		switch {
+		case err != nil:
+			return
+		case n.isCut(reader, writer):
+			incomplete = true
+			continue
+		case incomplete:
+			return
 		}
-		if err != nil {
+		if _, err := dst.Write(n.translate(bytes.Clone(buffer[:size]), reader)); err != nil {
 			return
 		}
 	}
