core/ownership: hosts that become known late count as stopped in time

Cause: a host that has had no lease for long enough counts as stopped, and the time is counted from when this host notes that there is no lease. It noted that only when a member record or the view changed. A host reads the roster, which names the lost hosts, as the last step of its registration. With a slow store its regular publication had changed the view before, and nothing changed after. The other way round was wrong as well: without the member records no host was known to have a lease, and the time was counted all the same.

Each step of the ownership rules now compares the known hosts with the leased records, and none of it happens before those have been read. The log says which hosts count as stopped and from when this host may take over cells. What a step concludes is published at once; it waited for the next change as well. An incarnation whose successor is known is no longer kept among the presumed ones.

--- a/core/ownership/machine.go
+++ b/core/ownership/machine.go
@@ -46,7 +46,7 @@
 	members []Member
 	// ranks caches the results of Rank for members.
 	ranks map[ident.CellID][]Member
-	// leasedSince holds since when each member in members has had a leased record.
+	// leasedSince holds since when each member in members has had a leased record; nil until the records have been read.
 	leasedSince map[ident.Instance]time.Time
 	views       map[ident.CellID]*cellView
 	held        map[ident.CellID]*heldCell
@@ -107,7 +107,6 @@
 		stopped:         make(map[ident.HostID]ident.Incarnation),
 		presumedStopped: make(map[ident.Instance]struct{}),
 		ranks:           make(map[ident.CellID][]Member),
-		leasedSince:     make(map[ident.Instance]time.Time),
 		views:           make(map[ident.CellID]*cellView),
 		held:            make(map[ident.CellID]*heldCell),
 		// Until a host has read the roster, it does not know who may claim.
@@ -146,7 +145,7 @@
 	return m.lease
 }
 
-// SetMembers sets the leased member records. The caller passes them in a fixed order.
+// SetMembers sets the leased member records as read from the store. The caller passes them in a fixed order.
 func (m *Machine) SetMembers(members []Member, now time.Time) {
 	leasedSince := make(map[ident.Instance]time.Time, len(members))
 	for _, member := range members {
--- a/core/ownership/peers.go
+++ b/core/ownership/peers.go
@@ -226,8 +226,11 @@
 }
 
 // updateLeased updates which members have a leased record. A member that was presumed stopped and has one again is
-// running.
+// running. Each Step repeats it, because a member may become known after the last change of the records.
 func (m *Machine) updateLeased(now time.Time) {
+	if m.leasedSince == nil {
+		return
+	}
 	for i, p := range m.peers {
 		_, leased := m.leasedSince[i]
 		switch {
@@ -238,7 +241,12 @@
 		}
 	}
 	for i := range m.presumedStopped {
-		if _, leased := m.leasedSince[i]; leased && m.stopped[i.Host] == i.Incarnation {
+		if m.stopped[i.Host] != i.Incarnation {
+			// A newer incarnation proves that this one has stopped.
+			delete(m.presumedStopped, i)
+			continue
+		}
+		if _, leased := m.leasedSince[i]; leased {
 			delete(m.presumedStopped, i)
 			m.stopped = maps.Clone(m.stopped)
 			delete(m.stopped, i.Host)
@@ -281,6 +289,15 @@
 	return since.Add(wait), true
 }
 
+// PresumedStopped returns the instances that count as stopped only because they have had no lease for long enough, in
+// order.
+func (m *Machine) PresumedStopped() []ident.Instance {
+	if len(m.presumedStopped) == 0 {
+		return nil
+	}
+	return slices.SortedFunc(maps.Keys(m.presumedStopped), compareInstances)
+}
+
 func (m *Machine) hasFreshReport(p *peer, now time.Time) bool {
 	return now.Before(p.reportSentAt.Add(m.cfg.ReportMaxAge))
 }
--- a/core/ownership/presumestopped_test.go
+++ b/core/ownership/presumestopped_test.go
@@ -94,6 +94,28 @@
 	}
 }
 
+// Guards against a host that is known only after the leased records were read and that never counts as stopped, because
+// nothing changes after that.
+func TestHostThatIsKnownLateCountsAsStopped(t *testing.T) {
+	for _, rosterFirst := range []bool{true, false} {
+		a := newAbsence(t)
+		a.m = New(a.cfg, a.now)
+		if rosterFirst {
+			a.m.SetRoster([]RosterEntry{{Instance: a.other, Order: 1}}, a.now, a.now)
+			a.advance(a.cfg.NewcomerPresumeStoppedAfter+time.Second, true)
+			a.requireStopped(false, "whether it holds a lease is not known")
+			a.m.SetMembers(nil, a.now)
+		} else {
+			a.m.SetMembers(nil, a.now)
+			a.m.SetRoster([]RosterEntry{{Instance: a.other, Order: 1}}, a.now, a.now)
+		}
+		a.advance(a.cfg.NewcomerPresumeStoppedAfter-500*time.Millisecond, true)
+		a.requireStopped(false, "its owner may not know this host")
+		a.advance(time.Second, true)
+		a.requireStopped(true, "")
+	}
+}
+
 // absenceFixture is a host that knows one other host.
 type absenceFixture struct {
 	t     *testing.T
--- a/core/ownership/step.go
+++ b/core/ownership/step.go
@@ -43,6 +43,7 @@
 // Step returns the actions to perform now. A transaction is returned only once until TransactionDone takes its result.
 func (m *Machine) Step(now time.Time) []Action {
 	m.stepped = now
+	m.updateLeased(now)
 	m.presumeStopped(now)
 	var actions []Action
 	for _, c := range m.cfg.Cells {
--- a/relay/cluster/revokedlease_test.go
+++ b/relay/cluster/revokedlease_test.go
@@ -14,8 +14,8 @@
 )
 
 // launchJobHost starts a process on host i with the times of hosts that run jobs only.
-func (f *fleet) launchJobHost(i int) *cluster.Service {
-	return f.launch(i, 1, func(c *cluster.Config) {
+func (f *fleet) launchJobHost(i int, incarnation ident.Incarnation) *cluster.Service {
+	return f.launch(i, incarnation, func(c *cluster.Config) {
 		times := ownership.ConfigForTTL(2 * time.Second)
 		times.Self, times.DataCentre, times.Cells, times.MaxDeadline = c.Ownership.Self, c.Ownership.DataCentre, c.Ownership.Cells, maxDeadline
 		c.Ownership = times
@@ -36,7 +36,7 @@
 						services := make(map[string]*cluster.Service)
 						numbers := make(map[string]int)
 						for i := range 3 {
-							services[hostName(i)], numbers[hostName(i)] = f.launchJobHost(i), i
+							services[hostName(i)], numbers[hostName(i)] = f.launchJobHost(i, 1), i
 						}
 						f.checkFor(40*time.Second + time.Duration(step)*50*time.Millisecond)
 						owners := f.fullOwners(0)
--- a/relay/cluster/shards.go
+++ b/relay/cluster/shards.go
@@ -17,7 +17,7 @@
 	// made after its caller has been recorded.
 	mu      sync.Mutex
 	machine *ownership.Machine
-	// leasedMembers holds the records of the leased members, ordered by key.
+	// leasedMembers holds the records of the leased members, ordered by key; nil until they have been read.
 	leasedMembers []MemberRecord
 	// leaving holds the instances that are leaving, as of the view change numbered appliedViewChanges.
 	leaving            map[ident.Instance]bool
@@ -71,8 +71,11 @@
 	o.setMembers(now)
 }
 
-// setMembers passes the leased members to the machine. Gossip tells which of them are leaving.
+// setMembers passes the leased members to the machine once they have been read. Gossip tells which of them are leaving.
 func (o *ownershipShard) setMembers(now time.Time) {
+	if o.leasedMembers == nil {
+		return
+	}
 	members := make([]ownership.Member, 0, len(o.leasedMembers))
 	for _, r := range o.leasedMembers {
 		members = append(members, ownership.Member{
--- a/relay/cluster/steps.go
+++ b/relay/cluster/steps.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"time"
 
@@ -14,7 +15,10 @@
 func (s *Service) stepLoop(ctx context.Context) {
 	ticker := time.NewTicker(stepInterval)
 	defer ticker.Stop()
-	var rosterAt time.Time
+	var (
+		rosterAt time.Time
+		reported standing
+	)
 	pacer := make(fencePacer)
 	for {
 		select {
@@ -27,10 +31,17 @@
 			actions    []ownership.Action
 			needRoster bool
 			at         time.Time
+			current    standing
 		)
 		s.withMachine(func(m *ownership.Machine, now time.Time) {
 			actions, needRoster, at = m.Step(now), m.NeedsRoster(), now
+			current = standing{m.Established(), m.PresumedStopped(), m.StoppedInstances()}
+			if !slices.Equal(current.presumedStopped, reported.presumedStopped) {
+				s.publishRights()
+			}
 		})
+		s.logStanding(reported, current)
+		reported = current
 		if needRoster && s.inRoster.Load() && at.Sub(rosterAt) >= rosterReadInterval {
 			rosterAt = at
 			s.spawn("reading the roster", func() { _ = s.readRoster(ctx) })
@@ -43,6 +54,30 @@
 	}
 }
 
+// standing is what decides whether this host may take over the cells of lost hosts.
+type standing struct {
+	established     bool
+	presumedStopped []ident.Instance
+	stopped         ownership.StoppedInstances
+}
+
+// logStanding reports what has changed since the last step.
+func (s *Service) logStanding(previous, current standing) {
+	if current.established && !previous.established {
+		s.log.Info("this host may take over cells of lost hosts")
+	}
+	for _, i := range current.presumedStopped {
+		if !slices.Contains(previous.presumedStopped, i) {
+			s.log.WithField("instance", i.String()).Info("a host counts as stopped: its lease has ended")
+		}
+	}
+	for _, i := range previous.presumedStopped {
+		if !current.stopped.Contains(i) {
+			s.log.WithField("instance", i.String()).Info("a host that counted as stopped has a lease again")
+		}
+	}
+}
+
 func (s *Service) perform(ctx context.Context, a ownership.Action) {
 	switch a.Kind {
 	case ownership.HandOver:
