core/ownership: earlier processes of a host that become known late have stopped

A newer incarnation in the view proves that earlier ones of its host have stopped. That was concluded only for those known at that moment. One that the roster or a late member record named after that counted as running until the view changed again; with the default times there is no other end to it. A host that knows one instance more than the others gets no valid reports from them and falls into doubt in the next outage of the store.

The machine now keeps the newest incarnation that runs on each host. TestEarlierIncarnationThatIsKnownLateHasStopped failed before in one of its two orders. A host that is presumed stopped and has a lease again no longer makes its earlier processes count as possibly running.

--- a/core/ownership/peers.go
+++ b/core/ownership/peers.go
@@ -249,7 +249,7 @@
 		if _, leased := m.leasedSince[i]; leased {
 			delete(m.presumedStopped, i)
 			m.stopped = maps.Clone(m.stopped)
-			delete(m.stopped, i.Host)
+			m.stopped[i.Host] = i.Incarnation - 1
 			m.AddInstances(i)
 		}
 	}
@@ -329,6 +329,28 @@
 	}
 }
 
+// InstancesRun notes that instances answer at the addresses of their hosts, so that earlier ones of these hosts have
+// stopped, also those of which this host hears later. busyFor is how long their requests may still run.
+func (m *Machine) InstancesRun(running []ident.Instance, busyFor time.Duration, now time.Time) {
+	newest := make(map[ident.HostID]ident.Incarnation, len(running))
+	for _, i := range running {
+		newest[i.Host] = max(newest[i.Host], i.Incarnation)
+	}
+	for i := range m.peers {
+		if i.Incarnation < newest[i.Host] {
+			m.InstanceStopped(i, busyFor, now)
+		}
+	}
+	stopped := maps.Clone(m.stopped)
+	for host, incarnation := range newest {
+		if host != m.cfg.Self.Host && incarnation > 0 {
+			stopped[host] = max(stopped[host], incarnation-1)
+		}
+	}
+	m.stopped = stopped
+	m.AddInstances(running...)
+}
+
 // StoppedInstances is the set of instances that were proved to have stopped by some time. It is immutable, so it can be
 // read without the lock that guards the Machine.
 type StoppedInstances struct {
--- a/core/ownership/presumestopped_test.go
+++ b/core/ownership/presumestopped_test.go
@@ -116,6 +116,23 @@
 	}
 }
 
+// Guards against an earlier process of a host that counts as running for good, because this host hears of it only after its
+// successor: reports of other members, which do not know it, then prove nothing.
+func TestEarlierIncarnationThatIsKnownLateHasStopped(t *testing.T) {
+	for _, earlierFirst := range []bool{true, false} {
+		a := newAbsence(t)
+		a.m = New(a.cfg, a.now)
+		next := ident.Instance{Host: a.other.Host, Incarnation: a.other.Incarnation + 1}
+		if earlierFirst {
+			a.m.AddInstances(a.other)
+		}
+		a.m.InstancesRun([]ident.Instance{next}, a.cfg.MaxDeadline, a.now)
+		a.m.SetRoster([]RosterEntry{{Instance: a.other, Order: 1}}, a.now, a.now)
+		require.Equal(t, []ident.Instance{a.cfg.Self, next}, a.m.KnownInstances())
+		a.requireStopped(true, "")
+	}
+}
+
 // absenceFixture is a host that knows one other host.
 type absenceFixture struct {
 	t     *testing.T
--- a/relay/cluster/shards.go
+++ b/relay/cluster/shards.go
@@ -49,18 +49,13 @@
 		return
 	}
 	o.appliedViewChanges = update.changeCount
-	known := make(map[ident.HostID][]ident.Instance)
-	for _, i := range o.machine.KnownInstances() {
-		known[i.Host] = append(known[i.Host], i)
-	}
 	o.leaving = make(map[ident.Instance]bool)
+	running := make([]ident.Instance, 0, len(update.members))
+	for _, m := range update.members {
+		running = append(running, m.Instance)
+	}
+	o.machine.InstancesRun(running, o.maxDeadline, now)
 	for _, m := range update.members {
-		for _, i := range known[m.Instance.Host] {
-			if i.Incarnation < m.Instance.Incarnation {
-				o.machine.InstanceStopped(i, o.maxDeadline, now)
-			}
-		}
-		o.machine.AddInstances(m.Instance)
 		if m.Departure == membership.Left {
 			o.machine.InstanceStopped(m.Instance, o.maxDeadline, now)
 		}
