A submission and its record are the same work

Cause: the host had written the job into the inbox of its cell, and the answer of the store was lost. As the next owner it took the entry, and compared the entry with the call that had written it. Records held the target in whole milliseconds, the call held 37.5 ms, so that the job counted as another one. The refusal says that the job never runs, and no caller doubts that.

Looked for on all fields of a submission: the stored form also kept a bound of tasks on one worker modulo 2^32, so that 2^32 became "any number". All other fields survive the encoding, or the host refuses what does not.

Records now hold the target in nanoseconds beside the milliseconds that earlier releases read, and the bound saturates. Submissions are compared in milliseconds, because records of earlier releases are still in the log, and a bound beyond the largest job counts as that. A target below 1 ms no longer becomes "none" at the next owner.

Evidence: TestStoredSubmissionIsTheSameWork, which draws whole bodies for the platform's handler, failed before (a target of 0.5 ms is its smallest case), and passes in 3,000 draws.

--- a/adapter/internal/jobgroup/jobgroup.go
+++ b/adapter/internal/jobgroup/jobgroup.go
@@ -32,6 +32,7 @@
 			Volatile:     g.Volatile,
 			Constraints:  encodeConstraints(g.Constraints),
 			TailTargetMs: g.TailTarget.Milliseconds(),
+			TailTargetNs: g.TailTarget.Nanoseconds(),
 
 			DisruptionBudget: uint32(max(g.DisruptionBudget, 0)),
 			Speculative:      g.Speculative,
@@ -56,7 +57,7 @@
 			Lasting:     g.GetLasting(),
 			Volatile:    g.GetVolatile(),
 			Constraints: decodeConstraints(g.GetConstraints()),
-			TailTarget:  DurationFromMs(g.GetTailTargetMs()),
+			TailTarget:  max(DurationFromMs(g.GetTailTargetMs()), time.Duration(g.GetTailTargetNs())),
 
 			DisruptionBudget: int(g.GetDisruptionBudget()),
 			Speculative:      g.GetSpeculative(),
@@ -84,7 +85,7 @@
 		return nil
 	}
 	return &cellv1.Constraints{
-		Label: c.Label, Rack: string(c.Rack), MaxPerWorker: uint32(max(c.MaxPerWorker, 0)), Serving: c.Serving,
+		Label: c.Label, Rack: string(c.Rack), MaxPerWorker: uint32(min(max(c.MaxPerWorker, 0), math.MaxUint32)), Serving: c.Serving,
 		Filler: c.Filler, Image: c.Image,
 	}
 }
--- a/core/lifecycle/types.go
+++ b/core/lifecycle/types.go
@@ -106,12 +106,23 @@
 	Constraints placement.Constraints
 }
 
-// equal reports whether two groups describe the same work.
+// recordedPrecision is the precision of the durations in records of earlier releases.
+const recordedPrecision = time.Millisecond
+
+// equal reports whether two groups describe the same work, also if one of them was read from a record: durations count to
+// recordedPrecision, and no job has more than MaxTasksPerJob tasks on a worker.
 func (g TaskGroup) equal(o TaskGroup) bool {
-	return g.Count == o.Count && g.Need == o.Need && g.RunTime == o.RunTime && g.Command == o.Command &&
+	return g.Count == o.Count && g.Need == o.Need && g.Command == o.Command &&
+		g.RunTime.Truncate(recordedPrecision) == o.RunTime.Truncate(recordedPrecision) &&
+		g.TailTarget.Truncate(recordedPrecision) == o.TailTarget.Truncate(recordedPrecision) &&
 		slices.Equal(g.After, o.After) && g.Lasting == o.Lasting && g.Volatile == o.Volatile &&
-		g.TailTarget == o.TailTarget && g.DisruptionBudget == o.DisruptionBudget && g.Speculative == o.Speculative &&
-		g.Constraints == o.Constraints
+		g.DisruptionBudget == o.DisruptionBudget && g.Speculative == o.Speculative &&
+		withEffectiveSpread(g.Constraints) == withEffectiveSpread(o.Constraints)
+}
+
+func withEffectiveSpread(c placement.Constraints) placement.Constraints {
+	c.MaxPerWorker = min(c.MaxPerWorker, MaxTasksPerJob)
+	return c
 }
 
 // JobSpec is what a caller submits.
