An acknowledged job is not judged anew by the next owner

Cause: a host that does not reach the owner writes the job into the inbox of the cell and acknowledges it. The next owner judged the entry by its own table. If its host had not read the table with the new class yet, the job became durable as failed. The same happened for a class that had been removed since, and for a job that no worker which the owner knew at that moment could hold.

A job now carries what the table of the acknowledging host said of its class (tenant, kind, retries, revision), in the inbox, in calls between hosts and in the log. The next owner takes it as acknowledged: a class that its table lacks counts as resolved there, which is how jobs of removed classes run already. Entries that cannot be decoded still end as failed at once.

The same cause on the direct path: an owner refused a class for good that the forwarding host knew from a newer table, and refused the repeat of an accepted job once the class had been removed. It now accepts the one, and recognizes repeats before it looks at the table.

A class name that is cut to its limit stays valid UTF-8, because the record could not be written otherwise.

--- a/adapter/cellpb/records.go
+++ b/adapter/cellpb/records.go
@@ -187,7 +187,7 @@
 		Number: s.ClientNumber, Pool: s.Pool, FailFast: s.FailFast,
 		Stretch: s.Stretch, GraceMs: s.Grace.Milliseconds(),
 		Groups:      jobgroup.ToMessages(s.Groups),
-		MaxFailures: uint32(min(max(s.MaxFailures, 0), math.MaxInt32)),
+		MaxFailures: uint32(min(max(s.MaxFailures, 0), math.MaxInt32)), TableRevision: uint64(s.TableRevision), Unfit: s.Unfit,
 	}
 }
 
@@ -198,7 +198,7 @@
 		ClientNumber: s.GetNumber(), Pool: s.GetPool(), FailFast: s.GetFailFast(),
 		Stretch: s.GetStretch(), Grace: jobgroup.DurationFromMs(s.GetGraceMs()),
 		Groups:      jobgroup.FromMessages(s.GetGroups()),
-		MaxFailures: int(min(s.GetMaxFailures(), math.MaxInt32)),
+		MaxFailures: int(min(s.GetMaxFailures(), math.MaxInt32)), TableRevision: table.Revision(s.GetTableRevision()), Unfit: s.GetUnfit(),
 	}
 }
 
--- a/adapter/peergrpc/jobmessages.go
+++ b/adapter/peergrpc/jobmessages.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/bulrushrelay/bulrushrelay/adapter/internal/jobgroup"
@@ -34,7 +35,8 @@
 		Name: s.Name, Class: string(s.Class), Token: s.ClientToken, Tenant: string(s.Tenant), Kind: string(s.Kind),
 		Number: s.ClientNumber, Pool: s.Pool, FailFast: s.FailFast,
 		Stretch: s.Stretch, GraceMs: s.Grace.Milliseconds(),
-		Groups: jobgroup.ToMessages(s.Groups),
+		Groups:      jobgroup.ToMessages(s.Groups),
+		MaxFailures: uint32(min(max(s.MaxFailures, 0), math.MaxInt32)), TableRevision: uint64(s.TableRevision),
 	}
 }
 
@@ -44,7 +46,8 @@
 		Tenant: ident.TenantName(s.GetTenant()), Kind: table.Kind(s.GetKind()),
 		ClientNumber: s.GetNumber(), Pool: s.GetPool(), FailFast: s.GetFailFast(),
 		Stretch: s.GetStretch(), Grace: ageFromMs(s.GetGraceMs()),
-		Groups: jobgroup.FromMessages(s.GetGroups()),
+		Groups:      jobgroup.FromMessages(s.GetGroups()),
+		MaxFailures: int(min(s.GetMaxFailures(), math.MaxInt32)), TableRevision: table.Revision(s.GetTableRevision()),
 	}
 }
 
--- a/core/lifecycle/attempt.go
+++ b/core/lifecycle/attempt.go
@@ -56,6 +56,9 @@
 	t.wait = WaitNone
 	t.tooLarge = c.checkFits(0, t.group.Need) != nil
 	t.message = fmt.Sprintf("%s: a task needs %s, the most that one can have is %s", im.Dimension, t.group.Need, im.Largest)
+	if t.job.spec.Unfit && t.tooLarge {
+		t.message += fmt.Sprintf("; the job ends as failed unless a larger worker joins within %s", unfitLimit)
+	}
 	c.setState(now, t, Impossible)
 }
 
--- a/core/lifecycle/capacity.go
+++ b/core/lifecycle/capacity.go
@@ -33,6 +33,16 @@
 		"group %d: %s: a task needs %s, the largest worker of cell %d has %s", group, dim, need, c.id, largest)
 }
 
+// checkJobFits returns a NotRun error if no worker of the cell can ever hold a task of some group of the job.
+func (c *Cell) checkJobFits(spec JobSpec) error {
+	for i, g := range spec.Groups {
+		if err := c.checkFits(i, g.Need); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // clearImpossible marks the impossible tasks that a changed capacity makes possible as queued. The planner still holds
 // them.
 func (c *Cell) clearImpossible(now time.Time) {
--- a/core/lifecycle/cell.go
+++ b/core/lifecycle/cell.go
@@ -85,6 +85,8 @@
 	copies       int
 	wastedCopies time.Duration
 	copyEvents   []CopyEvent
+	// unfit holds the jobs with JobSpec.Unfit that have not started, and when they end as failed.
+	unfit map[ident.JobID]time.Time
 	// sweepPosition is the position in jobOrder of the job at which WaitingTasks last looked.
 	sweepPosition int
 
@@ -158,6 +160,7 @@
 		changedJobs:      make(map[ident.JobID]struct{}),
 		returns:          make(map[ident.DataCentre]evacuation.Ramp),
 		speculative:      make(map[ident.TaskID]*task),
+		unfit:            make(map[ident.JobID]time.Time),
 		loggedSilence:    loggedSilence{since: make(map[ident.WorkerID]time.Duration)},
 		learner:          speculation.NewLearner(nil),
 	}
@@ -171,21 +174,14 @@
 }
 
 // Accept validates a submission and returns the id of its job and the record that makes the job durable. A repeat with
-// the same client token or number returns the id of the first submission and no record.
+// the same client token or number returns the id of the first submission and no record. If the host that received the
+// submission has a newer table than this owner, a class that this owner does not know counts as that host resolved it.
 func (c *Cell) Accept(now time.Time, spec JobSpec) (ident.JobID, Effects, error) {
 	if err := spec.Validate(); err != nil {
 		return ident.JobID{}, Effects{}, err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	row, ok := c.lookup(spec.Class)
-	if !ok && c.table != nil {
-		return ident.JobID{}, Effects{}, verdict.New(verdict.NotRun, verdict.CodeInvalid,
-			"class %q is not in table revision %d", spec.Class, c.table.Revision())
-	}
-	spec.Tenant = row.Tenant
-	spec.Kind = row.Kind
-	spec.MaxFailures = maxFailures(row)
 	id := ident.CallerAssignedJobID(c.id, spec.ClientNumber)
 	spec.ClientToken = spec.idempotencyToken(c.id)
 	if earlier, used := c.tokens[spec.ClientToken]; used && spec.ClientToken != "" {
@@ -199,10 +195,12 @@
 		return ident.JobID{}, Effects{}, verdict.New(verdict.NotRun, verdict.CodeUnavailable,
 			"the owner of cell %d has not read the table yet", c.id).WithRetryAfter(time.Second)
 	}
-	for i, g := range spec.Groups {
-		if err := c.checkFits(i, g.Need); err != nil {
-			return ident.JobID{}, Effects{}, err
-		}
+	if !spec.ResolveClass(c.table) && spec.TableRevision <= c.table.Revision() {
+		return ident.JobID{}, Effects{}, verdict.New(verdict.NotRun, verdict.CodeInvalid,
+			"class %q is not in table revision %d", spec.Class, c.table.Revision())
+	}
+	if err := c.checkJobFits(spec); err != nil {
+		return ident.JobID{}, Effects{}, err
 	}
 	if spec.ClientNumber == 0 {
 		c.jobSeq++
--- a/core/lifecycle/commit.go
+++ b/core/lifecycle/commit.go
@@ -59,12 +59,16 @@
 }
 
 func (c *Cell) commitJob(now time.Time, r JobAccepted, eff *Effects) {
-	j := c.insertJob(r.Job, r.Spec, r.At)
-	j.acceptedByOwner = true
+	j, known := c.jobs[r.Job]
+	if !known {
+		j = c.insertJob(r.Job, r.Spec, r.At)
+		j.acceptedByOwner = true
+	}
 	if r.Refused != "" {
 		c.failUnstarted(now, j, r.Refused)
 		return
 	}
+	c.noteUnfit(now, j)
 	tasks := make([]*task, len(j.tasks))
 	for i := range j.tasks {
 		tasks[i] = &j.tasks[i]
--- a/core/lifecycle/record.go
+++ b/core/lifecycle/record.go
@@ -13,7 +13,7 @@
 }
 
 type (
-	// JobAccepted makes a job durable.
+	// JobAccepted makes a job durable. One with Refused ends a job that was accepted before and has not started.
 	JobAccepted struct {
 		Job  ident.JobID
 		Spec JobSpec
--- a/core/lifecycle/refused.go
+++ b/core/lifecycle/refused.go
@@ -1,6 +1,7 @@
 package lifecycle
 
 import (
+	"strings"
 	"time"
 
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
@@ -40,13 +41,11 @@
 	if spec.Validate() != nil {
 		// What cannot be decoded, or is beyond the limits of this build, is kept as a job of one task.
 		spec = JobSpec{
-			Class: spec.Class[:min(len(spec.Class), MaxNameBytes)], ClientNumber: spec.ClientNumber,
+			Class: ident.ClassName(strings.ToValidUTF8(string(spec.Class[:min(len(spec.Class), MaxNameBytes)]), "")), ClientNumber: spec.ClientNumber,
 			Groups: []TaskGroup{{Count: 1, Need: resource.Vector{MilliCPU: 1}}},
 		}
 	}
-	if row, ok := c.lookup(spec.Class); ok {
-		spec.Tenant, spec.Kind, spec.MaxFailures = row.Tenant, row.Kind, maxFailures(row)
-	}
+	spec.ResolveClass(c.table)
 	id := ident.CallerAssignedJobID(c.id, spec.ClientNumber)
 	spec.ClientToken = spec.idempotencyToken(c.id)
 	c.tokens[spec.ClientToken] = acceptedSubmission{job: id, spec: spec}
@@ -57,7 +56,11 @@
 func (c *Cell) failUnstarted(now time.Time, j *job, reason string) {
 	for i := range j.tasks {
 		t := &j.tasks[i]
+		if t.state.Final() {
+			continue
+		}
 		t.settled = true
+		t.wait = WaitNone
 		t.message = reason
 		c.setState(now, t, Failed)
 	}
--- a/core/lifecycle/restore.go
+++ b/core/lifecycle/restore.go
@@ -77,11 +77,12 @@
 	c.noteLogTime(timeOf(record))
 	switch r := record.(type) {
 	case JobAccepted:
-		if _, ok := c.jobs[r.Job]; !ok {
-			j := c.insertJob(r.Job, r.Spec, r.At)
-			if r.Refused != "" {
-				c.failUnstarted(r.At, j, r.Refused)
-			}
+		j, known := c.jobs[r.Job]
+		if !known {
+			j = c.insertJob(r.Job, r.Spec, r.At)
+		}
+		if r.Refused != "" {
+			c.failUnstarted(r.At, j, r.Refused)
 		}
 	case JobCancelled:
 		if j, ok := c.jobs[r.Job]; ok {
@@ -232,6 +233,7 @@
 	var idle []*task
 	c.adoptTimes(now)
 	for _, id := range c.jobOrder {
+		c.noteUnfit(now, c.jobs[id])
 		idle = append(idle, c.holdPossiblyRunningTasks(c.jobs[id], clean)...)
 	}
 	listed := make(map[ident.WorkerID]struct{}, len(members))
--- a/core/lifecycle/tick.go
+++ b/core/lifecycle/tick.go
@@ -71,6 +71,7 @@
 	}
 	c.recordTime(now, &eff)
 	c.finishRecovery(now, &eff)
+	c.endUnfit(now, &eff)
 	return eff
 }
 
@@ -145,6 +146,7 @@
 		earliest(t.run.startedAt.Add(maxLogWait))
 	}
 	earliest(c.nextTimeRecord())
+	earliest(c.nextUnfit())
 	if c.recovering && c.table != nil && !c.runsListed && !c.inDoubt && !c.awaitsAnswer() {
 		earliest(c.runsEndAt())
 	}
--- a/core/lifecycle/types.go
+++ b/core/lifecycle/types.go
@@ -135,6 +135,11 @@
 	// MaxFailures is the number of failed attempts after which a task is given up, by the last table that had the class;
 	// 0 if it is not known. It applies once the class has been taken out of the table.
 	MaxFailures int
+	// TableRevision is the revision of the table from which the three fields above were taken; 0 if it is not known.
+	TableRevision table.Revision
+	// Unfit is set if the job was acknowledged to its caller although no worker of the cell could hold one of its tasks. It
+	// ends as failed if that stays so for unfitLimit.
+	Unfit bool
 	// ClientToken makes a submission idempotent; empty if the caller sent none.
 	ClientToken string
 	// ClientNumber is the caller's own number for the job, which gives the same job id on every host and makes the
@@ -151,6 +156,19 @@
 	Groups  []TaskGroup
 }
 
+// ResolveClass sets the fields that come from the table. It returns false if the table is nil or lacks the class.
+func (s *JobSpec) ResolveClass(t *table.Table) bool {
+	if t == nil {
+		return false
+	}
+	row, ok := t.Lookup(s.Class)
+	if !ok {
+		return false
+	}
+	s.Tenant, s.Kind, s.MaxFailures, s.TableRevision = row.Tenant, row.Kind, maxFailures(row), t.Revision()
+	return true
+}
+
 // CriticalPaths returns for each group the longest chain of declared run times that begins with it, and the longest
 // chain of the job.
 func (s JobSpec) CriticalPaths() (from []time.Duration, longest time.Duration) {
--- a/relay/jobs/eventlist.go
+++ b/relay/jobs/eventlist.go
@@ -146,7 +146,7 @@
 		{EventJobInInbox, "a host has made a job durable in the inbox of its cell, because the owner did not take it in time", []FieldName{
 			FieldCell, FieldJob, FieldClass, FieldReason, FieldDurableMs,
 		}},
-		{EventInboxTaken, "the owner has removed a job from the inbox; reason says why if the job is not new or cannot run", []FieldName{
+		{EventInboxTaken, "the owner has removed a job from the inbox; reason says why if the job is not new or cannot run, or what the owner does not know", []FieldName{
 			FieldCell, FieldEpoch, FieldJob, FieldWaitedMs, FieldReason,
 		}},
 		{EventJobFinished, "all tasks of a job have ended", []FieldName{
--- a/relay/jobs/inboxowner.go
+++ b/relay/jobs/inboxowner.go
@@ -119,16 +119,16 @@
 	}
 	now := o.now()
 	var (
-		id  ident.JobID
-		eff lifecycle.Effects
-		err error
+		id     ident.JobID
+		eff    lifecycle.Effects
+		reason string
+		err    error
 	)
 	if e.fault == "" {
-		id, eff, err = o.cell.Accept(now, e.spec)
+		id, eff, reason, err = o.cell.AcceptAcknowledged(now, e.spec)
 	} else {
 		err = errors.New("the entry cannot be decoded: " + e.fault)
 	}
-	reason := ""
 	if err != nil && isUnavailable(err) {
 		o.waitingEntries[e.job] = e
 		return
--- a/relay/jobs/router.go
+++ b/relay/jobs/router.go
@@ -88,6 +88,10 @@
 // all as long as it would for the store. After an outage the owners first have to claim their cells again, and
 // refusing jobs during that time would serve no purpose.
 func (r *Router) Submit(ctx context.Context, spec lifecycle.JobSpec) (ident.JobID, error) {
+	if r.local != nil {
+		// The owner may have an older table than this host, which has told the caller that the class exists.
+		spec.ResolveClass(r.local.table.Load())
+	}
 	if cells := r.directory.Cells(); len(cells) > 0 && r.usesInbox(spec) {
 		return r.submitNumbered(ctx, CellOfNumber(cells, spec.ClientNumber), spec)
 	}
