relay/jobs: a class that the owner lacks is not refused for good before the inbox is read

An owner refused a submission as invalid and not run if its table lacked the class or none of its workers could hold a task, also while it had not read the inbox, where an earlier call may have left this very job. Callers do not doubt such a refusal, and the job then ran.

Only what holds for the submission itself is final now: fields that are invalid, and a number that the cell knows with another submission. The other refusals are checked against the inbox like all the rest.

TestUnknownClassIsNotRefusedForGoodBeforeTheInboxIsRead failed before.

--- a/relay/jobs/acknowledged_test.go
+++ b/relay/jobs/acknowledged_test.go
@@ -107,3 +107,20 @@
 		fx.requireRanOnce(owner, id)
 	})
 }
+
+// Guards against a job that runs although its call was refused for good: the owner refuses a class that it does not know
+// before it has read the inbox, where an earlier call has left the job.
+func TestUnknownClassIsNotRefusedForGoodBeforeTheInboxIsRead(t *testing.T) {
+	inboxScenario(t, 2, func(fx *fixture, entry *entryHost) {
+		entry.svc.SetTable(newTable)
+		id := entry.place(newClassSpec(1))
+		owner := fx.inboxHost(nil)
+		owner.svc.SetTable(table.New(3, nil))
+		owner.setDelay(500 * time.Millisecond)
+		fx.giveCell(owner)
+		_, err := owner.svc.Submit(bg, cell, newClassSpec(1))
+		requireVerdict(t, verdict.MayHaveRun, err)
+		owner.setDelay(0)
+		fx.requireRanOnce(owner, id)
+	})
+}
--- a/relay/jobs/inboxowner.go
+++ b/relay/jobs/inboxowner.go
@@ -231,11 +231,13 @@
 
 // checkRefusal replaces the verdict NotRun of a refusal unless the job certainly does not exist: an earlier call may have left
 // it in the inbox. inboxKnown says whether the cell knew the jobs of all entries before it refused this one. No other host has
-// opened the inbox before the call if none had claimed the cell. A refusal with CodeUnavailable proves nothing in any case; see
+// opened the inbox before the call if none had claimed the cell. A submission that is invalid by itself, and another one under
+// a number that the cell knows, cannot have been accepted. A refusal with CodeUnavailable proves nothing in any case; see
 // withUnknownOutcome.
 func (o *owner) checkRefusal(ctx context.Context, calledAt time.Time, spec lifecycle.JobSpec, refusal error, inboxKnown bool) error {
 	e := verdict.FromError(refusal)
-	if !o.cfg.Inbox.enabled() || spec.ClientNumber == 0 || e.Verdict != verdict.NotRun || isFinalRefusal(e) || isUnavailable(e) {
+	if !o.cfg.Inbox.enabled() || spec.ClientNumber == 0 || e.Verdict != verdict.NotRun || e.Code == verdict.CodeConflict ||
+		spec.Validate() != nil || isUnavailable(e) {
 		return refusal
 	}
 	if inboxKnown && o.awaitExclusive(ctx, calledAt) && o.inboxKnown.Load() {
