relay/jobs: a repeat finds its entry also at a host without the class

Found by reading the change. The check that the host knows the class came before the read of the inbox, so that a repeat at a host with an older table was answered as unknown instead of accepted. TestRepeatAtAHostWithoutTheClassFindsTheEntry failed before. The reasons of inbox_taken are joined, and an incarnation of 0 cannot underflow.

--- a/core/lifecycle/acknowledged.go
+++ b/core/lifecycle/acknowledged.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
@@ -34,7 +35,7 @@
 	}
 	if err := c.checkJobFits(spec); err != nil {
 		spec.Unfit = true
-		note = verdict.FromError(err).Error()
+		note = strings.TrimPrefix(note+"; "+verdict.FromError(err).Error(), "; ")
 	}
 	id = ident.CallerAssignedJobID(c.id, spec.ClientNumber)
 	spec.ClientToken = spec.idempotencyToken(c.id)
--- a/core/ownership/peers.go
+++ b/core/ownership/peers.go
@@ -249,7 +249,7 @@
 		if _, leased := m.leasedSince[i]; leased {
 			delete(m.presumedStopped, i)
 			m.stopped = maps.Clone(m.stopped)
-			m.stopped[i.Host] = i.Incarnation - 1
+			m.stopped[i.Host] = max(i.Incarnation, 1) - 1
 			m.AddInstances(i)
 		}
 	}
--- a/relay/jobs/acknowledged_test.go
+++ b/relay/jobs/acknowledged_test.go
@@ -124,3 +124,17 @@
 		fx.requireRanOnce(owner, id)
 	})
 }
+
+// Guards against a repeat that is refused, although the job is in the inbox, by a host that has not read the table with its
+// class.
+func TestRepeatAtAHostWithoutTheClassFindsTheEntry(t *testing.T) {
+	inboxScenario(t, 2, func(fx *fixture, entry *entryHost) {
+		entry.svc.SetTable(newTable)
+		id := entry.place(newClassSpec(1))
+		entry.svc.SetTable(testTable)
+		entry.place(newClassSpec(1))
+		_, err := entry.tryPlace(newClassSpec(2))
+		requireVerdict(t, verdict.MayHaveRun, err)
+		fx.requireRanOnce(fx.ownerHost(entry), id)
+	})
+}
--- a/relay/jobs/inboxwriter.go
+++ b/relay/jobs/inboxwriter.go
@@ -65,9 +65,6 @@
 // put writes a job into the inbox of its cell and returns nil once it is durable there. An error with verdict NotRun proves
 // that this call has not written the job and will not. It says nothing about earlier calls.
 func (w *inboxWriter) put(ctx context.Context, job ident.JobID, spec lifecycle.JobSpec) error {
-	if spec.TableRevision == 0 {
-		return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "this host does not know class %q, so that it cannot vouch for job %s", spec.Class, job)
-	}
 	value, err := encodeInboxEntry(w.codec, job, spec, time.Now())
 	if err != nil {
 		return verdict.Wrap(err, verdict.NotRun, verdict.CodeInvalid, "job %s cannot be encoded", job)
@@ -90,6 +87,10 @@
 		if found {
 			return entry.checkSameWork(spec)
 		}
+		if spec.TableRevision == 0 {
+			// The next owner takes the job as it is, so that this host has to know that its class exists.
+			return verdict.New(verdict.NotRun, verdict.CodeUnavailable, "class %q of job %s is not in the table of this host", spec.Class, job)
+		}
 		if !reserved {
 			if err := w.reserve(ctx, job, len(value)); err != nil {
 				return err
