relay/jobs: random failures of the inbox while the table changes

The run and its checks moved into newInboxRun and check; the checks and the seeds of TestInboxRandomFailures are the same.

--- a/relay/jobs/inboxrandom_test.go
+++ b/relay/jobs/inboxrandom_test.go
@@ -15,6 +15,7 @@
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/lifecycle"
 	"github.com/bulrushrelay/bulrushrelay/core/ownership"
+	"github.com/bulrushrelay/bulrushrelay/core/table"
 	"github.com/bulrushrelay/bulrushrelay/core/verdict"
 	"github.com/bulrushrelay/bulrushrelay/relay/jobs"
 	"github.com/bulrushrelay/bulrushrelay/standin/kv"
@@ -26,6 +27,44 @@
 	rng     *rand.Rand
 	entries []*entryHost
 	owner   *host
+	// versions are those of the table that follow testTable, and read says how many of them a host has read. The hosts read
+	// them at random times.
+	versions []*table.Table
+	read     map[*host]int
+}
+
+// newInboxRun returns a run in which one host owns the cell and three others take calls.
+func newInboxRun(fx *fixture, seed uint64, versions ...*table.Table) *inboxRun {
+	r := &inboxRun{fx: fx, rng: rand.New(rand.NewPCG(seed, 0)), versions: versions, read: make(map[*host]int)}
+	for range 3 {
+		r.entries = append(r.entries, fx.entryHost(nil))
+	}
+	r.owner = fx.inboxHost(nil)
+	fx.giveCell(r.owner)
+	for _, e := range r.entries {
+		e.setOwner(r.owner, linkUp)
+	}
+	return r
+}
+
+// spec returns the job of a client. If the table changes, half of the jobs are of a class that some versions lack.
+func (r *inboxRun) spec(number uint64) lifecycle.JobSpec {
+	if len(r.versions) > 0 && number%2 == 0 {
+		return newClassSpec(number)
+	}
+	return numberedSpec(number)
+}
+
+// readTable lets a random host read the next version of the table.
+func (r *inboxRun) readTable() {
+	if len(r.versions) == 0 {
+		return
+	}
+	h := r.fx.hosts[r.rng.IntN(len(r.fx.hosts))]
+	if n := r.read[h]; n < len(r.versions) {
+		h.svc.SetTable(r.versions[n])
+		r.read[h]++
+	}
 }
 
 // clientVerdicts hands in a job as a client does: at most four tries, each at a random host, of which some are broken. A
@@ -37,7 +76,7 @@
 			wait = time.Duration(rng.IntN(600)) * time.Millisecond
 		}
 		ctx, leave := context.WithTimeout(bg, wait)
-		_, err := r.entries[rng.IntN(len(r.entries))].router.Submit(ctx, numberedSpec(number))
+		_, err := r.entries[rng.IntN(len(r.entries))].router.Submit(ctx, r.spec(number))
 		leave()
 		if err == nil {
 			verdicts = append(verdicts, verdict.Ran)
@@ -81,6 +120,7 @@
 			return
 		case <-time.After(time.Duration(r.rng.IntN(400)) * time.Millisecond):
 		}
+		r.readTable()
 		switch r.rng.IntN(6) {
 		case 0:
 			r.replaceOwner(time.Duration(r.rng.IntN(3000)) * time.Millisecond)
@@ -142,54 +182,66 @@
 // Guards against jobs that are lost, run twice, run although every try was refused, or run on after their cancellation was
 // acknowledged, when hosts use the inbox while owners, links and the store fail in combination.
 func TestInboxRandomFailures(t *testing.T) {
-	const clients = 60
 	for seed := range uint64(12) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				fx := newFixture(t, 4)
 				defer fx.close()
-				r := &inboxRun{fx: fx, rng: rand.New(rand.NewPCG(seed, 0))}
-				for range 3 {
-					r.entries = append(r.entries, fx.entryHost(nil))
-				}
-				r.owner = fx.inboxHost(nil)
-				fx.giveCell(r.owner)
-				for _, e := range r.entries {
-					e.setOwner(r.owner, linkUp)
-				}
-				stop, stopped := make(chan struct{}), make(chan struct{})
-				go func() {
-					defer close(stopped)
-					r.fail(stop)
-				}()
-				accepted, refused, cancelled := r.handInAll(seed, clients)
-				close(stop)
-				<-stopped
-				time.Sleep(20 * time.Second)
-				require.NotEmpty(t, accepted)
-				for _, id := range accepted {
-					v := r.owner.get(id)
-					require.True(t, v.State == lifecycle.Done || v.State == lifecycle.Cancelled, "job %v is %s", id, v.State)
-					require.False(t, fx.inInbox(id.Seq))
-				}
-				for id, at := range cancelled {
-					require.True(t, r.owner.get(id).State.Final(), "cancelled job %v", id)
-					for _, e := range fx.recorder.Executions() {
-						require.False(t, e.Task.Job == id && e.StartedAt.After(at), "job %v was started after its cancellation", id)
-					}
-				}
-				fx.verify(r.owner, accepted...)
-				for _, id := range refused {
-					_, err := r.owner.svc.Get(bg, id, 0, 1)
-					requireCode(t, verdict.CodeNotFound, err)
-				}
-				t.Logf("%d accepted, %d refused with proof, %d through the inbox", len(accepted), len(refused), fx.decisions.count(jobs.EventInboxTaken))
-				require.Positive(t, fx.decisions.count(jobs.EventInboxTaken))
+				newInboxRun(fx, seed).check(seed)
 			})
 		})
 	}
 }
 
+// Guards against the same failures while hosts read versions of the table that add and remove a class, each at another time.
+// A host that takes the cell over begins with the oldest one.
+func TestInboxRandomFailuresWhileTheTableChanges(t *testing.T) {
+	withoutClass := table.New(3, []table.Row{{Name: "batch", Kind: table.Batch, Tenant: "team", Retries: 3, Evictions: 100}})
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fx := newFixture(t, 4)
+				defer fx.close()
+				newInboxRun(fx, seed, newTable, withoutClass).check(seed)
+			})
+		})
+	}
+}
+
+// check lets clients hand in jobs during failures and checks what became of the jobs.
+func (r *inboxRun) check(seed uint64) {
+	const clients = 60
+	fx, t := r.fx, r.fx.t
+	stop, stopped := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		r.fail(stop)
+	}()
+	accepted, refused, cancelled := r.handInAll(seed, clients)
+	close(stop)
+	<-stopped
+	time.Sleep(20 * time.Second)
+	require.NotEmpty(t, accepted)
+	for _, id := range accepted {
+		v := r.owner.get(id)
+		require.True(t, v.State == lifecycle.Done || v.State == lifecycle.Cancelled, "job %v is %s", id, v.State)
+		require.False(t, fx.inInbox(id.Seq))
+	}
+	for id, at := range cancelled {
+		require.True(t, r.owner.get(id).State.Final(), "cancelled job %v", id)
+		for _, e := range fx.recorder.Executions() {
+			require.False(t, e.Task.Job == id && e.StartedAt.After(at), "job %v was started after its cancellation", id)
+		}
+	}
+	fx.verify(r.owner, accepted...)
+	for _, id := range refused {
+		_, err := r.owner.svc.Get(bg, id, 0, 1)
+		requireCode(t, verdict.CodeNotFound, err)
+	}
+	t.Logf("%d accepted, %d refused with proof, %d through the inbox", len(accepted), len(refused), fx.decisions.count(jobs.EventInboxTaken))
+	require.Positive(t, fx.decisions.count(jobs.EventInboxTaken))
+}
+
 // handInAll hands in jobs at random times. It returns those of which a try was accepted, those of which each try was refused
 // with proof, and when the cancellation of a job was acknowledged.
 func (r *inboxRun) handInAll(seed uint64, clients int) (accepted, refused []ident.JobID, cancelled map[ident.JobID]time.Time) {
