relay/cluster: the test of a lone host covers usual answers of the store

With answers of 8 ms the regular publication has to fall into some 30 ms. The test now has 10 such phases.

--- a/relay/cluster/lonehost_test.go
+++ b/relay/cluster/lonehost_test.go
@@ -16,9 +16,16 @@
 // regular publication of its state over the calls of its registration.
 func TestLoneHostOwnsTheCell(t *testing.T) {
 	const publishInterval = time.Second
-	for _, delay := range []time.Duration{0, 8 * time.Millisecond, 240 * time.Millisecond} {
+	for _, tc := range []struct{ delay, from, step time.Duration }{
+		{0, 0, publishInterval / 10},
+		{8 * time.Millisecond, 0, publishInterval / 10},
+		// With usual answers the publication has to fall into some 30 ms.
+		{8 * time.Millisecond, 4 * time.Millisecond, 4 * time.Millisecond},
+		{240 * time.Millisecond, 0, publishInterval / 10},
+	} {
 		for step := range 10 {
-			t.Run(fmt.Sprintf("%s/%d", delay, step), func(t *testing.T) {
+			phase := tc.from + time.Duration(step)*tc.step
+			t.Run(fmt.Sprintf("%s/%s", tc.delay, phase), func(t *testing.T) {
 				runFleet(t, 1, func(f *fleet) {
 					for i := range 3 {
 						f.launchJobHost(i, 1)
@@ -34,9 +41,9 @@
 						f.crash(i)
 					}
 					time.Sleep(3500 * time.Millisecond)
-					f.store.Client(hostName(back)).SetFault(kv.Fault{Delay: delay})
+					f.store.Client(hostName(back)).SetFault(kv.Fault{Delay: tc.delay})
 					s := f.launchJobHost(back, 2)
-					time.Sleep(time.Duration(step) * publishInterval / 10)
+					time.Sleep(phase)
 					for range 20 {
 						s.SetLocalState(cluster.LocalState{})
 						time.Sleep(publishInterval)
