relay/jobs: repeats in the random failures of the inbox get the answer of the first

A try is never refused with proof after an earlier one was accepted, and never as another specification under the same number; some jobs have a target of 37.5 ms.

--- a/relay/jobs/inboxrandom_test.go
+++ b/relay/jobs/inboxrandom_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
@@ -47,12 +48,20 @@
 	return r
 }
 
-// spec returns the job of a client. If the table changes, half of the jobs are of a class that some versions lack.
+// spec returns the job of a client. If the table changes, half of the jobs are of a class that some versions lack, and a
+// quarter have a target that is no whole number of milliseconds.
 func (r *inboxRun) spec(number uint64) lifecycle.JobSpec {
-	if len(r.versions) > 0 && number%2 == 0 {
-		return newClassSpec(number)
+	if len(r.versions) == 0 {
+		return numberedSpec(number)
+	}
+	s := numberedSpec(number)
+	if number%2 == 0 {
+		s = newClassSpec(number)
 	}
-	return numberedSpec(number)
+	if number%4 < 2 {
+		s.Groups[0].TailTarget = 37500 * time.Microsecond
+	}
+	return s
 }
 
 // readTable lets a random host read the next version of the table.
@@ -78,6 +87,10 @@
 		ctx, leave := context.WithTimeout(bg, wait)
 		_, err := r.entries[rng.IntN(len(r.entries))].router.Submit(ctx, r.spec(number))
 		leave()
+		if refusal := verdict.FromError(err); err != nil && refusal.Verdict == verdict.NotRun {
+			assert.NotContains(r.fx.t, verdicts, verdict.Ran, "job %d was accepted, and its repeat is refused: %v", number, err)
+			assert.NotEqual(r.fx.t, verdict.CodeConflict, refusal.Code, "job %d has one specification: %v", number, err)
+		}
 		if err == nil {
 			verdicts = append(verdicts, verdict.Ran)
 			if rng.IntN(3) > 0 {
