--- a/relay/jobs/service.go
+++ b/relay/jobs/service.go
@@ -84,7 +84,7 @@
 	CopiesStarted, CopiesWon, CopiesLost, WastedCopyTime atomic.Int64
 	// InboxWritten and InboxRefused count the attempts of this host to write an entry, by their result. InboxTaken counts
 	// the entries that its owners have removed: among them InboxLeftovers of jobs that the log had already, and
-	// InboxFailed of jobs that cannot run.
+	// InboxFailed that cannot be decoded or are invalid.
 	InboxWritten, InboxRefused, InboxTaken, InboxLeftovers, InboxFailed atomic.Int64
 	// refusals counts the answers with a time for a repeat, by cause.
 	refusals [retry.Causes]atomic.Int64
