--- a/relay/cluster/steps.go
+++ b/relay/cluster/steps.go
@@ -17,7 +17,7 @@
 	defer ticker.Stop()
 	var (
 		rosterAt time.Time
-		reported standing
+		reported membershipState
 	)
 	pacer := make(fencePacer)
 	for {
@@ -31,16 +31,17 @@
 			actions    []ownership.Action
 			needRoster bool
 			at         time.Time
-			current    standing
+			current    membershipState
 		)
 		s.withMachine(func(m *ownership.Machine, now time.Time) {
 			actions, needRoster, at = m.Step(now), m.NeedsRoster(), now
-			current = standing{m.Established(), m.PresumedStopped(), m.StoppedInstances()}
+			current = membershipState{m.Established(), m.PresumedStopped(), m.StoppedInstances()}
 			if !slices.Equal(current.presumedStopped, reported.presumedStopped) {
+				// The view forgets members by what is published.
 				s.publishRights()
 			}
 		})
-		s.logStanding(reported, current)
+		s.logMembership(reported, current)
 		reported = current
 		if needRoster && s.inRoster.Load() && at.Sub(rosterAt) >= rosterReadInterval {
 			rosterAt = at
@@ -54,15 +55,17 @@
 	}
 }
 
-// standing is what decides whether this host may take over the cells of lost hosts.
-type standing struct {
-	established     bool
+// membershipState is what a step has concluded about this host and others.
+type membershipState struct {
+	// established is set if this host may take over cells of hosts that may still run.
+	established bool
+	// presumedStopped lists the instances that count as stopped for want of a lease; stopped holds those with other proof, too.
 	presumedStopped []ident.Instance
 	stopped         ownership.StoppedInstances
 }
 
-// logStanding reports what has changed since the last step.
-func (s *Service) logStanding(previous, current standing) {
+// logMembership reports what has changed since the last step.
+func (s *Service) logMembership(previous, current membershipState) {
 	if current.established && !previous.established {
 		s.log.Info("this host may take over cells of lost hosts")
 	}
