--- a/relay/jobs/acknowledged_test.go
+++ b/relay/jobs/acknowledged_test.go
@@ -93,6 +93,8 @@
 // it.
 func TestAcknowledgedJobAwaitsALargerWorker(t *testing.T) {
 	inboxScenario(t, 2, func(fx *fixture, entry *entryHost) {
+		fx.unlistedWorker = "w9"
+		fx.fleet["w9"] = worker.New(worker.Config{ID: "w9", Rack: "rack9", Capacity: workerCapacity.Add(workerCapacity), Recorder: fx.recorder})
 		large := numberedSpec(1)
 		large.Groups[0].Need = resource.Vector{MilliCPU: 2 * workerCapacity.MilliCPU}
 		id := entry.place(large)
@@ -102,7 +104,7 @@
 		require.Equal(t, lifecycle.Impossible, v.State)
 		require.Contains(t, v.Tasks[0].Reason, "ends as failed unless")
 		owner.setDelay(0)
-		fx.fleet["w9"] = worker.New(worker.Config{ID: "w9", Rack: "rack9", Capacity: workerCapacity.Add(workerCapacity), Recorder: fx.recorder})
+		fx.unlistedWorker = ""
 		owner.svc.SetMembers(cell, fx.members())
 		fx.requireRanOnce(owner, id)
 	})
