--- a/core/lifecycle/acknowledged.go
+++ b/core/lifecycle/acknowledged.go
@@ -37,10 +37,8 @@
 		spec.Unfit = true
 		note = strings.TrimPrefix(note+"; "+verdict.FromError(err).Error(), "; ")
 	}
-	id = ident.CallerAssignedJobID(c.id, spec.ClientNumber)
-	spec.ClientToken = spec.idempotencyToken(c.id)
-	c.tokens[spec.ClientToken] = acceptedSubmission{job: id, spec: spec}
-	return id, Effects{Records: []Record{JobAccepted{Job: id, Spec: spec, At: now}}}, note, nil
+	id, eff = c.acceptNumbered(now, spec, "")
+	return id, eff, note, nil
 }
 
 // noteUnfit begins the wait of an acknowledged job that no worker could hold.
--- a/core/lifecycle/refused.go
+++ b/core/lifecycle/refused.go
@@ -46,10 +46,16 @@
 		}
 	}
 	spec.ResolveClass(c.table)
+	return c.acceptNumbered(now, spec, reason)
+}
+
+// acceptNumbered returns the record of a job with a client number that the cell does not know. refused is the reason why
+// the job ends as failed; empty if it is to run.
+func (c *Cell) acceptNumbered(now time.Time, spec JobSpec, refused string) (ident.JobID, Effects) {
 	id := ident.CallerAssignedJobID(c.id, spec.ClientNumber)
 	spec.ClientToken = spec.idempotencyToken(c.id)
 	c.tokens[spec.ClientToken] = acceptedSubmission{job: id, spec: spec}
-	return id, Effects{Records: []Record{JobAccepted{Job: id, Spec: spec, At: now, Refused: reason}}}
+	return id, Effects{Records: []Record{JobAccepted{Job: id, Spec: spec, At: now, Refused: refused}}}
 }
 
 // failUnstarted ends all tasks of a job of which none was started.
