daemon: an owner in doubt does not count itself as reached

A host that is cut off from the store and all other hosts said that it was ready for up to a lease if it was the owner of a cell: reachesOwner looked for the owner among the members, which include this host and never suspect it. Callers on new connections went to a host that places no job in doubt.

It is out of contact with the store 0.8 s after the cut, suspects both other hosts and is in doubt after 1.6 s, and is ready 5 s after the cut because of its own entry.

Now an owner counts itself only with full authority, which it loses when neither the store nor the other hosts answer. In an outage of the store for all hosts it keeps that authority and stays ready, as the test asks.

--- a/daemon/directory.go
+++ b/daemon/directory.go
@@ -8,6 +8,7 @@
 	"github.com/bulrushrelay/bulrushrelay/core/cellmap"
 	"github.com/bulrushrelay/bulrushrelay/core/ident"
 	"github.com/bulrushrelay/bulrushrelay/core/membership"
+	"github.com/bulrushrelay/bulrushrelay/core/ownership"
 	"github.com/bulrushrelay/bulrushrelay/core/routing"
 	"github.com/bulrushrelay/bulrushrelay/core/store"
 	"github.com/bulrushrelay/bulrushrelay/relay/cluster"
@@ -37,10 +38,14 @@
 	return ident.Instance{}, "", false
 }
 
-// reachesOwner reports whether gossip shows the owner of a cell at work. A host that the store does not answer may know an owner
-// that has lost the cell since.
+// reachesOwner reports whether this host owns a cell with full authority, or gossip shows the owner of the cell at work. A host
+// that the store does not answer may know an owner that has lost the cell since, itself included.
 func (m *memberDirectory) reachesOwner(cell ident.CellID) bool {
 	owner, _, ok := m.Owner(cell)
+	if owner == m.self {
+		// An owner in doubt places no job, and may have a successor that this host does not reach.
+		return m.cluster.Grant(cell).Authority == ownership.Full
+	}
 	return ok && slices.ContainsFunc(m.cluster.Members(), func(member cluster.Member) bool {
 		return member.Instance == owner && !suspected(member) && reportsCell(member, cell)
 	})
